--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: setup lint format test demo model histories policy slopes bench-path
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock pyproject.toml
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check \
+		--require-hashes -r requirements.lock
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check \
+		--no-deps --no-build-isolation --editable .
+	touch $(STAMP)
+
+format: setup
+	$(VENV)/bin/ruff format .
+
+lint: setup
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+test: setup
+	$(PYTHON) -m pytest
--- /dev/null
+++ b/hibiscusstack/dispatch/jobs.py
@@ -0,0 +1,54 @@
+"""Jobs and the tasks they are made of."""
+
+__all__ = ["MAX_TASKS_PER_JOB", "Job", "Task", "task_id_of"]
+
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+MAX_TASKS_PER_JOB = 200
+
+
+@attrs.frozen
+class Task:
+    """One short piece of work that runs on one target.
+
+    ``payload`` is any value that JSON can carry. ``run_time_ms`` and ``memory_mb``
+    are what the caller declares, and may be far from the truth.
+    """
+
+    index: int
+    kind: str
+    payload: Any = None
+    labels: Mapping[str, str] = attrs.field(factory=dict)
+    idempotent: bool = True
+    run_time_ms: int = 200
+    processors_milli: int = 0
+    memory_mb: int = 0
+
+
+@attrs.frozen
+class Job:
+    """One submission of up to 200 tasks, answered as a whole.
+
+    ``timeout_ms`` is what remains until the deadline when the job is handed over,
+    so that hosts whose clocks differ agree on it.
+    """
+
+    job_id: str
+    caller: str
+    tasks: tuple[Task, ...]
+    team: str = "default"
+    labels: Mapping[str, str] = attrs.field(factory=dict)
+    timeout_ms: int = 30_000
+    traceparent: str = ""
+
+
+def task_id_of(job_id: str, index: int) -> str:
+    """Return the name under which a target knows one task of a job.
+
+    >>> task_id_of("dc1.h1.5.9", 3)
+    'dc1.h1.5.9/3'
+    """
+    return f"{job_id}/{index}"
--- /dev/null
+++ b/hibiscusstack/dispatch/messages.py
@@ -0,0 +1,154 @@
+"""Messages that the processes of hibiscusstack exchange, as plain typed data.
+
+A message never carries a time of day or a clock reading, only durations. The codec
+in :mod:`hibiscusstack.host` writes each class as an array that starts with its tag.
+"""
+
+__all__ = [
+    "BatchResults",
+    "CancelBatch",
+    "CancelJob",
+    "FetchConfiguration",
+    "ForwardAnswer",
+    "ForwardJob",
+    "Heartbeat",
+    "Hello",
+    "HostName",
+    "Message",
+    "PlaceBatch",
+    "RecordsPage",
+]
+
+import attrs
+
+from hibiscusstack.dispatch.answers import JobAnswer, TaskResult
+from hibiscusstack.dispatch.jobs import Job, Task
+
+
+@attrs.frozen(order=True)
+class HostName:
+    """One run of one dispatcher host; a restarted host is a new one.
+
+    ``incarnation`` is chosen at start and never repeats for the same ``name``.
+    """
+
+    data_centre: str
+    name: str
+    incarnation: int
+
+
+@attrs.frozen
+class Hello:
+    """The first message on a connection, in both directions."""
+
+    sender: HostName
+    address: str
+    port: int
+    version: int = 1
+
+
+@attrs.frozen
+class Heartbeat:
+    """Liveness, and the state that peers need, repeated at a fixed interval.
+
+    ``free_slots`` and ``queued_ms`` sum over the targets whose home is the sender.
+    """
+
+    configuration_offset: int
+    is_draining: bool
+    free_slots: int
+    queued_ms: int
+    targets: int
+
+
+@attrs.frozen
+class ForwardJob:
+    """A job on its way from the host that received it to the owner of its id."""
+
+    request: int
+    job: Job
+
+
+@attrs.frozen
+class ForwardAnswer:
+    """The answer to :class:`ForwardJob` with the same ``request``."""
+
+    request: int
+    answer: JobAnswer
+
+
+@attrs.frozen
+class CancelJob:
+    """A caller's wish to cancel, on its way to the owner of the job."""
+
+    job_id: str
+    caller: str
+
+
+@attrs.frozen
+class PlaceBatch:
+    """Tasks of one job, from its owner to the home host of the named targets.
+
+    The home may start them on ``targets`` only, so that the owner knows whom to ask
+    should the home be lost. ``batch`` is unique within the owner's incarnation.
+    """
+
+    batch: int
+    job_id: str
+    tasks: tuple[Task, ...]
+    targets: tuple[str, ...]
+    timeout_ms: int
+    caller: str
+    team: str
+    class_name: str
+    traceparent: str = ""
+
+
+@attrs.frozen
+class BatchResults:
+    """Results of some tasks of a batch, from its home to its owner.
+
+    ``free_slots`` and ``queued_ms`` are the same figures as in a heartbeat.
+    ``returned`` lists the indexes of tasks that the home gives back unstarted.
+    """
+
+    batch: int
+    results: tuple[TaskResult, ...]
+    returned: tuple[int, ...] = ()
+    free_slots: int = 0
+    queued_ms: int = 0
+
+
+@attrs.frozen
+class CancelBatch:
+    """The owner's order to drop what has not started of a batch."""
+
+    batch: int
+
+
+@attrs.frozen
+class FetchConfiguration:
+    """A request for the configuration records after ``after_offset``."""
+
+    after_offset: int
+
+
+@attrs.frozen
+class RecordsPage:
+    """Consecutive accepted configuration records, each as (offset, text)."""
+
+    records: tuple[tuple[int, str], ...]
+
+
+Message = (
+    Hello
+    | Heartbeat
+    | ForwardJob
+    | ForwardAnswer
+    | CancelJob
+    | PlaceBatch
+    | BatchResults
+    | CancelBatch
+    | FetchConfiguration
+    | RecordsPage
+)
--- /dev/null
+++ b/hibiscusstack/exceptions.py
@@ -0,0 +1,48 @@
+"""The exceptions of hibiscusstack, all under one base.
+
+Outcomes of a job (not run, failed, unknown) are answers and not exceptions; they
+stand in :mod:`hibiscusstack.dispatch.answers`.
+"""
+
+__all__ = [
+    "DecodeError",
+    "HibiscusError",
+    "InvalidInputError",
+    "SettingsError",
+    "UnavailableError",
+]
+
+
+class HibiscusError(Exception):
+    """The base of every exception that this project raises."""
+
+
+class InvalidInputError(HibiscusError):
+    """Input from outside broke a rule; ``where`` names the offending field."""
+
+    def __init__(self, where: str, expected: str, found: object) -> None:
+        self.where = where
+        self.expected = expected
+        self.found = found
+        super().__init__(f"{where}: expected {expected}, found {found!r}")
+
+
+class DecodeError(InvalidInputError):
+    """Bytes could not be decoded into a message."""
+
+
+class SettingsError(HibiscusError):
+    """A settings file has faults; ``faults`` lists every one of them."""
+
+    def __init__(self, faults: list[InvalidInputError]) -> None:
+        self.faults = faults
+        super().__init__("\n".join(str(fault) for fault in faults))
+
+
+class UnavailableError(HibiscusError):
+    """A peer or an outside system could not be reached or gave no answer."""
+
+    def __init__(self, peer: str, cause: str) -> None:
+        self.peer = peer
+        self.cause = cause
+        super().__init__(f"{peer} is unavailable: {cause}")
--- /dev/null
+++ b/hibiscusstack_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems that the dispatcher talks to."""
