--- a/conftest.py
+++ b/conftest.py
@@ -13,9 +13,9 @@
 
 
 def read_known_red(text: str) -> dict[str, str]:
-    """Return the listed test ids, each with its whole line.
+    r"""Return the listed test ids, each with its whole line.
 
-    >>> read_known_red("# head\\na.py::test_b | make test | seen | issue 2")
+    >>> read_known_red("# head\na.py::test_b | make test | seen | issue 2")
     {'a.py::test_b': 'a.py::test_b | make test | seen | issue 2'}
     """
     lines = [line.strip() for line in text.splitlines()]
