--- /dev/null
+++ b/hibiscusstack/dispatch/conclusion.py
@@ -0,0 +1,44 @@
+"""The one whole answer to a job, from what became of its tasks."""
+
+__all__ = ["conclude_job"]
+
+from collections.abc import Mapping
+
+from hibiscusstack.dispatch.answers import (
+    JobAnswer,
+    Outcome,
+    Problem,
+    Reason,
+    TaskResult,
+)
+from hibiscusstack.dispatch.jobs import Job
+
+
+def conclude_job(
+    job: Job, results: Mapping[int, TaskResult], problem: Problem | None
+) -> JobAnswer:
+    """Return the answer to a job whose every task has a result.
+
+    The job succeeded when all tasks did and was not run when none did. Otherwise it
+    failed when something is known to have failed or to be missing, and is unknown
+    when all that is missing may have run. ``problem`` is why the job was stopped.
+
+    >>> conclude_job(Job("j1", "c", ()), {}, None).outcome
+    <Outcome.SUCCEEDED: 'succeeded'>
+    """
+    ordered = tuple(results[task.index] for task in job.tasks)
+    outcome = _combine({result.outcome for result in ordered})
+    if outcome is Outcome.SUCCEEDED:
+        return JobAnswer(job.job_id, outcome, ordered)
+    reason = problem or Problem(Reason.JOB_FAILED)
+    return JobAnswer(job.job_id, outcome, ordered, reason)
+
+
+def _combine(outcomes: set[Outcome]) -> Outcome:
+    if outcomes <= {Outcome.SUCCEEDED}:
+        return Outcome.SUCCEEDED
+    if outcomes == {Outcome.NOT_RUN}:
+        return Outcome.NOT_RUN
+    if Outcome.FAILED in outcomes or Outcome.NOT_RUN in outcomes:
+        return Outcome.FAILED
+    return Outcome.UNKNOWN
--- a/hibiscusstack/dispatch/effects.py
+++ b/hibiscusstack/dispatch/effects.py
@@ -30,8 +30,9 @@
 
 @attrs.frozen
 class Answer:
-    """Give ``answer`` to everyone who waits for this job."""
+    """Give ``answer`` to the caller behind ``request``, and to nobody else."""
 
+    request: int
     answer: JobAnswer
 
 
--- /dev/null
+++ b/hibiscusstack/dispatch/engine.py
@@ -0,0 +1,363 @@
+"""All decisions of one host, driven by calls and answered by effects."""
+
+__all__ = ["Engine"]
+
+from collections import deque
+from collections.abc import Iterable
+
+import attrs
+
+from hibiscusstack.clock import Clock
+from hibiscusstack.dispatch.answers import (
+    JobAnswer,
+    Outcome,
+    Reason,
+    not_run,
+    outcome_unknown,
+)
+from hibiscusstack.dispatch.effects import (
+    Answer,
+    Effect,
+    SendPeer,
+    StartTask,
+    TargetReply,
+    TaskStates,
+)
+from hibiscusstack.dispatch.finished import FinishedJobs
+from hibiscusstack.dispatch.forwarding import Forwarding
+from hibiscusstack.dispatch.home import Home
+from hibiscusstack.dispatch.homes import assign_homes
+from hibiscusstack.dispatch.ids import (
+    Claim,
+    ClaimRefusal,
+    IdExpired,
+    IdIssuer,
+    parse_issued_id,
+    reason_of_refusal,
+)
+from hibiscusstack.dispatch.interfaces import (
+    Admission,
+    AdmitEverything,
+    HomeLoad,
+    JobPolicy,
+    MatchEverything,
+    TargetHealth,
+)
+from hibiscusstack.dispatch.jobs import Job
+from hibiscusstack.dispatch.messages import (
+    BatchResults,
+    CancelBatch,
+    CancelJob,
+    ForwardAnswer,
+    ForwardJob,
+    Heartbeat,
+    HostName,
+    Message,
+    PlaceBatch,
+    QueryBatch,
+)
+from hibiscusstack.dispatch.owner import Owner
+from hibiscusstack.dispatch.queueing import FifoQueue, TaskQueue
+from hibiscusstack.dispatch.targets import TargetInfo
+
+DRAINING_RETRY_AFTER_MS = 0
+
+
+@attrs.frozen
+class _Waiter:
+    """Who waits for an answer: a local request, or one of another host."""
+
+    request: int
+    host: HostName | None = None
+
+
+class Engine:
+    """The owner of jobs, the home of targets and the forwarder, on one host.
+
+    Every call returns the effects that its caller has to carry out. Messages to
+    this host itself are delivered before a call returns.
+    """
+
+    def __init__(
+        self,
+        name: HostName,
+        clock: Clock,
+        ids: IdIssuer,
+        queue: TaskQueue | None = None,
+        policy: JobPolicy | None = None,
+        admission: Admission | None = None,
+        health: TargetHealth | None = None,
+    ) -> None:
+        self.name = name
+        self.ids = ids
+        self.configuration_offset = 0
+        self._clock = clock
+        self._owner = Owner(
+            name, policy or MatchEverything(), admission or AdmitEverything()
+        )
+        self._home = Home(queue or FifoQueue(), health)
+        self._forwarding = Forwarding()
+        self._finished = FinishedJobs()
+        self._callers: dict[str, str] = {}
+        self._waiters: dict[str, list[_Waiter]] = {}
+        self._targets: dict[str, TargetInfo] = {}
+        self._peers: dict[HostName, Heartbeat | None] = {}
+        self._is_draining = False
+
+    @property
+    def is_draining(self) -> bool:
+        """Tell whether this host refuses new work for good."""
+        return self._is_draining
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether nothing is in progress and every caller has its answer."""
+        return not (len(self._owner) or len(self._forwarding)) and self._home.is_idle
+
+    def submit(self, request: int, job: Job) -> list[Effect]:
+        """Take a job from a caller; one ``Answer`` for ``request`` will follow.
+
+        ``request`` is never used twice. The job runs here if this host issued its
+        id, and is passed on to the owner otherwise.
+        """
+        issued = parse_issued_id(job.job_id)
+        if issued.is_error():
+            reason = reason_of_refusal(issued.error)
+            return [Answer(request, not_run(job.job_id, reason))]
+        if issued.ok.owner == self.name:
+            return self._run(self._accept(_Waiter(request), job))
+        return self._forwarding.submit(
+            request, job, issued.ok.owner, self._clock.now_ms()
+        )
+
+    def cancel(self, job_id: str, caller: str) -> list[Effect]:
+        """Cancel a job for its caller, here or at its owner."""
+        issued = parse_issued_id(job_id)
+        if issued.is_error():
+            return []
+        if issued.ok.owner != self.name:
+            return [SendPeer(issued.ok.owner, CancelJob(job_id, caller))]
+        return self._run(self._owner.cancel(job_id, caller, self._clock.now_ms()))
+
+    def progress_of(self, job_id: str, caller: str) -> tuple[int, int] | None:
+        """Return the ended and all tasks of a caller's job in progress here."""
+        if job_id not in self._owner or self._callers.get(job_id) != caller:
+            return None
+        return self._owner.progress_of(job_id)
+
+    def answer_of(self, job_id: str, caller: str) -> JobAnswer | None:
+        """Return the answer to a caller's finished job, while it is kept here."""
+        return self._finished.get(job_id, caller)
+
+    def receive(self, sender: HostName, message: Message) -> list[Effect]:
+        """Act on a message from a peer."""
+        return self._run(self._handle(sender, message))
+
+    def target_replied(self, started: StartTask, reply: TargetReply) -> list[Effect]:
+        """Act on the outcome of a ``StartTask`` effect."""
+        now_ms = self._clock.now_ms()
+        effects = self._home.replied(started.target, started.task_id, reply, now_ms)
+        return self._run(effects)
+
+    def targets_answered(self, states: TaskStates) -> list[Effect]:
+        """Act on the outcome of a ``StopTasks`` effect."""
+        now_ms = self._clock.now_ms()
+        effects = self._home.targets_answered(states, now_ms)
+        effects += self._owner.targets_answered(states, now_ms)
+        return self._run(effects)
+
+    def peer_connected(self, peer: HostName) -> list[Effect]:
+        """Act on a new connection to a peer, the first one or a later one."""
+        self._peers.setdefault(peer, None)
+        effects = self._forwarding.connected(peer)
+        effects += self._owner.home_connected(peer)
+        return self._run(effects + self._assign_homes())
+
+    def peer_disconnected(self, peer: HostName) -> list[Effect]:
+        """Act on the end of a connection to a peer that may come back."""
+        self._forwarding.disconnected(peer)
+        return []
+
+    def peer_lost(self, peer: HostName) -> list[Effect]:
+        """Act on the loss of a peer that has not come back in time."""
+        self._peers.pop(peer, None)
+        now_ms = self._clock.now_ms()
+        effects = self._forwarding.lost(peer)
+        effects += self._home.owner_lost(peer, now_ms)
+        effects += self._owner.home_lost(peer, now_ms)
+        return self._run(effects + self._assign_homes())
+
+    def targets_listed(self, targets: Iterable[TargetInfo]) -> list[Effect]:
+        """Take over the targets of this data centre, labelled."""
+        self._targets = {target.name: target for target in targets}
+        return self._run(self._assign_homes())
+
+    def configured(self, policy: JobPolicy, offset: int) -> list[Effect]:
+        """Put a new version of the configuration in force."""
+        self._owner.policy = policy
+        self.configuration_offset = offset
+        return []
+
+    def heartbeat(self) -> Heartbeat:
+        """Return what peers have to know of this host now."""
+        free_slots, queued_ms = self._home.load(self._clock.now_ms())
+        return Heartbeat(
+            configuration_offset=self.configuration_offset,
+            is_draining=self._is_draining,
+            free_slots=free_slots,
+            queued_ms=queued_ms,
+            targets=self._home.own_count,
+        )
+
+    def drain(self) -> list[Effect]:
+        """Refuse new work and return what waits here to its owners."""
+        self._is_draining = True
+        effects = self._assign_homes()
+        effects += self._home.give_back_queued(self._clock.now_ms())
+        return self._run(effects)
+
+    def tick(self) -> list[Effect]:
+        """Act on the passing of time; to be called every few milliseconds."""
+        now_ms = self._clock.now_ms()
+        self._finished.forget_old(now_ms)
+        self._refresh_own_load()
+        effects = self._home.tick(now_ms)
+        effects += self._owner.tick(now_ms)
+        effects += self._forwarding.tick(now_ms)
+        return self._run(effects)
+
+    def _accept(self, waiter: _Waiter, job: Job) -> list[Effect]:
+        claim = self.ids.claim(parse_issued_id(job.job_id).ok, job.caller)
+        if claim.is_error():
+            return self._reply(waiter, _refused(job.job_id, claim.error))
+        if claim.ok is Claim.JOINED:
+            return self._join(waiter, job)
+        self._callers[job.job_id] = job.caller
+        self._waiters[job.job_id] = [waiter]
+        if self._is_draining:
+            answer = not_run(
+                job.job_id,
+                Reason.DRAINING,
+                "this host is being stopped",
+                DRAINING_RETRY_AFTER_MS,
+            )
+            return self._finish(answer)
+        return self._owner.submit(job, self._clock.now_ms())
+
+    def _join(self, waiter: _Waiter, job: Job) -> list[Effect]:
+        if job.job_id in self._owner:
+            waiters = self._waiters.setdefault(job.job_id, [])
+            if waiter not in waiters:
+                waiters.append(waiter)
+            return []
+        answer = self._finished.get(job.job_id, job.caller)
+        if answer is None:
+            detail = "the job has ended and its answer is no longer kept"
+            answer = outcome_unknown(job.job_id, Reason.ANSWER_EXPIRED, detail)
+        return self._reply(waiter, answer)
+
+    def _finish(self, answer: JobAnswer) -> list[Effect]:
+        caller = self._callers.pop(answer.job_id)
+        self._finished.put(caller, answer, self._clock.now_ms())
+        effects: list[Effect] = []
+        for waiter in self._waiters.pop(answer.job_id, []):
+            effects += self._reply(waiter, answer)
+        return effects
+
+    def _reply(self, waiter: _Waiter, answer: JobAnswer) -> list[Effect]:
+        if waiter.host is None:
+            return [Answer(waiter.request, answer)]
+        return [SendPeer(waiter.host, ForwardAnswer(waiter.request, answer))]
+
+    def _handle(self, sender: HostName, message: Message) -> list[Effect]:
+        now_ms = self._clock.now_ms()
+        match message:
+            case PlaceBatch():
+                return self._home.place(sender, message, now_ms)
+            case BatchResults():
+                self._note_load(sender, message)
+                return self._owner.results(sender, message, now_ms)
+            case CancelBatch(batch):
+                return self._home.cancel(sender, batch, now_ms)
+            case QueryBatch(batch):
+                return self._home.query(sender, batch, now_ms)
+            case ForwardJob(request, job):
+                return self._accept(_Waiter(request, sender), job)
+            case ForwardAnswer():
+                return self._forwarding.answered(sender, message)
+            case CancelJob(job_id, caller):
+                return self._owner.cancel(job_id, caller, now_ms)
+            case Heartbeat():
+                return self._hear(sender, message)
+            case _:
+                return []
+
+    def _hear(self, sender: HostName, message: Heartbeat) -> list[Effect]:
+        previous = self._peers.get(sender)
+        self._peers[sender] = message
+        self._owner.loads[sender] = HomeLoad(
+            message.free_slots, message.queued_ms, message.targets
+        )
+        was_draining = previous is not None and previous.is_draining
+        if message.is_draining != was_draining:
+            return self._assign_homes()
+        return []
+
+    def _note_load(self, sender: HostName, message: BatchResults) -> None:
+        known = self._owner.loads.get(sender)
+        if known is not None:
+            self._owner.loads[sender] = HomeLoad(
+                message.free_slots, message.queued_ms, known.targets
+            )
+
+    def _refresh_own_load(self) -> None:
+        free_slots, queued_ms = self._home.load(self._clock.now_ms())
+        self._owner.loads[self.name] = HomeLoad(
+            free_slots, queued_ms, self._home.own_count
+        )
+
+    def _assign_homes(self) -> list[Effect]:
+        home_of = assign_homes(self._targets, self._home_candidates())
+        own = frozenset(t for t, home in home_of.items() if home == self.name)
+        self._owner.replace_targets(self._targets, home_of)
+        effects = self._home.replace_targets(
+            self._targets.values(), own, self._clock.now_ms()
+        )
+        self._refresh_own_load()
+        return effects
+
+    def _home_candidates(self) -> list[HostName]:
+        peers = [
+            peer
+            for peer, heartbeat in self._peers.items()
+            if peer.data_centre == self.name.data_centre
+            and not (heartbeat is not None and heartbeat.is_draining)
+        ]
+        if self._is_draining:
+            return sorted(peers)
+        return sorted([*peers, self.name])
+
+    def _run(self, effects: list[Effect]) -> list[Effect]:
+        """Deliver messages to this host and answers; return what is left to do."""
+        pending = deque(effects)
+        outgoing: list[Effect] = []
+        while pending or self._has_answers(pending):
+            effect = pending.popleft()
+            if isinstance(effect, SendPeer) and effect.to == self.name:
+                pending.extend(self._handle(self.name, effect.message))
+            else:
+                outgoing.append(effect)
+        return outgoing
+
+    def _has_answers(self, pending: deque[Effect]) -> bool:
+        for answer in self._owner.take_answers():
+            pending.extend(self._finish(answer))
+        return bool(pending)
+
+
+def _refused(job_id: str, refusal: ClaimRefusal) -> JobAnswer:
+    reason = reason_of_refusal(refusal)
+    if isinstance(refusal, IdExpired) and not refusal.is_proven_unclaimed:
+        detail = "the id expired too long ago to tell whether it was used"
+        return outcome_unknown(job_id, reason, detail)
+    return JobAnswer(job_id, Outcome.NOT_RUN, problem=not_run(job_id, reason).problem)
--- /dev/null
+++ b/hibiscusstack/dispatch/finished.py
@@ -0,0 +1,61 @@
+"""Answers that are kept for callers that submit a finished job again."""
+
+__all__ = ["FinishedJobs"]
+
+from collections import OrderedDict
+
+import attrs
+
+from hibiscusstack.dispatch.answers import JobAnswer
+
+RETENTION_MS = 120_000
+MAX_TASK_RESULTS = 500_000
+
+
+@attrs.frozen
+class _Finished:
+    caller: str
+    answer: JobAnswer
+    forget_ms: int
+
+
+class FinishedJobs:
+    """The newest answers, bounded in age and in the number of task results.
+
+    >>> jobs = FinishedJobs()
+    >>> jobs.put("me", JobAnswer("j1", None), now_ms=0)
+    >>> jobs.get("j1", "someone else") is None
+    True
+    """
+
+    def __init__(self, max_task_results: int = MAX_TASK_RESULTS) -> None:
+        self._max_task_results = max_task_results
+        self._jobs: OrderedDict[str, _Finished] = OrderedDict()
+        self._task_results = 0
+
+    def put(self, caller: str, answer: JobAnswer, now_ms: int) -> None:
+        """Keep an answer, and drop the oldest ones beyond the bound."""
+        self._jobs[answer.job_id] = _Finished(caller, answer, now_ms + RETENTION_MS)
+        self._task_results += _cost_of(answer)
+        while self._task_results > self._max_task_results:
+            self._drop_oldest()
+
+    def get(self, job_id: str, caller: str) -> JobAnswer | None:
+        """Return the answer to a job of ``caller``, if it is still kept."""
+        finished = self._jobs.get(job_id)
+        if finished is None or finished.caller != caller:
+            return None
+        return finished.answer
+
+    def forget_old(self, now_ms: int) -> None:
+        """Drop the answers that have been kept long enough."""
+        while self._jobs and next(iter(self._jobs.values())).forget_ms <= now_ms:
+            self._drop_oldest()
+
+    def _drop_oldest(self) -> None:
+        _, finished = self._jobs.popitem(last=False)
+        self._task_results -= _cost_of(finished.answer)
+
+
+def _cost_of(answer: JobAnswer) -> int:
+    return 1 + len(answer.results)
--- /dev/null
+++ b/hibiscusstack/dispatch/forwarding.py
@@ -0,0 +1,98 @@
+"""Submissions that were passed on to the owner of their id."""
+
+__all__ = ["Forwarding"]
+
+import attrs
+
+from hibiscusstack.dispatch.answers import (
+    JobAnswer,
+    Reason,
+    not_run,
+    outcome_unknown,
+)
+from hibiscusstack.dispatch.effects import Answer, Effect, SendPeer
+from hibiscusstack.dispatch.jobs import Job
+from hibiscusstack.dispatch.messages import ForwardAnswer, ForwardJob, HostName
+
+GRACE_MS = 1_000
+
+
+@attrs.frozen
+class _Forwarded:
+    owner: HostName
+    job: Job
+    give_up_ms: int
+
+
+class Forwarding:
+    """Forwarded submissions that wait for the owner's answer.
+
+    Sending one again after a reconnection is safe, since the owner lets a second
+    copy join the first. When the owner is lost nobody else starts the job.
+    """
+
+    def __init__(self) -> None:
+        self._waiting: dict[int, _Forwarded] = {}
+        self._connected: set[HostName] = set()
+
+    def __len__(self) -> int:
+        """Return the number of submissions that wait."""
+        return len(self._waiting)
+
+    def submit(
+        self, request: int, job: Job, owner: HostName, now_ms: int
+    ) -> list[Effect]:
+        """Pass a job on to its owner, or answer at once if that is impossible."""
+        if owner not in self._connected:
+            return [Answer(request, _undelivered(job, owner))]
+        give_up_ms = now_ms + job.timeout_ms + GRACE_MS
+        self._waiting[request] = _Forwarded(owner, job, give_up_ms)
+        return [SendPeer(owner, ForwardJob(request, job))]
+
+    def answered(self, sender: HostName, message: ForwardAnswer) -> list[Effect]:
+        """Hand an answer to the request that it belongs to."""
+        forwarded = self._waiting.get(message.request)
+        if forwarded is None or forwarded.owner != sender:
+            return []
+        if forwarded.job.job_id != message.answer.job_id:
+            return []
+        del self._waiting[message.request]
+        return [Answer(message.request, message.answer)]
+
+    def connected(self, owner: HostName) -> list[Effect]:
+        """Send again what a reconnected owner may not have received."""
+        self._connected.add(owner)
+        return [
+            SendPeer(owner, ForwardJob(request, forwarded.job))
+            for request, forwarded in self._waiting.items()
+            if forwarded.owner == owner
+        ]
+
+    def disconnected(self, owner: HostName) -> None:
+        """Accept nothing new for an owner until it is connected again."""
+        self._connected.discard(owner)
+
+    def lost(self, owner: HostName) -> list[Effect]:
+        """Answer all that was passed on to an owner that is gone."""
+        self._connected.discard(owner)
+        waiting = [r for r, f in self._waiting.items() if f.owner == owner]
+        return [self._give_up(request, Reason.OWNER_LOST) for request in waiting]
+
+    def tick(self, now_ms: int) -> list[Effect]:
+        """Answer what the owner should have answered by now."""
+        overdue = [r for r, f in self._waiting.items() if f.give_up_ms <= now_ms]
+        return [self._give_up(request, Reason.OWNER_LOST) for request in overdue]
+
+    def _give_up(self, request: int, reason: Reason) -> Answer:
+        forwarded = self._waiting.pop(request)
+        detail = f"no answer from {forwarded.owner.name}, which may have run the job"
+        return Answer(request, outcome_unknown(forwarded.job.job_id, reason, detail))
+
+
+def _undelivered(job: Job, owner: HostName) -> JobAnswer:
+    reason = Reason.OWNER_UNREACHABLE
+    if job.is_first_attempt:
+        detail = f"{owner.name} is not connected; take a fresh id"
+        return not_run(job.job_id, reason, detail, retry_after_ms=0)
+    detail = f"{owner.name} is not connected; an earlier attempt may have run"
+    return outcome_unknown(job.job_id, reason, detail)
--- /dev/null
+++ b/hibiscusstack/dispatch/home.py
@@ -0,0 +1,342 @@
+"""The home of targets: queues tasks and starts each of them once on a target."""
+
+__all__ = ["Home"]
+
+from collections.abc import Iterable
+
+import attrs
+
+from hibiscusstack.dispatch.answers import Outcome, Problem, Reason, TaskResult
+from hibiscusstack.dispatch.batches import BatchTable
+from hibiscusstack.dispatch.effects import (
+    Effect,
+    SendPeer,
+    StartTask,
+    StopTasks,
+    TargetReply,
+    TaskFinished,
+    TaskNotSent,
+    TaskRefused,
+    TaskSilent,
+    TaskStates,
+)
+from hibiscusstack.dispatch.inquiry import Inquiry, Verdict
+from hibiscusstack.dispatch.interfaces import TargetHealth, UnlimitedHealth
+from hibiscusstack.dispatch.jobs import Task, task_id_of
+from hibiscusstack.dispatch.messages import BatchResults, HostName, PlaceBatch
+from hibiscusstack.dispatch.queueing import QueuedTask, TaskQueue
+from hibiscusstack.dispatch.slots import (
+    BUSY_PAUSE_MS,
+    LEAVING_PAUSE_MS,
+    UNREACHABLE_PAUSE_MS,
+    SlotTable,
+)
+from hibiscusstack.dispatch.targets import TargetInfo
+
+MAX_START_ATTEMPTS = 4
+SILENCE_GRACE_MS = 10_000
+PROBE_AFTER_MS = 1_000
+PROBE_RUN_TIME_FACTOR = 4
+BUSY_REASON = "busy"
+LEAVING_REASON = "leaving"
+
+
+@attrs.define
+class _Running:
+    entry: QueuedTask
+    target: str
+    started_ms: int
+    is_asked: bool = False
+
+    def probe_ms(self) -> int:
+        """Return when the target should be asked about this task."""
+        expected_ms = PROBE_RUN_TIME_FACTOR * self.entry.task.run_time_ms
+        return self.started_ms + PROBE_AFTER_MS + expected_ms
+
+
+class Home:
+    """Queues the batches that owners place here and runs them on targets.
+
+    A task is sent to a target once. It goes to another target only with proof that
+    the first never started it: nothing was written, a typed refusal, or the
+    target's word over a new connection.
+    """
+
+    def __init__(self, queue: TaskQueue, health: TargetHealth | None = None) -> None:
+        self.slots = SlotTable()
+        self._queue = queue
+        self._health = health or UnlimitedHealth()
+        self._batches = BatchTable()
+        self._running: dict[str, _Running] = {}
+        self._attempts: dict[str, int] = {}
+        self._inquiry = Inquiry()
+        self._own_targets: frozenset[str] = frozenset()
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether nothing is queued, running or asked about."""
+        return not self._running and not self._batches.has_open()
+
+    @property
+    def running_count(self) -> int:
+        """The number of tasks sent to targets whose end is not known."""
+        return len(self._running)
+
+    def replace_targets(
+        self, targets: Iterable[TargetInfo], own: frozenset[str], now_ms: int
+    ) -> list[Effect]:
+        """Take over a new list of targets, ``own`` being those homed here."""
+        self.slots.replace_targets(targets)
+        self._own_targets = own
+        return self._start_on(self.slots.names(), now_ms)
+
+    @property
+    def own_count(self) -> int:
+        """The number of targets homed here."""
+        return len(self._own_targets)
+
+    def load(self, now_ms: int) -> tuple[int, int]:
+        """Return the free slots of the targets homed here, and the queued time."""
+        free = self.slots.total_free(self._own_targets, now_ms)
+        return free, self._queue.queued_ms()
+
+    def place(self, owner: HostName, message: PlaceBatch, now_ms: int) -> list[Effect]:
+        """Queue a batch and start what can start."""
+        is_new = self._batches.open(owner, message)
+        if not is_new:
+            return []
+        entries = [_queued(owner, message, task, now_ms) for task in message.tasks]
+        for entry in entries:
+            self._queue.push(entry)
+        return self._start_on(message.targets, now_ms)
+
+    def cancel(self, owner: HostName, batch: int, now_ms: int) -> list[Effect]:
+        """Drop what waits of a batch and give up on what runs of it."""
+        if not self._batches.knows(owner, batch):
+            return self.query(owner, batch, now_ms)
+        for entry in self._queue.remove_batch(owner, batch):
+            self._settle(entry, _not_run(entry, Reason.CANCELLED))
+        stops: list[Effect] = []
+        for task_id, running in list(self._running.items()):
+            if running.entry.owner == owner and running.entry.batch == batch:
+                self._settle(running.entry, _abandoned(running.entry))
+                if running.entry.task.idempotent:
+                    stops.append(StopTasks(running.target, (task_id,), False))
+        return stops + self._report(owner, batch, now_ms)
+
+    def query(self, owner: HostName, batch: int, now_ms: int) -> list[Effect]:
+        """Answer the owner's question what became of a batch."""
+        message = self._batches.describe(owner, batch)
+        return [SendPeer(owner, self._with_load(message, now_ms))]
+
+    def owner_lost(self, owner: HostName, now_ms: int) -> list[Effect]:
+        """Give back all that waits for an owner that is gone."""
+        for batch in self._batches.open_batches_of(owner):
+            for entry in self._queue.remove_batch(owner, batch):
+                self._batches.give_back(owner, batch, entry.task.index)
+        return []
+
+    def give_back_queued(self, now_ms: int) -> list[Effect]:
+        """Return all that waits to its owners, unstarted; for a planned stop."""
+        effects: list[Effect] = []
+        for owner, batch in self._batches.all_open():
+            for entry in self._queue.remove_batch(owner, batch):
+                self._batches.give_back(owner, batch, entry.task.index)
+            effects += self._report(owner, batch, now_ms)
+        return effects
+
+    def replied(
+        self, target: str, task_id: str, reply: TargetReply, now_ms: int
+    ) -> list[Effect]:
+        """Act on the outcome of one start."""
+        running = self._running.get(task_id)
+        if running is None or running.target != target:
+            return []
+        if isinstance(reply, TaskSilent):
+            self._record_health(running, is_success=False, now_ms=now_ms)
+            return self._ask_target(running, now_ms)
+        self._inquiry.close(task_id)
+        if isinstance(reply, TaskFinished):
+            return self._finish(running, reply.result, now_ms)
+        return self._start_elsewhere(running, reply, now_ms)
+
+    def targets_answered(self, states: TaskStates, now_ms: int) -> list[Effect]:
+        """Act on a target's word about tasks that went silent."""
+        verdicts = self._inquiry.answered(states, now_ms)
+        return self._conclude(verdicts, now_ms)
+
+    def tick(self, now_ms: int) -> list[Effect]:
+        """Expire what waits too long, ask again, and start what can start."""
+        effects: list[Effect] = []
+        for entry in self._queue.expire(now_ms):
+            self._settle(entry, _not_run(entry, Reason.DEADLINE))
+            effects += self._report(entry.owner, entry.batch, now_ms)
+        effects += self._probe_overdue(now_ms)
+        requests, verdicts = self._inquiry.tick(now_ms)
+        effects += requests
+        effects += self._conclude(verdicts, now_ms)
+        self._batches.forget_old(now_ms)
+        return effects + self._start_on(self.slots.names(), now_ms)
+
+    def _start_on(self, names: Iterable[str], now_ms: int) -> list[Effect]:
+        effects: list[Effect] = []
+        for name in self.slots.by_most_free(names, now_ms):
+            effects += self._fill(name, now_ms)
+        return effects
+
+    def _fill(self, name: str, now_ms: int) -> list[Effect]:
+        effects: list[Effect] = []
+        target = self.slots.target(name)
+        while self.slots.free_on(name, now_ms) and self._health.may_start(
+            target, self.slots.running_on(name), now_ms
+        ):
+            entry = self._queue.pop(target, now_ms)
+            if entry is None:
+                break
+            if entry.deadline_ms <= now_ms:
+                self._settle(entry, _not_run(entry, Reason.DEADLINE))
+                effects += self._report(entry.owner, entry.batch, now_ms)
+                continue
+            effects.append(self._start(entry, name, now_ms))
+        return effects
+
+    def _start(self, entry: QueuedTask, name: str, now_ms: int) -> StartTask:
+        self.slots.acquire(name)
+        self._running[entry.task_id] = _Running(entry, name, now_ms)
+        timeout_ms = entry.deadline_ms - now_ms
+        return StartTask(name, entry.task_id, entry.task, timeout_ms, entry.traceparent)
+
+    def _ask_target(self, running: _Running, now_ms: int) -> list[Effect]:
+        if running.is_asked:
+            return []
+        running.is_asked = True
+        entry = running.entry
+        give_up_ms = max(entry.deadline_ms, now_ms) + SILENCE_GRACE_MS
+        targets = frozenset({running.target})
+        self._inquiry.ask(entry.task_id, entry.task.index, targets, give_up_ms)
+        requests, _ = self._inquiry.tick(now_ms)
+        return list(requests)
+
+    def _probe_overdue(self, now_ms: int) -> list[Effect]:
+        effects: list[Effect] = []
+        for running in self._running.values():
+            if not running.is_asked and running.probe_ms() <= now_ms:
+                effects += self._ask_target(running, now_ms)
+        return effects
+
+    def _record_health(
+        self, running: _Running, is_success: bool, now_ms: int, run_time_ms: int = 0
+    ) -> None:
+        self._health.record(running.target, is_success, run_time_ms, now_ms)
+
+    def _conclude(self, verdicts: list[Verdict], now_ms: int) -> list[Effect]:
+        effects: list[Effect] = []
+        for verdict in verdicts:
+            running = self._running[verdict.task_id]
+            if verdict.is_never_started:
+                effects += self._return(running, now_ms)
+                continue
+            result = verdict.result or _lost(running.entry)
+            effects += self._finish(running, result, now_ms)
+        return effects
+
+    def _finish(
+        self, running: _Running, result: TaskResult, now_ms: int
+    ) -> list[Effect]:
+        entry = running.entry
+        self._remove(running)
+        is_success = result.outcome is Outcome.SUCCEEDED
+        self._record_health(running, is_success, now_ms, result.run_time_ms)
+        self._queue.record_run(entry, max(now_ms - running.started_ms, 0))
+        self._settle(entry, attrs.evolve(result, index=entry.task.index))
+        effects = self._report(entry.owner, entry.batch, now_ms)
+        return effects + self._start_on([running.target], now_ms)
+
+    def _start_elsewhere(
+        self, running: _Running, reply: TaskRefused | TaskNotSent, now_ms: int
+    ) -> list[Effect]:
+        self._remove(running)
+        entry = running.entry
+        must_return = not self._pause_after(running.target, reply, now_ms)
+        attempts = self._attempts.pop(entry.task_id, 1) + 1
+        is_open = self._batches.is_open(entry.owner, entry.batch, entry.task.index)
+        if must_return or not is_open or attempts > MAX_START_ATTEMPTS:
+            self._give_back(entry)
+            return self._report(entry.owner, entry.batch, now_ms)
+        self._attempts[entry.task_id] = attempts
+        self._queue.push(entry)
+        return self._start_on(entry.targets, now_ms)
+
+    def _pause_after(
+        self, target: str, reply: TaskRefused | TaskNotSent, now_ms: int
+    ) -> bool:
+        """Pause the target; return whether this home may try another one."""
+        if isinstance(reply, TaskNotSent):
+            self._health.record(target, False, 0, now_ms)
+            self.slots.pause(target, now_ms + UNREACHABLE_PAUSE_MS)
+            return True
+        if reply.reason == BUSY_REASON:
+            self.slots.pause(target, now_ms + BUSY_PAUSE_MS)
+            return True
+        if reply.reason == LEAVING_REASON:
+            self.slots.pause(target, now_ms + LEAVING_PAUSE_MS)
+            return True
+        return False
+
+    def _return(self, running: _Running, now_ms: int) -> list[Effect]:
+        self._remove(running)
+        entry = running.entry
+        self._give_back(entry)
+        effects = self._report(entry.owner, entry.batch, now_ms)
+        return effects + self._start_on([running.target], now_ms)
+
+    def _remove(self, running: _Running) -> None:
+        del self._running[running.entry.task_id]
+        self.slots.release(running.target)
+
+    def _settle(self, entry: QueuedTask, result: TaskResult) -> None:
+        self._attempts.pop(entry.task_id, None)
+        self._batches.settle(entry.owner, entry.batch, result)
+
+    def _give_back(self, entry: QueuedTask) -> None:
+        self._attempts.pop(entry.task_id, None)
+        self._batches.give_back(entry.owner, entry.batch, entry.task.index)
+
+    def _report(self, owner: HostName, batch: int, now_ms: int) -> list[Effect]:
+        message = self._batches.take_report(owner, batch, now_ms)
+        if message is None:
+            return []
+        return [SendPeer(owner, self._with_load(message, now_ms))]
+
+    def _with_load(self, message: BatchResults, now_ms: int) -> BatchResults:
+        free_slots, queued_ms = self.load(now_ms)
+        return attrs.evolve(message, free_slots=free_slots, queued_ms=queued_ms)
+
+
+def _queued(owner: HostName, message: PlaceBatch, task, now_ms: int) -> QueuedTask:
+    return QueuedTask(
+        owner=owner,
+        batch=message.batch,
+        task_id=task_id_of(message.job_id, task.index, message.batch),
+        task=task,
+        targets=frozenset(message.targets),
+        team=message.team,
+        class_name=message.class_name,
+        enqueued_ms=now_ms,
+        deadline_ms=now_ms + message.timeout_ms,
+        traceparent=message.traceparent,
+    )
+
+
+def _not_run(entry: QueuedTask, reason: Reason) -> TaskResult:
+    return TaskResult(entry.task.index, Outcome.NOT_RUN, problem=Problem(reason))
+
+
+def _abandoned(entry: QueuedTask) -> TaskResult:
+    problem = Problem(Reason.CANCELLED, "the task was running when it was cancelled")
+    return TaskResult(entry.task.index, Outcome.UNKNOWN, problem=problem)
+
+
+def _lost(entry: QueuedTask) -> TaskResult:
+    problem = Problem(Reason.TARGET_LOST, "the target took the task and went silent")
+    return TaskResult(entry.task.index, Outcome.UNKNOWN, problem=problem)
--- /dev/null
+++ b/hibiscusstack/dispatch/inquiry.py
@@ -0,0 +1,138 @@
+"""Finding out from targets what became of tasks whose answers are missing."""
+
+__all__ = ["Inquiry", "Verdict"]
+
+import attrs
+
+from hibiscusstack.dispatch.answers import TaskResult
+from hibiscusstack.dispatch.effects import StopTasks, TaskState, TaskStates
+
+RETRY_INTERVAL_MS = 250
+RUNNING_POLL_INTERVAL_MS = 100
+MAX_TASKS_PER_REQUEST = 500
+
+
+@attrs.frozen
+class Verdict:
+    """What the targets proved of one task.
+
+    With a ``result`` the task ran; without one it is either proved never to have
+    started, in which case it never will, or its fate is unknown.
+    """
+
+    task_id: str
+    result: TaskResult | None = None
+    is_never_started: bool = False
+
+
+@attrs.define
+class _Question:
+    task_id: str
+    index: int
+    pending: set[str]
+    give_up_ms: int
+
+
+class Inquiry:
+    """Open questions about tasks, and the targets that can answer them.
+
+    A task counts as never started only when every target that could have received
+    it has said so. Targets remember a stop, so that word also holds for requests
+    that are still on their way.
+    """
+
+    def __init__(self) -> None:
+        self._questions: dict[str, _Question] = {}
+        self._by_target: dict[str, set[str]] = {}
+        self._in_flight: dict[str, tuple[str, ...]] = {}
+        self._next_ask_ms: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        """Return the number of open questions."""
+        return len(self._questions)
+
+    def ask(
+        self, task_id: str, index: int, targets: frozenset[str], give_up_ms: int
+    ) -> None:
+        """Open a question; ``tick`` sends it, and gives up at ``give_up_ms``."""
+        self._questions[task_id] = _Question(task_id, index, set(targets), give_up_ms)
+        for target in targets:
+            self._by_target.setdefault(target, set()).add(task_id)
+
+    def close(self, task_id: str) -> None:
+        """Drop a question that was answered in another way."""
+        question = self._questions.pop(task_id, None)
+        if question is None:
+            return
+        for target in question.pending:
+            self._forget(target, task_id)
+
+    def tick(self, now_ms: int) -> tuple[list[StopTasks], list[Verdict]]:
+        """Return the requests that are due and the verdicts given up on."""
+        verdicts = self._give_up(now_ms)
+        effects = []
+        for target, task_ids in self._by_target.items():
+            is_due = self._next_ask_ms.get(target, now_ms) <= now_ms
+            if target in self._in_flight or not is_due:
+                continue
+            chosen = tuple(sorted(task_ids)[:MAX_TASKS_PER_REQUEST])
+            self._in_flight[target] = chosen
+            effects.append(StopTasks(target, chosen))
+        return effects, verdicts
+
+    def answered(self, states: TaskStates, now_ms: int) -> list[Verdict]:
+        """Return the verdicts that a target's answer settles."""
+        if self._in_flight.get(states.target) != states.task_ids:
+            return []
+        del self._in_flight[states.target]
+        if states.states is None:
+            self._next_ask_ms[states.target] = now_ms + RETRY_INTERVAL_MS
+            return []
+        self._next_ask_ms[states.target] = now_ms + RUNNING_POLL_INTERVAL_MS
+        verdicts = [self._judge(states, task_id) for task_id in states.task_ids]
+        if not self._by_target.get(states.target):
+            self._next_ask_ms.pop(states.target, None)
+        return [verdict for verdict in verdicts if verdict is not None]
+
+    def _judge(self, states: TaskStates, task_id: str) -> Verdict | None:
+        question = self._questions.get(task_id)
+        state = states.states.get(task_id)
+        if question is None or state is None:
+            return None
+        if state is TaskState.RUNNING:
+            self._narrow(question, states.target)
+            return None
+        if state is TaskState.NEVER_STARTED:
+            return self._exclude(question, states.target)
+        self.close(task_id)
+        result = states.results.get(task_id)
+        if result is None:
+            return Verdict(task_id)
+        return Verdict(task_id, attrs.evolve(result, index=question.index))
+
+    def _narrow(self, question: _Question, target: str) -> None:
+        for other in question.pending - {target}:
+            self._forget(other, question.task_id)
+        question.pending = {target}
+
+    def _exclude(self, question: _Question, target: str) -> Verdict | None:
+        question.pending.discard(target)
+        self._forget(target, question.task_id)
+        if question.pending:
+            return None
+        self.close(question.task_id)
+        return Verdict(question.task_id, is_never_started=True)
+
+    def _give_up(self, now_ms: int) -> list[Verdict]:
+        overdue = [q for q in self._questions.values() if q.give_up_ms <= now_ms]
+        for question in overdue:
+            self.close(question.task_id)
+        return [Verdict(question.task_id) for question in overdue]
+
+    def _forget(self, target: str, task_id: str) -> None:
+        task_ids = self._by_target.get(target)
+        if task_ids is None:
+            return
+        task_ids.discard(task_id)
+        if not task_ids:
+            del self._by_target[target]
--- a/hibiscusstack/dispatch/jobs.py
+++ b/hibiscusstack/dispatch/jobs.py
@@ -33,7 +33,9 @@
     """One submission of up to 200 tasks, answered as a whole.
 
     ``timeout_ms`` is what remains until the deadline when the job is handed over,
-    so that hosts whose clocks differ agree on it.
+    so that hosts whose clocks differ agree on it. ``is_first_attempt`` is the
+    caller's word that it never sent this ``job_id`` before; it lets a host that
+    could not reach the owner say *not run*.
     """
 
     job_id: str
@@ -43,12 +45,16 @@
     labels: Mapping[str, str] = attrs.field(factory=dict)
     timeout_ms: int = 30_000
     traceparent: str = ""
+    is_first_attempt: bool = False
 
 
-def task_id_of(job_id: str, index: int) -> str:
-    """Return the name under which a target knows one task of a job.
+def task_id_of(job_id: str, index: int, batch: int) -> str:
+    """Return the name under which a target knows one placement of a task.
 
-    >>> task_id_of("dc1.h1.5.9", 3)
-    'dc1.h1.5.9/3'
+    The batch is part of the name, so a stop that a target remembers for one
+    placement does not hinder a later one.
+
+    >>> task_id_of("dc1.h1.5.9", 3, 71)
+    'dc1.h1.5.9/3/71'
     """
-    return f"{job_id}/{index}"
+    return f"{job_id}/{index}/{batch}"
--- a/hibiscusstack/dispatch/messages.py
+++ b/hibiscusstack/dispatch/messages.py
@@ -16,6 +16,7 @@
     "HostName",
     "Message",
     "PlaceBatch",
+    "QueryBatch",
     "RecordsPage",
 ]
 
@@ -90,7 +91,8 @@
     """Tasks of one job, from its owner to the home host of the named targets.
 
     The home may start them on ``targets`` only, so that the owner knows whom to ask
-    should the home be lost. ``batch`` is unique within the owner's incarnation.
+    should the home be lost. ``batch`` grows within the owner's incarnation, and every
+    batch up to ``closed_through`` is one that the owner will not ask about again.
     """
 
     batch: int
@@ -101,6 +103,7 @@
     caller: str
     team: str
     class_name: str
+    closed_through: int = 0
     traceparent: str = ""
 
 
@@ -110,15 +113,28 @@
 
     ``free_slots`` and ``queued_ms`` are the same figures as in a heartbeat.
     ``returned`` lists the indexes of tasks that the home gives back unstarted.
+    ``is_refused`` says that the home never received the batch and never will start
+    any of it.
     """
 
     batch: int
     results: tuple[TaskResult, ...]
     returned: tuple[int, ...] = ()
+    is_refused: bool = False
     free_slots: int = 0
     queued_ms: int = 0
 
 
+@attrs.frozen
+class QueryBatch:
+    """The owner's question, after a reconnection, what became of a batch.
+
+    A home that does not know the batch refuses it for good.
+    """
+
+    batch: int
+
+
 @attrs.frozen
 class CancelBatch:
     """The owner's order to drop what has not started of a batch."""
@@ -148,6 +164,7 @@
     | CancelJob
     | PlaceBatch
     | BatchResults
+    | QueryBatch
     | CancelBatch
     | FetchConfiguration
     | RecordsPage
