Issue submission ids that name their owner and are claimed once

A job may be started by its owner only, so an id names the host and incarnation that issued it. Each id carries a MAC by the owner's secret against invented ids, and a checksum that lets any host refuse a mistyped one. Its expiry is a reading of the owner's clock and only the owner compares it. Unclaimed ids take no memory; a claimed one takes its caller's tag of eight bytes until a grace after its expiry. An expired id is called unclaimed only while the claim would still be remembered.

--- /dev/null
+++ b/hibiscusstack/dispatch/ids.py
@@ -0,0 +1,327 @@
+"""Submission ids that a host issues, and the claims by which it admits them once."""
+
+__all__ = [
+    "Claim",
+    "ClaimRefusal",
+    "IdExpired",
+    "IdIssuer",
+    "IdMalformed",
+    "IdNotIssued",
+    "IdOfOtherCaller",
+    "IdOfOtherOwner",
+    "IssuedId",
+    "format_issued_id",
+    "parse_issued_id",
+    "reason_of_refusal",
+]
+
+import hmac
+import re
+import zlib
+from array import array
+from enum import Enum
+from hashlib import blake2b
+
+import attrs
+from expression import Error, Ok, Result
+
+from hibiscusstack.clock import Clock
+from hibiscusstack.dispatch.answers import Reason
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.exceptions import InvalidInputError
+
+DEFAULT_LIFETIME_MS = 600_000
+DEFAULT_GRACE_MS = 600_000
+MAX_IDS_PER_MINT = 1_000
+MAX_ID_CHARACTERS = 400
+MIN_SECRET_BYTES = 16
+MAX_SECRET_BYTES = 64
+MAC_BYTES = 8
+WINDOW_IDS = 256
+
+_NAME = re.compile(r"[A-Za-z0-9._-]{1,64}")
+_SHAPE = re.compile(
+    r"(?P<signed>(?P<data_centre>[A-Za-z0-9._-]{1,64})"
+    r"~(?P<name>[A-Za-z0-9._-]{1,64})"
+    r"~(?P<incarnation>0|[1-9a-f][0-9a-f]{0,31})"
+    r"~(?P<sequence>0|[1-9a-f][0-9a-f]{0,15})"
+    r"~(?P<expires>0|[1-9a-f][0-9a-f]{0,15})"
+    r"~(?P<mac>[0-9a-f]{16}))"
+    r"~(?P<checksum>[0-9a-f]{8})",
+    re.ASCII,
+)
+
+
+@attrs.frozen
+class IssuedId:
+    """A submission id, taken apart.
+
+    ``expires_ms`` is a reading of the owner's clock and means nothing to any other
+    host. ``mac`` is computed with the owner's secret, so only the owner can tell an
+    id that it issued from an invented one.
+    """
+
+    owner: HostName
+    sequence: int
+    expires_ms: int
+    mac: str
+
+
+class Claim(Enum):
+    """What the owner of an id says to a submission that it accepts.
+
+    ``FRESH`` is said once for each id. ``JOINED`` means that the same caller has
+    submitted the id before, so this submission waits for the answer of the first.
+    """
+
+    FRESH = "fresh"
+    JOINED = "joined"
+
+
+@attrs.frozen
+class IdMalformed:
+    """The text is no issued id; it was mistyped or cut short."""
+
+    text: str
+
+
+@attrs.frozen
+class IdNotIssued:
+    """This incarnation never issued the id, so nothing ran under it."""
+
+    sequence: int
+
+
+@attrs.frozen
+class IdExpired:
+    """The id has expired.
+
+    With ``is_proven_unclaimed`` nothing ran and nothing will run under the id.
+    Without it, the owner no longer remembers whether the id was claimed, and the
+    outcome is unknown.
+    """
+
+    sequence: int
+    is_proven_unclaimed: bool
+
+
+@attrs.frozen
+class IdOfOtherOwner:
+    """Another host, or another incarnation of this one, owns the id."""
+
+    owner: HostName
+
+
+@attrs.frozen
+class IdOfOtherCaller:
+    """Another caller has claimed the id."""
+
+    sequence: int
+
+
+ClaimRefusal = IdNotIssued | IdExpired | IdOfOtherOwner | IdOfOtherCaller
+
+
+@attrs.define
+class _Window:
+    """The claims on consecutive sequence numbers; a tag of zero means unclaimed."""
+
+    tags: array
+    last_expiry_ms: int = 0
+
+
+@attrs.define
+class IdIssuer:
+    """The ids of one incarnation: issues them, and lets each be claimed once.
+
+    An id that is issued and not yet claimed takes no memory. A claimed one takes
+    the eight bytes of its caller's tag until ``grace_ms`` after its expiry.
+
+    >>> from hibiscusstack.clock import ManualClock
+    >>> owner = HostName("dc1", "h1", 7)
+    >>> issuer = IdIssuer(owner, ManualClock(), secret=bytes(16))
+    >>> issued = parse_issued_id(issuer.mint(1)[0]).ok
+    >>> issuer.claim(issued, "guard-4").ok
+    <Claim.FRESH: 'fresh'>
+    >>> issuer.claim(issued, "guard-4").ok
+    <Claim.JOINED: 'joined'>
+    >>> issuer.claim(issued, "guard-5").error
+    IdOfOtherCaller(sequence=0)
+    """
+
+    owner: HostName
+    clock: Clock
+    secret: bytes = attrs.field(repr=False)
+    lifetime_ms: int = DEFAULT_LIFETIME_MS
+    grace_ms: int = DEFAULT_GRACE_MS
+    _next_sequence: int = attrs.field(default=0, init=False)
+    _windows: dict[int, _Window] = attrs.field(factory=dict, init=False, repr=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Check what cannot be checked when ids are minted."""
+        _check_name("data_centre", self.owner.data_centre)
+        _check_name("name", self.owner.name)
+        if not MIN_SECRET_BYTES <= len(self.secret) <= MAX_SECRET_BYTES:
+            raise InvalidInputError("secret", "16 to 64 bytes", len(self.secret))
+        if self.lifetime_ms <= 0:
+            raise InvalidInputError("lifetime_ms", "more than 0", self.lifetime_ms)
+        if self.grace_ms < 0:
+            raise InvalidInputError("grace_ms", "0 or more", self.grace_ms)
+
+    def mint(self, count: int) -> list[str]:
+        """Return ``count`` fresh ids in their text form.
+
+        Raises :class:`InvalidInputError` unless ``count`` is between 1 and 1,000.
+        """
+        if not 1 <= count <= MAX_IDS_PER_MINT:
+            raise InvalidInputError("count", f"1 to {MAX_IDS_PER_MINT}", count)
+        expires_ms = self.clock.now_ms() + self.lifetime_ms
+        first = self._next_sequence
+        self._next_sequence += count
+        return [
+            self._format(sequence, expires_ms)
+            for sequence in range(first, first + count)
+        ]
+
+    def claim(self, issued: IssuedId, caller: str) -> Result[Claim, ClaimRefusal]:
+        """Return ``FRESH`` once for each id, and ``JOINED`` to the same caller after.
+
+        An id of another owner, one that was never issued, an expired one, and one
+        that another caller has claimed are refused, each with its own type. The
+        cost is constant: one MAC and one look-up.
+        """
+        now_ms = self.clock.now_ms()
+        self._drop_old_windows(now_ms)
+        if issued.owner != self.owner:
+            return Error(IdOfOtherOwner(issued.owner))
+        if not self._is_issued_here(issued):
+            return Error(IdNotIssued(issued.sequence))
+        tag = self._tag_of_claim(issued.sequence)
+        own_tag = self._tag_of_caller(caller)
+        if tag == own_tag:
+            return Ok(Claim.JOINED)
+        if tag:
+            return Error(IdOfOtherCaller(issued.sequence))
+        if now_ms >= issued.expires_ms:
+            is_remembered = now_ms < issued.expires_ms + self.grace_ms
+            return Error(IdExpired(issued.sequence, is_remembered))
+        self._record_claim(issued, own_tag)
+        return Ok(Claim.FRESH)
+
+    def count_windows(self) -> int:
+        """Return how many windows of claims are held in memory."""
+        return len(self._windows)
+
+    def _format(self, sequence: int, expires_ms: int) -> str:
+        unsigned = IssuedId(self.owner, sequence, expires_ms, mac="")
+        mac = self._mac(unsigned)
+        return format_issued_id(attrs.evolve(unsigned, mac=mac))
+
+    def _mac(self, issued: IssuedId) -> str:
+        signed = _signed_part(issued).encode("ascii")
+        return blake2b(signed, key=self.secret, digest_size=MAC_BYTES).hexdigest()
+
+    def _is_issued_here(self, issued: IssuedId) -> bool:
+        if issued.sequence >= self._next_sequence:
+            return False
+        return hmac.compare_digest(issued.mac, self._mac(issued))
+
+    def _tag_of_caller(self, caller: str) -> int:
+        digest = blake2b(
+            caller.encode("utf-8", "surrogatepass"),
+            key=self.secret,
+            digest_size=8,
+            person=b"caller",
+        ).digest()
+        return int.from_bytes(digest, "big") | 1
+
+    def _tag_of_claim(self, sequence: int) -> int:
+        window = self._windows.get(sequence // WINDOW_IDS)
+        if window is None:
+            return 0
+        return window.tags[sequence % WINDOW_IDS]
+
+    def _record_claim(self, issued: IssuedId, tag: int) -> None:
+        index = issued.sequence // WINDOW_IDS
+        window = self._windows.get(index)
+        if window is None:
+            window = _Window(array("Q", bytes(8 * WINDOW_IDS)))
+            self._windows[index] = window
+        window.tags[issued.sequence % WINDOW_IDS] = tag
+        window.last_expiry_ms = max(window.last_expiry_ms, issued.expires_ms)
+
+    def _drop_old_windows(self, now_ms: int) -> None:
+        """Drop windows in order of creation while the oldest has wholly expired.
+
+        A window holds claims until its last claimed id has expired and the grace
+        has passed, so an id whose claim is forgotten can never be claimed again.
+        """
+        while self._windows:
+            index = next(iter(self._windows))
+            if self._windows[index].last_expiry_ms + self.grace_ms > now_ms:
+                return
+            del self._windows[index]
+
+
+def parse_issued_id(text: str) -> Result[IssuedId, IdMalformed]:
+    """Return the parts of an issued id, or ``IdMalformed``.
+
+    The checksum catches a mistyped id on any host, without a word from its owner.
+    Each id has exactly one text form.
+
+    >>> parse_issued_id("dc1~h1~7~0").error
+    IdMalformed(text='dc1~h1~7~0')
+    """
+    match = _SHAPE.fullmatch(text) if len(text) <= MAX_ID_CHARACTERS else None
+    if match is None or match["checksum"] != _checksum(match["signed"]):
+        return Error(IdMalformed(text[:MAX_ID_CHARACTERS]))
+    owner = HostName(match["data_centre"], match["name"], int(match["incarnation"], 16))
+    sequence = int(match["sequence"], 16)
+    return Ok(IssuedId(owner, sequence, int(match["expires"], 16), match["mac"]))
+
+
+def format_issued_id(issued: IssuedId) -> str:
+    """Return the text form of an id: the parts, the MAC and a checksum.
+
+    It holds only characters that a URL carries unchanged.
+
+    >>> format_issued_id(IssuedId(HostName("dc1", "h1", 7), 0, 600, "0" * 16))
+    'dc1~h1~7~0~258~0000000000000000~2349db46'
+    """
+    text = f"{_signed_part(issued)}~{issued.mac}"
+    return f"{text}~{_checksum(text)}"
+
+
+def reason_of_refusal(refusal: ClaimRefusal | IdMalformed) -> Reason:
+    """Return the public reason for a refused claim.
+
+    A caller that tries the id of another learns no more than that the id is not
+    its own.
+
+    >>> reason_of_refusal(IdExpired(4, is_proven_unclaimed=True))
+    <Reason.ID_EXPIRED: 'id-expired'>
+    """
+    match refusal:
+        case IdExpired():
+            return Reason.ID_EXPIRED
+        case IdOfOtherOwner():
+            return Reason.OWNER_LOST
+        case _:
+            return Reason.ID_NOT_ISSUED
+
+
+def _signed_part(issued: IssuedId) -> str:
+    owner = issued.owner
+    return (
+        f"{owner.data_centre}~{owner.name}~{owner.incarnation:x}"
+        f"~{issued.sequence:x}~{issued.expires_ms:x}"
+    )
+
+
+def _checksum(text: str) -> str:
+    return f"{zlib.crc32(text.encode('ascii')):08x}"
+
+
+def _check_name(where: str, name: str) -> None:
+    if _NAME.fullmatch(name) is None:
+        raise InvalidInputError(where, "1 to 64 letters, digits, '.', '_' or '-'", name)
