--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -83,6 +83,7 @@
         name: HostName,
         clock: Clock,
         ids: IdIssuer,
+        *,
         queue: TaskQueue | None = None,
         policy: JobPolicy | None = None,
         admission: Admission | None = None,
@@ -103,6 +104,16 @@
         self._targets: dict[str, TargetInfo] = {}
         self._peers: dict[HostName, Heartbeat | None] = {}
         self._is_draining = False
+        self._handlers = {
+            PlaceBatch: self._home.place,
+            CancelBatch: self._home.cancel,
+            QueryBatch: self._home.query,
+            BatchResults: self._take_results,
+            ForwardJob: self._take_forwarded,
+            ForwardAnswer: self._forwarding.answered,
+            CancelJob: self._owner.cancel_forwarded,
+            Heartbeat: self._hear,
+        }
 
     @property
     def is_draining(self) -> bool:
@@ -270,29 +281,27 @@
         return [SendPeer(waiter.host, ForwardAnswer(waiter.request, answer))]
 
     def _handle(self, sender: HostName, message: Message) -> list[Effect]:
-        now_ms = self._clock.now_ms()
-        match message:
-            case PlaceBatch():
-                return self._home.place(sender, message, now_ms)
-            case BatchResults():
-                self._note_load(sender, message)
-                return self._owner.results(sender, message, now_ms)
-            case CancelBatch(batch):
-                return self._home.cancel(sender, batch, now_ms)
-            case QueryBatch(batch):
-                return self._home.query(sender, batch, now_ms)
-            case ForwardJob(request, job):
-                return self._accept(_Waiter(request, sender), job)
-            case ForwardAnswer():
-                return self._forwarding.answered(sender, message)
-            case CancelJob(job_id, caller):
-                return self._owner.cancel(job_id, caller, now_ms)
-            case Heartbeat():
-                return self._hear(sender, message)
-            case _:
-                return []
-
-    def _hear(self, sender: HostName, message: Heartbeat) -> list[Effect]:
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return []
+        return handler(sender, message, self._clock.now_ms())
+
+    def _take_results(
+        self, sender: HostName, message: BatchResults, now_ms: int
+    ) -> list[Effect]:
+        known = self._owner.loads.get(sender)
+        if known is not None:
+            self._owner.loads[sender] = HomeLoad(
+                message.free_slots, message.queued_ms, known.targets
+            )
+        return self._owner.results(sender, message, now_ms)
+
+    def _take_forwarded(
+        self, sender: HostName, message: ForwardJob, now_ms: int
+    ) -> list[Effect]:
+        return self._accept(_Waiter(message.request, sender), message.job)
+
+    def _hear(self, sender: HostName, message: Heartbeat, now_ms: int) -> list[Effect]:
         previous = self._peers.get(sender)
         self._peers[sender] = message
         self._owner.loads[sender] = HomeLoad(
@@ -303,13 +312,6 @@
             return self._assign_homes()
         return []
 
-    def _note_load(self, sender: HostName, message: BatchResults) -> None:
-        known = self._owner.loads.get(sender)
-        if known is not None:
-            self._owner.loads[sender] = HomeLoad(
-                message.free_slots, message.queued_ms, known.targets
-            )
-
     def _refresh_own_load(self) -> None:
         free_slots, queued_ms = self._home.load(self._clock.now_ms())
         self._owner.loads[self.name] = HomeLoad(
--- a/hibiscusstack/dispatch/forwarding.py
+++ b/hibiscusstack/dispatch/forwarding.py
@@ -49,7 +49,9 @@
         self._waiting[request] = _Forwarded(owner, job, give_up_ms)
         return [SendPeer(owner, ForwardJob(request, job))]
 
-    def answered(self, sender: HostName, message: ForwardAnswer) -> list[Effect]:
+    def answered(
+        self, sender: HostName, message: ForwardAnswer, now_ms: int
+    ) -> list[Effect]:
         """Hand an answer to the request that it belongs to."""
         forwarded = self._waiting.get(message.request)
         if forwarded is None or forwarded.owner != sender:
--- a/hibiscusstack/dispatch/home.py
+++ b/hibiscusstack/dispatch/home.py
@@ -22,8 +22,14 @@
 )
 from hibiscusstack.dispatch.inquiry import Inquiry, Verdict
 from hibiscusstack.dispatch.interfaces import TargetHealth, UnlimitedHealth
-from hibiscusstack.dispatch.jobs import Task, task_id_of
-from hibiscusstack.dispatch.messages import BatchResults, HostName, PlaceBatch
+from hibiscusstack.dispatch.jobs import task_id_of
+from hibiscusstack.dispatch.messages import (
+    BatchResults,
+    CancelBatch,
+    HostName,
+    PlaceBatch,
+    QueryBatch,
+)
 from hibiscusstack.dispatch.queueing import QueuedTask, TaskQueue
 from hibiscusstack.dispatch.slots import (
     BUSY_PAUSE_MS,
@@ -110,12 +116,14 @@
             self._queue.push(entry)
         return self._start_on(message.targets, now_ms)
 
-    def cancel(self, owner: HostName, batch: int, now_ms: int) -> list[Effect]:
+    def cancel(
+        self, owner: HostName, message: CancelBatch, now_ms: int
+    ) -> list[Effect]:
         """Drop what waits of a batch and give up on what runs of it."""
+        batch = message.batch
         if not self._batches.knows(owner, batch):
-            return self.query(owner, batch, now_ms)
-        for entry in self._queue.remove_batch(owner, batch):
-            self._settle(entry, _not_run(entry, Reason.CANCELLED))
+            return self.query(owner, QueryBatch(batch), now_ms)
+        self._drop_queued(owner, batch, Reason.CANCELLED)
         stops: list[Effect] = []
         for task_id, running in list(self._running.items()):
             if running.entry.owner == owner and running.entry.batch == batch:
@@ -124,10 +132,10 @@
                     stops.append(StopTasks(running.target, (task_id,), False))
         return stops + self._report(owner, batch, now_ms)
 
-    def query(self, owner: HostName, batch: int, now_ms: int) -> list[Effect]:
+    def query(self, owner: HostName, message: QueryBatch, now_ms: int) -> list[Effect]:
         """Answer the owner's question what became of a batch."""
-        message = self._batches.describe(owner, batch)
-        return [SendPeer(owner, self._with_load(message, now_ms))]
+        description = self._batches.describe(owner, message.batch)
+        return [SendPeer(owner, self._with_load(description, now_ms))]
 
     def owner_lost(self, owner: HostName, now_ms: int) -> list[Effect]:
         """Give back all that waits for an owner that is gone."""
@@ -249,6 +257,8 @@
         self._record_health(running, is_success, now_ms, result.run_time_ms)
         self._queue.record_run(entry, max(now_ms - running.started_ms, 0))
         self._settle(entry, attrs.evolve(result, index=entry.task.index))
+        if not is_success:
+            self._drop_queued(entry.owner, entry.batch, Reason.JOB_FAILED)
         effects = self._report(entry.owner, entry.batch, now_ms)
         return effects + self._start_on([running.target], now_ms)
 
@@ -298,6 +308,10 @@
         self._attempts.pop(entry.task_id, None)
         self._batches.settle(entry.owner, entry.batch, result)
 
+    def _drop_queued(self, owner: HostName, batch: int, reason: Reason) -> None:
+        for entry in self._queue.remove_batch(owner, batch):
+            self._settle(entry, _not_run(entry, reason))
+
     def _give_back(self, entry: QueuedTask) -> None:
         self._attempts.pop(entry.task_id, None)
         self._batches.give_back(entry.owner, entry.batch, entry.task.index)
--- a/hibiscusstack/dispatch/homes.py
+++ b/hibiscusstack/dispatch/homes.py
@@ -112,4 +112,4 @@
 
 def _weight(target: str, host: HostName) -> int:
     key = f"{target}|{host.data_centre}|{host.name}|{host.incarnation}"
-    return xxhash.xxh3_64_intdigest(key)
+    return xxhash.xxh3_64_intdigest(key.encode())
--- a/hibiscusstack/dispatch/owner.py
+++ b/hibiscusstack/dispatch/owner.py
@@ -24,6 +24,7 @@
 from hibiscusstack.dispatch.messages import (
     BatchResults,
     CancelBatch,
+    CancelJob,
     HostName,
     PlaceBatch,
     QueryBatch,
@@ -65,9 +66,7 @@
     became of each. Finished jobs are returned as answers and leave this table.
     """
 
-    def __init__(
-        self, name: HostName, policy: JobPolicy, admission: Admission
-    ) -> None:
+    def __init__(self, name: HostName, policy: JobPolicy, admission: Admission) -> None:
         self.policy = policy
         self.admission = admission
         self.loads: dict[HostName, HomeLoad] = {}
@@ -114,9 +113,7 @@
         unmatched = [index for index, names in matches.items() if not names]
         if unmatched:
             detail = f"no target may run task {unmatched[0]}"
-            self._answers.append(
-                not_run(job.job_id, Reason.NO_MATCHING_TARGET, detail)
-            )
+            self._answers.append(not_run(job.job_id, Reason.NO_MATCHING_TARGET, detail))
             return []
         problem = self.admission.admit(job, class_name, self.loads, now_ms)
         if problem is not None:
@@ -138,6 +135,12 @@
             return []
         return self._stop(owned, Problem(Reason.CANCELLED), now_ms)
 
+    def cancel_forwarded(
+        self, sender: HostName, message: CancelJob, now_ms: int
+    ) -> list[Effect]:
+        """Cancel a job on the word of the host that received the wish."""
+        return self.cancel(message.job_id, message.caller, now_ms)
+
     def results(
         self, sender: HostName, message: BatchResults, now_ms: int
     ) -> list[Effect]:
@@ -355,9 +358,7 @@
     def _finish(self, owned: _OwnedJob, now_ms: int) -> None:
         del self._jobs[owned.job.job_id]
         self.admission.finished(owned.job, owned.class_name, now_ms)
-        self._answers.append(
-            conclude_job(owned.job, owned.results, owned.stop_problem)
-        )
+        self._answers.append(conclude_job(owned.job, owned.results, owned.stop_problem))
 
 
 def _problem_after(failed: TaskResult) -> Problem:
--- /dev/null
+++ b/hibiscusstack/dispatch/tests/fleets.py
@@ -0,0 +1,253 @@
+"""Small named fleets of engines with scripted targets, in virtual time."""
+
+__all__ = ["Fleet", "ScriptedTarget", "job_of", "kendra_fleet", "run_times"]
+
+import heapq
+import itertools
+from collections import Counter
+
+import attrs
+
+from hibiscusstack.clock import ManualClock
+from hibiscusstack.dispatch.answers import JobAnswer, Outcome, TaskResult
+from hibiscusstack.dispatch.effects import (
+    Answer,
+    SendPeer,
+    StartTask,
+    StopTasks,
+    TaskFinished,
+    TaskNotSent,
+    TaskRefused,
+    TaskSilent,
+    TaskState,
+    TaskStates,
+)
+from hibiscusstack.dispatch.engine import Engine
+from hibiscusstack.dispatch.ids import IdIssuer
+from hibiscusstack.dispatch.jobs import Job, Task
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.dispatch.targets import TargetInfo
+
+LATENCY_MS = 1
+TICK_MS = 10
+
+
+def run_times(*times_ms: int, idempotent: bool = True) -> tuple[Task, ...]:
+    """Return one task for each run time."""
+    return tuple(
+        Task(index, "check", time_ms, idempotent=idempotent, run_time_ms=time_ms)
+        for index, time_ms in enumerate(times_ms)
+    )
+
+
+def job_of(job_id: str, *times_ms: int, caller: str = "guard", **fields) -> Job:
+    """Return a job with one task for each run time."""
+    return Job(job_id, caller, run_times(*times_ms), **fields)
+
+
+@attrs.define
+class ScriptedTarget:
+    """A target that runs a task for its payload's milliseconds.
+
+    ``lose_answers`` drops answers after the effect; ``is_cut`` lets nothing through
+    in either direction; ``fails`` ends every task in failure.
+    """
+
+    info: TargetInfo
+    fails: bool = False
+    refuses: str = ""
+    is_cut: bool = False
+    lose_answers: bool = False
+    stopped: set[str] = attrs.field(factory=set)
+    running: set[str] = attrs.field(factory=set)
+    finished: dict[str, TaskResult] = attrs.field(factory=dict)
+    starts: Counter = attrs.field(factory=Counter)
+    most_running: int = 0
+
+
+class Fleet:
+    """Engines, targets and the messages between them."""
+
+    def __init__(self, hosts: int, targets: int, slots: int = 8, **engine_fields):
+        self.clock = ManualClock()
+        self.names = [HostName("dc1", f"h{i}", 1) for i in range(hosts)]
+        self.engines = {name: self._engine(name, engine_fields) for name in self.names}
+        infos = [
+            TargetInfo(f"t{i}", "127.0.0.1", 1, "dc1", slots=slots)
+            for i in range(targets)
+        ]
+        self.targets = {info.name: ScriptedTarget(info) for info in infos}
+        self.answers: dict[int, JobAnswer] = {}
+        self.peer_messages = Counter()
+        self.dead: set[HostName] = set()
+        self.cut: set[frozenset[HostName]] = set()
+        self._requests = itertools.count(1)
+        self._events: list = []
+        self._order = itertools.count()
+        self._connect_all(infos)
+
+    def submit(self, host: int, job: Job) -> int:
+        """Hand a job to one host and return the number of the request."""
+        request = next(self._requests)
+        self._do(self.names[host], lambda engine: engine.submit(request, job))
+        return request
+
+    def mint(self, host: int) -> str:
+        """Return a fresh id of one host."""
+        return self.engines[self.names[host]].ids.mint(1)[0]
+
+    def call(self, host: int, method: str, *args) -> None:
+        """Call any method of one engine and carry out the effects."""
+        self._do(self.names[host], lambda e: getattr(e, method)(*args))
+
+    def kill(self, host: int) -> None:
+        """End one host without a word; its peers learn it at once."""
+        lost = self.names[host]
+        self.dead.add(lost)
+        for name in self.names:
+            if name not in self.dead:
+                self._do(name, lambda engine: engine.peer_lost(lost))
+
+    def cut_link(self, first: int, second: int) -> None:
+        """Drop every message between two hosts from now on."""
+        self.cut.add(frozenset({self.names[first], self.names[second]}))
+
+    def mend_link(self, first: int, second: int) -> None:
+        """Let messages through again and tell both sides of the connection."""
+        one, other = self.names[first], self.names[second]
+        self.cut.discard(frozenset({one, other}))
+        self._do(one, lambda engine: engine.peer_connected(other))
+        self._do(other, lambda engine: engine.peer_connected(one))
+
+    def run(self, duration_ms: int) -> None:
+        """Let virtual time pass."""
+        end_ms = self.clock.now_ms() + duration_ms
+        while True:
+            next_tick_ms = self.clock.now_ms() // TICK_MS * TICK_MS + TICK_MS
+            next_ms = min(next_tick_ms, self._events[0][0] if self._events else end_ms)
+            if next_ms > end_ms:
+                return
+            self.clock.time_ms = max(next_ms, self.clock.time_ms)
+            while self._events and self._events[0][0] <= self.clock.now_ms():
+                heapq.heappop(self._events)[2]()
+            if self.clock.now_ms() % TICK_MS == 0:
+                for name in self.names:
+                    self._do(name, lambda engine: engine.tick())
+            if self.clock.now_ms() >= end_ms:
+                return
+
+    def started_twice(self) -> int:
+        """Return how many tasks any targets started more than once in all."""
+        starts: Counter = Counter()
+        for target in self.targets.values():
+            for task_id, count in target.starts.items():
+                starts[task_id.rsplit("/", 1)[0]] += count
+        return sum(1 for count in starts.values() if count > 1)
+
+    def total_starts(self) -> int:
+        """Return how many tasks all targets started."""
+        return sum(sum(t.starts.values()) for t in self.targets.values())
+
+    def _engine(self, name: HostName, fields: dict) -> Engine:
+        made = {key: make() for key, make in fields.items()}
+        ids = IdIssuer(name, self.clock, secret=name.name.encode().ljust(16))
+        return Engine(name, self.clock, ids, **made)
+
+    def _connect_all(self, infos: list[TargetInfo]) -> None:
+        for name in self.engines:
+            for other in self.names:
+                if other != name:
+                    self._do(name, lambda e, other=other: e.peer_connected(other))
+            self._do(name, lambda e: e.targets_listed(infos))
+        for name, engine in self.engines.items():
+            heartbeat = engine.heartbeat()
+            for other in self.names:
+                if other != name:
+                    self._deliver(name, other, heartbeat)
+
+    def _do(self, name: HostName, call) -> None:
+        if name in self.dead:
+            return
+        for effect in call(self.engines[name]):
+            self._carry_out(name, effect)
+
+    def _carry_out(self, name: HostName, effect) -> None:
+        if isinstance(effect, Answer):
+            assert effect.request not in self.answers, "answered twice"
+            self.answers[effect.request] = effect.answer
+        elif isinstance(effect, SendPeer):
+            self.peer_messages[type(effect.message).__name__] += 1
+            self._deliver(name, effect.to, effect.message)
+        elif isinstance(effect, StartTask):
+            self._later(LATENCY_MS, lambda: self._start(name, effect))
+        elif isinstance(effect, StopTasks):
+            self._later(LATENCY_MS, lambda: self._stop(name, effect))
+
+    def _later(self, delay_ms: int, call) -> None:
+        due_ms = self.clock.now_ms() + delay_ms
+        heapq.heappush(self._events, (due_ms, next(self._order), call))
+
+    def _deliver(self, sender: HostName, to: HostName, message) -> None:
+        if frozenset({sender, to}) in self.cut:
+            return
+        self._later(
+            LATENCY_MS,
+            lambda: self._do(to, lambda engine: engine.receive(sender, message)),
+        )
+
+    def _reply(self, name: HostName, effect: StartTask, reply) -> None:
+        self._do(name, lambda engine: engine.target_replied(effect, reply))
+
+    def _start(self, name: HostName, effect: StartTask) -> None:
+        target = self.targets[effect.target]
+        if target.is_cut:
+            self._reply(name, effect, TaskNotSent("refused"))
+        elif effect.task_id in target.stopped:
+            self._reply(name, effect, TaskRefused("stopped"))
+        elif target.refuses:
+            self._reply(name, effect, TaskRefused(target.refuses))
+        elif len(target.running) >= target.info.slots:
+            self._reply(name, effect, TaskRefused("busy"))
+        else:
+            target.starts[effect.task_id] += 1
+            target.running.add(effect.task_id)
+            target.most_running = max(target.most_running, len(target.running))
+            self._later(effect.task.payload, lambda: self._end(name, effect))
+
+    def _end(self, name: HostName, effect: StartTask) -> None:
+        target = self.targets[effect.target]
+        target.running.discard(effect.task_id)
+        outcome = Outcome.FAILED if target.fails else Outcome.SUCCEEDED
+        result = TaskResult(
+            effect.task.index, outcome, effect.task_id, run_time_ms=effect.task.payload
+        )
+        target.finished[effect.task_id] = result
+        reply = TaskFinished(result)
+        if target.is_cut or target.lose_answers:
+            reply = TaskSilent("no answer")
+        self._later(LATENCY_MS, lambda: self._reply(name, effect, reply))
+
+    def _stop(self, name: HostName, effect: StopTasks) -> None:
+        target = self.targets[effect.target]
+        states = None
+        if not target.is_cut:
+            states = {t: self._state_of(target, t) for t in effect.task_ids}
+        results = {t: r for t, r in target.finished.items() if t in effect.task_ids}
+        answer = TaskStates(effect.target, effect.task_ids, states, results)
+        self._later(
+            LATENCY_MS,
+            lambda: self._do(name, lambda engine: engine.targets_answered(answer)),
+        )
+
+    def _state_of(self, target: ScriptedTarget, task_id: str) -> TaskState:
+        if task_id in target.finished:
+            return TaskState.FINISHED
+        if task_id in target.running:
+            return TaskState.RUNNING
+        target.stopped.add(task_id)
+        return TaskState.NEVER_STARTED
+
+
+def kendra_fleet(**engine_fields) -> Fleet:
+    """Return three hosts and eight targets, one data centre of the Kendra."""
+    return Fleet(hosts=3, targets=8, **engine_fields)
