--- a/hibiscusstack/dispatch/answers.py
+++ b/hibiscusstack/dispatch/answers.py
@@ -44,6 +44,7 @@
     DRAINING = "draining"
     ID_EXPIRED = "id-expired"
     ID_NOT_ISSUED = "id-not-issued"
+    ID_OF_ANOTHER_CALLER = "id-of-another-caller"
     OWNER_UNREACHABLE = "owner-unreachable"
     OWNER_LOST = "owner-lost"
     OWNERSHIP_UNPROVEN = "ownership-unproven"
