Read selectors and the published policy

A job whose tasks fall into several classes takes the least urgent one, so one urgent task can't lift 199 others.

--- /dev/null
+++ b/hibiscusstack/dispatch/policy.py
@@ -0,0 +1,196 @@
+"""The published policy: labels, placement, classes, teams and limits."""
+
+__all__ = [
+    "DEFAULT_CLASS",
+    "Limits",
+    "Placement",
+    "Policy",
+    "Team",
+    "WorkClass",
+    "labelled",
+    "matching_targets",
+]
+
+from collections.abc import Mapping, Sequence
+
+import attrs
+
+from hibiscusstack.dispatch.jobs import Job, Task
+from hibiscusstack.dispatch.labels import labels_of_target, labels_of_work
+from hibiscusstack.dispatch.selectors import Selector, parse_selector
+from hibiscusstack.dispatch.targets import TargetInfo
+
+MAX_CACHED_SETS = 256
+
+
+@attrs.frozen
+class Placement:
+    """Work that ``work`` matches may run only on targets that ``targets`` matches."""
+
+    name: str
+    work: Selector
+    targets: Selector
+
+
+@attrs.frozen
+class WorkClass:
+    """A class of work with its urgency and its guaranteed part of the slot time.
+
+    Where slots are short, work of a higher ``urgency`` goes first, once every class
+    has its guaranteed part.
+    """
+
+    name: str
+    work: Selector
+    urgency: int = 0
+    guaranteed_part: float = 0.0
+
+
+@attrs.frozen
+class Team:
+    """A team's weight within its classes and its bounds in one data centre."""
+
+    name: str
+    quota_part: float = 1.0
+    max_running: int | None = None
+    max_queued: int | None = None
+
+
+@attrs.frozen
+class Limits:
+    """Bounds that keep an overloaded data centre useful."""
+
+    max_queue_ms: int = 10_000
+    max_queued_tasks: int = 100_000
+    max_jobs_per_caller: int = 1_000
+    max_tasks_per_caller: int = 20_000
+    retry_part: float = 0.1
+    guard_processors_part: float = 0.95
+    guard_memory_part: float = 0.95
+    eject_failure_part: float = 0.5
+    max_ejected_part: float = 0.3
+
+
+DEFAULT_CLASS = WorkClass("default", parse_selector(""))
+
+
+@attrs.define(eq=False)
+class _TargetSets:
+    """The targets that each combination of placements leaves, found when needed."""
+
+    targets: Sequence[TargetInfo]
+    labels: list[dict[str, str]]
+    by_placements: dict[tuple[int, ...], frozenset[str]] = attrs.field(factory=dict)
+
+
+@attrs.frozen(eq=False)
+class Policy:
+    """One version of the configuration, compiled; never changed once built."""
+
+    target_labels: Mapping[str, Mapping[str, str]] = attrs.field(factory=dict)
+    placements: tuple[Placement, ...] = ()
+    classes: tuple[WorkClass, ...] = ()
+    teams: Mapping[str, Team] = attrs.field(factory=dict)
+    limits: Limits = Limits()
+    _sets: list[_TargetSets] = attrs.field(factory=list, init=False, repr=False)
+
+    def class_of(self, job: Job) -> str:
+        """Return the name of the class that ``job`` belongs to.
+
+        A task belongs to the first class that matches it, or else to ``default``. A
+        job whose tasks belong to several classes takes the least urgent of them, so
+        that one urgent task doesn't lift the rest. The cost is one match for each
+        class and each kind of task with labels of its own.
+        """
+        found = [self._class_of_work(work) for work in _distinct_works(job)]
+        return min(found, key=lambda each: each.urgency, default=DEFAULT_CLASS).name
+
+    def _class_of_work(self, work: Mapping[str, str]) -> WorkClass:
+        matching = (each for each in self.classes if each.work.matches(work))
+        return next(matching, DEFAULT_CLASS)
+
+    def class_named(self, name: str) -> WorkClass:
+        """Return the class called ``name``; an unknown name is the default class."""
+        for each in self.classes:
+            if each.name == name:
+                return each
+        return DEFAULT_CLASS
+
+    def team_named(self, name: str) -> Team:
+        """Return the team called ``name``, with plain bounds if none is published."""
+        return self.teams.get(name) or Team(name)
+
+
+def labelled(policy: Policy, target: TargetInfo) -> TargetInfo:
+    """Return ``target`` with the labels that ``policy`` publishes for it added.
+
+    A published label goes before one from the platform's list.
+
+    >>> policy = Policy(target_labels={"w1": {"zone": "north"}})
+    >>> labelled(policy, TargetInfo("w1", "127.0.0.1", 1, "dc1")).labels
+    {'zone': 'north'}
+    """
+    published = policy.target_labels.get(target.name)
+    if not published:
+        return target
+    return attrs.evolve(target, labels={**target.labels, **published})
+
+
+def matching_targets(
+    policy: Policy, job: Job, task: Task, targets: Sequence[TargetInfo]
+) -> frozenset[str]:
+    """Return the names of the targets that ``task`` of ``job`` may run on.
+
+    A target must satisfy every placement whose work selector matches the task; with
+    none, all targets match. ``targets`` have their published labels already, see
+    :func:`labelled`. Targets that leave are kept here, since leaving changes more
+    often than labels do; whoever places work leaves them out.
+
+    >>> placement = Placement("p", parse_selector(""), parse_selector("gpu"))
+    >>> targets = (TargetInfo("w1", "127.0.0.1", 1, "dc1", labels={"gpu": "a"}),)
+    >>> job = Job("j1", "desk", (Task(0, "check"),))
+    >>> sorted(matching_targets(Policy(placements=(placement,)), job, job.tasks[0],
+    ...                         targets))
+    ['w1']
+
+    The result for one combination of placements is found once for each policy and
+    each sequence of targets: its cost is that of matching all targets, and a later
+    call costs one match for each placement. Pass the same sequence object while the
+    targets stay the same, since a new one starts the cache anew.
+    """
+    sets = _sets_for(policy, targets)
+    work = labels_of_work(job, task)
+    indexes = enumerate(policy.placements)
+    key = tuple(index for index, each in indexes if each.work.matches(work))
+    found = sets.by_placements.get(key)
+    if found is None:
+        found = _find_targets([policy.placements[index] for index in key], sets)
+        if len(sets.by_placements) >= MAX_CACHED_SETS:
+            sets.by_placements.clear()
+        sets.by_placements[key] = found
+    return found
+
+
+def _sets_for(policy: Policy, targets: Sequence[TargetInfo]) -> _TargetSets:
+    cached = policy._sets
+    if cached and cached[0].targets is targets:
+        return cached[0]
+    cached[:] = [_TargetSets(targets, [labels_of_target(each) for each in targets])]
+    return cached[0]
+
+
+def _find_targets(placements: Sequence[Placement], sets: _TargetSets) -> frozenset[str]:
+    return frozenset(
+        target.name
+        for target, labels in zip(sets.targets, sets.labels, strict=True)
+        if all(each.targets.matches(labels) for each in placements)
+    )
+
+
+def _distinct_works(job: Job) -> list[dict[str, str]]:
+    seen = {}
+    for task in job.tasks:
+        key = (task.kind, task.idempotent, tuple(sorted(task.labels.items())))
+        if key not in seen:
+            seen[key] = labels_of_work(job, task)
+    return list(seen.values())
