--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -39,8 +39,6 @@
     Admission,
     AdmitEverything,
     HomeLoad,
-    JobPolicy,
-    MatchEverything,
     TargetHealth,
 )
 from hibiscusstack.dispatch.jobs import Job
@@ -57,6 +55,7 @@
     QueryBatch,
 )
 from hibiscusstack.dispatch.owner import Owner
+from hibiscusstack.dispatch.policy import Policy, labelled
 from hibiscusstack.dispatch.queueing import FifoQueue, TaskQueue
 from hibiscusstack.dispatch.targets import TargetInfo
 
@@ -85,7 +84,7 @@
         ids: IdIssuer,
         *,
         queue: TaskQueue | None = None,
-        policy: JobPolicy | None = None,
+        policy: Policy | None = None,
         admission: Admission | None = None,
         health: TargetHealth | None = None,
     ) -> None:
@@ -93,15 +92,13 @@
         self.ids = ids
         self.configuration_offset = 0
         self._clock = clock
-        self._owner = Owner(
-            name, policy or MatchEverything(), admission or AdmitEverything()
-        )
+        self._owner = Owner(name, policy or Policy(), admission or AdmitEverything())
         self._home = Home(queue or FifoQueue(), health)
         self._forwarding = Forwarding()
         self._finished = FinishedJobs()
         self._callers: dict[str, str] = {}
         self._waiters: dict[str, list[_Waiter]] = {}
-        self._targets: dict[str, TargetInfo] = {}
+        self._listed: tuple[TargetInfo, ...] = ()
         self._peers: dict[HostName, Heartbeat | None] = {}
         self._is_draining = False
         self._handlers = {
@@ -199,15 +196,15 @@
         return self._run(effects + self._assign_homes())
 
     def targets_listed(self, targets: Iterable[TargetInfo]) -> list[Effect]:
-        """Take over the targets of this data centre, labelled."""
-        self._targets = {target.name: target for target in targets}
+        """Take over the platform's list of the targets of this data centre."""
+        self._listed = tuple(targets)
         return self._run(self._assign_homes())
 
-    def configured(self, policy: JobPolicy, offset: int) -> list[Effect]:
+    def configured(self, policy: Policy, offset: int) -> list[Effect]:
         """Put a new version of the configuration in force."""
         self._owner.policy = policy
         self.configuration_offset = offset
-        return []
+        return self._run(self._assign_homes())
 
     def heartbeat(self) -> Heartbeat:
         """Return what peers have to know of this host now."""
@@ -319,12 +316,12 @@
         )
 
     def _assign_homes(self) -> list[Effect]:
-        home_of = assign_homes(self._targets, self._home_candidates())
+        staying = [target.name for target in self._listed if not target.is_leaving]
+        home_of = assign_homes(staying, self._home_candidates())
         own = frozenset(t for t, home in home_of.items() if home == self.name)
-        self._owner.replace_targets(self._targets, home_of)
-        effects = self._home.replace_targets(
-            self._targets.values(), own, self._clock.now_ms()
-        )
+        targets = tuple(labelled(self._owner.policy, each) for each in self._listed)
+        self._owner.replace_targets(targets, home_of)
+        effects = self._home.replace_targets(targets, own, self._clock.now_ms())
         self._refresh_own_load()
         return effects
 
--- a/hibiscusstack/dispatch/interfaces.py
+++ b/hibiscusstack/dispatch/interfaces.py
@@ -4,8 +4,6 @@
     "Admission",
     "AdmitEverything",
     "HomeLoad",
-    "JobPolicy",
-    "MatchEverything",
     "TargetHealth",
     "UnlimitedHealth",
 ]
@@ -16,7 +14,7 @@
 import attrs
 
 from hibiscusstack.dispatch.answers import Problem
-from hibiscusstack.dispatch.jobs import Job, Task
+from hibiscusstack.dispatch.jobs import Job
 from hibiscusstack.dispatch.messages import HostName
 from hibiscusstack.dispatch.targets import TargetInfo
 
@@ -30,18 +28,6 @@
     targets: int
 
 
-class JobPolicy(Protocol):
-    """What the configuration in force says of jobs and targets."""
-
-    def class_of(self, job: Job) -> str:
-        """Return the name of the class that the job belongs to."""
-
-    def matching_targets(
-        self, job: Job, task: Task, targets: Mapping[str, TargetInfo]
-    ) -> frozenset[str]:
-        """Return the names of the targets that the task may run on."""
-
-
 class Admission(Protocol):
     """The decision whether a whole job can be served in time."""
 
@@ -70,20 +56,6 @@
         """Account for one start that has ended."""
 
 
-class MatchEverything:
-    """A policy with one class, in which every target may run every task."""
-
-    def class_of(self, job: Job) -> str:
-        """Return the one class."""
-        return "default"
-
-    def matching_targets(
-        self, job: Job, task: Task, targets: Mapping[str, TargetInfo]
-    ) -> frozenset[str]:
-        """Return all targets."""
-        return frozenset(targets)
-
-
 class AdmitEverything:
     """An admission without limits."""
 
--- a/hibiscusstack/dispatch/owner.py
+++ b/hibiscusstack/dispatch/owner.py
@@ -19,7 +19,7 @@
 from hibiscusstack.dispatch.effects import Effect, SendPeer, TaskStates
 from hibiscusstack.dispatch.homes import Portion, split_over_homes
 from hibiscusstack.dispatch.inquiry import Inquiry, Verdict
-from hibiscusstack.dispatch.interfaces import Admission, HomeLoad, JobPolicy
+from hibiscusstack.dispatch.interfaces import Admission, HomeLoad
 from hibiscusstack.dispatch.jobs import Job, task_id_of
 from hibiscusstack.dispatch.messages import (
     BatchResults,
@@ -29,6 +29,7 @@
     PlaceBatch,
     QueryBatch,
 )
+from hibiscusstack.dispatch.policy import Policy, matching_targets
 from hibiscusstack.dispatch.targets import TargetInfo
 
 MAX_PLACEMENTS_PER_TASK = 5
@@ -66,7 +67,7 @@
     became of each. Finished jobs are returned as answers and leave this table.
     """
 
-    def __init__(self, name: HostName, policy: JobPolicy, admission: Admission) -> None:
+    def __init__(self, name: HostName, policy: Policy, admission: Admission) -> None:
         self.policy = policy
         self.admission = admission
         self.loads: dict[HostName, HomeLoad] = {}
@@ -74,7 +75,7 @@
         self._jobs: dict[str, _OwnedJob] = {}
         self._placements: dict[int, _Placement] = {}
         self._next_batch = 1
-        self._targets: Mapping[str, TargetInfo] = {}
+        self._targets: tuple[TargetInfo, ...] = ()
         self._home_of: Mapping[str, HostName] = {}
         self._alarms: list[tuple[int, str]] = []
         self._inquiry = Inquiry()
@@ -100,9 +101,9 @@
         return len(owned.results), len(owned.job.tasks)
 
     def replace_targets(
-        self, targets: Mapping[str, TargetInfo], home_of: Mapping[str, HostName]
+        self, targets: tuple[TargetInfo, ...], home_of: Mapping[str, HostName]
     ) -> None:
-        """Take over a new list of targets and their homes."""
+        """Take over a new list of labelled targets and their homes."""
         self._targets = targets
         self._home_of = home_of
 
@@ -194,7 +195,7 @@
     def _match(self, job: Job) -> dict[int, frozenset[str]]:
         matches = {}
         for task in job.tasks:
-            names = self.policy.matching_targets(job, task, self._targets)
+            names = matching_targets(self.policy, job, task, self._targets)
             matches[task.index] = frozenset(n for n in names if n in self._home_of)
         return matches
 
