Start tasks on targets over lean HTTP/1.1 connections

A refusal need not name its task, so its connection is not used again: a doubled refusal can then never pass for the answer to a later request.

--- /dev/null
+++ b/benches/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements on real processes over loopback."""
--- /dev/null
+++ b/hibiscusstack/target/client.py
@@ -0,0 +1,207 @@
+"""The client of all targets that this host is the home of."""
+
+__all__ = ["TargetClient"]
+
+from collections.abc import Callable
+from typing import TypeVar
+
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.interfaces import IDelayedCall, IReactorTCP
+
+from hibiscusstack.dispatch.effects import (
+    StartTask,
+    StopTasks,
+    TargetReply,
+    TaskNotSent,
+    TaskSilent,
+    TaskStates,
+)
+from hibiscusstack.dispatch.targets import TargetInfo
+from hibiscusstack.exceptions import DecodeError, InvalidInputError, UnavailableError
+from hibiscusstack.target.connection import AnswerLost, HttpAnswer, HttpConnection
+from hibiscusstack.target.decoding import (
+    TargetUsage,
+    decode_start_answer,
+    decode_states,
+    decode_usage,
+)
+from hibiscusstack.target.encoding import (
+    encode_start,
+    encode_stop,
+    encode_usage_query,
+)
+from hibiscusstack.target.pool import ConnectionPool, NoConnection
+
+_SWEEP_INTERVAL_MS = 1_000
+_RESERVED_FOR_STOPS = 4
+_QUERY_TIMEOUT_MS = 2_000
+
+T = TypeVar("T")
+
+
+class TargetClient:
+    """Starts and stops tasks over HTTP/1.1, writing each request once.
+
+    Nothing is ever sent again by this client: whether a task may be started anew is
+    decided by whoever reads the reply.
+    """
+
+    def __init__(
+        self, reactor: IReactorTCP, query_timeout_ms: int = _QUERY_TIMEOUT_MS
+    ) -> None:
+        self._reactor = reactor
+        self._query_timeout_ms = query_timeout_ms
+        self._pools: dict[str, ConnectionPool] = {}
+        self._sweep: IDelayedCall | None = None
+
+    def start(self, target: TargetInfo, effect: StartTask) -> Deferred[TargetReply]:
+        """Start a task and return what is proved of it, within its timeout.
+
+        The reply is ``TaskNotSent`` only when nothing was written. A written request
+        without a valid answer to this very task is ``TaskSilent``.
+        """
+        try:
+            request = encode_start(target, effect)
+        except InvalidInputError as fault:
+            return succeed(TaskNotSent(str(fault)))
+        pool = self._pool_of(target)
+        connection = pool.take_idle()
+        if connection is not None:
+            return self._exchange_start(pool, connection, request, effect, 0)
+        opening_s = self._reactor.seconds()
+        reserved = min(_RESERVED_FOR_STOPS, target.connections // 2)
+        opened = pool.open(effect.timeout_ms, reserved)
+
+        def start_on(
+            connection: HttpConnection | NoConnection,
+        ) -> TargetReply | Deferred[TargetReply]:
+            if isinstance(connection, NoConnection):
+                return TaskNotSent(connection.cause)
+            spent_ms = (self._reactor.seconds() - opening_s) * 1000
+            return self._exchange_start(pool, connection, request, effect, spent_ms)
+
+        return opened.addCallback(start_on)
+
+    def stop(self, target: TargetInfo, effect: StopTasks) -> Deferred[TaskStates]:
+        """Stop tasks over a new connection and return the target's word on them."""
+        try:
+            request = encode_stop(target, effect)
+        except InvalidInputError:
+            return succeed(_unknown_states(effect))
+        answered = self._query(
+            target, request, lambda answer: decode_states(effect, answer)
+        )
+        return answered.addErrback(lambda _: _unknown_states(effect))
+
+    def fetch_usage(self, target: TargetInfo) -> Deferred[TargetUsage]:
+        """Return a target's usage; fails with ``UnavailableError``."""
+        return self._query(target, encode_usage_query(target), decode_usage)
+
+    def close_target(self, name: str) -> None:
+        """Close every connection to a target; what it was sent ends as silent."""
+        pool = self._pools.pop(name, None)
+        if pool is not None:
+            pool.close_all()
+
+    def close(self) -> None:
+        """Close every connection to every target."""
+        for name in list(self._pools):
+            self.close_target(name)
+        if self._sweep is not None:
+            self._sweep.cancel()
+            self._sweep = None
+
+    def _exchange_start(
+        self,
+        pool: ConnectionPool,
+        connection: HttpConnection,
+        request: bytes,
+        effect: StartTask,
+        spent_ms: float,
+    ) -> Deferred[TargetReply]:
+        remaining_ms = effect.timeout_ms - spent_ms
+        if remaining_ms <= 0:
+            pool.release(connection)
+            return succeed(TaskNotSent("no time was left to send the task"))
+        answered = connection.exchange(request, remaining_ms)
+        return answered.addCallback(self._read_start, pool, connection, effect)
+
+    def _read_start(
+        self,
+        outcome: HttpAnswer | AnswerLost,
+        pool: ConnectionPool,
+        connection: HttpConnection,
+        effect: StartTask,
+    ) -> TargetReply:
+        if isinstance(outcome, AnswerLost):
+            pool.close_idle()
+            return TaskSilent(outcome.cause)
+        try:
+            reply = decode_start_answer(effect, outcome)
+        except DecodeError as fault:
+            connection.close()
+            return TaskSilent(str(fault))
+        # A refusal need not name its task, so a doubled one could be taken for the
+        # answer to the next request: only a result leaves the connection in use.
+        if outcome.keeps_open and outcome.status == 200 and connection.is_open:
+            pool.release(connection)
+        else:
+            connection.close()
+        return reply
+
+    def _query(
+        self, target: TargetInfo, request: bytes, decode: Callable[[HttpAnswer], T]
+    ) -> Deferred[T]:
+        pool = self._pool_of(target)
+        if pool.count() >= target.connections:
+            pool.close_idle()
+        timeout_ms = self._query_timeout_ms
+
+        def ask(connection: HttpConnection | NoConnection) -> Deferred[T]:
+            if isinstance(connection, NoConnection):
+                raise UnavailableError(target.name, connection.cause)
+            answered = connection.exchange(request, timeout_ms)
+            return answered.addCallback(read, connection)
+
+        def read(outcome: HttpAnswer | AnswerLost, connection: HttpConnection) -> T:
+            connection.close()
+            if isinstance(outcome, AnswerLost):
+                raise UnavailableError(target.name, outcome.cause)
+            try:
+                return decode(outcome)
+            except DecodeError as fault:
+                raise UnavailableError(target.name, str(fault)) from fault
+
+        return pool.open(timeout_ms).addCallback(ask)
+
+    def _pool_of(self, target: TargetInfo) -> ConnectionPool:
+        pool = self._pools.get(target.name)
+        if pool is not None and (pool.address, pool.port) == (
+            target.address,
+            target.port,
+        ):
+            return pool
+        if pool is not None:
+            pool.close_idle()
+        pool = ConnectionPool(
+            self._reactor, target.address, target.port, target.connections
+        )
+        self._pools[target.name] = pool
+        self._schedule_sweep()
+        return pool
+
+    def _schedule_sweep(self) -> None:
+        if self._sweep is None:
+            interval_s = _SWEEP_INTERVAL_MS / 1000
+            self._sweep = self._reactor.callLater(interval_s, self._close_stale)
+
+    def _close_stale(self) -> None:
+        self._sweep = None
+        for pool in self._pools.values():
+            pool.close_stale()
+        if self._pools:
+            self._schedule_sweep()
+
+
+def _unknown_states(effect: StopTasks) -> TaskStates:
+    return TaskStates(effect.target, effect.task_ids, None)
--- /dev/null
+++ b/hibiscusstack/target/decoding.py
@@ -0,0 +1,152 @@
+"""Answers of targets, decoded strictly into typed data.
+
+Anything that is not exactly an answer of the protocol to this very request proves
+nothing and raises ``DecodeError``.
+"""
+
+__all__ = [
+    "TargetUsage",
+    "decode_start_answer",
+    "decode_states",
+    "decode_usage",
+]
+
+import json
+from typing import Any
+
+import attrs
+
+from hibiscusstack.dispatch.answers import Outcome, Problem, Reason, TaskResult
+from hibiscusstack.dispatch.effects import (
+    StartTask,
+    StopTasks,
+    TaskFinished,
+    TaskRefused,
+    TaskState,
+    TaskStates,
+)
+from hibiscusstack.exceptions import DecodeError
+from hibiscusstack.target.connection import HttpAnswer
+
+_OK = 200
+_CONFLICT = 409
+_REFUSALS = frozenset({"busy", "leaving", "stopped", "lease_expired"})
+
+
+@attrs.frozen
+class TargetUsage:
+    """What a target said it used some time ago."""
+
+    processors_milli: int
+    memory_mb: int
+    running: int
+
+
+def decode_start_answer(
+    effect: StartTask, answer: HttpAnswer
+) -> TaskFinished | TaskRefused:
+    """Return what ``answer`` proves of the task that ``effect`` started.
+
+    Raises ``DecodeError`` when it proves nothing, as when it names another task.
+
+    >>> from hibiscusstack.dispatch.jobs import Task
+    >>> effect = StartTask("t1", "j/0", Task(0, "check"), 900)
+    >>> decode_start_answer(effect, HttpAnswer(409, b'{"type": "busy"}', True))
+    TaskRefused(reason='busy')
+    """
+    if answer.status == _CONFLICT:
+        return TaskRefused(_decode_refusal(effect.task_id, answer.body))
+    body = _decode_ok(answer)
+    if body.get("task_id") != effect.task_id:
+        raise DecodeError("task_id", effect.task_id, body.get("task_id"))
+    return TaskFinished(_decode_result(effect.task.index, body))
+
+
+def decode_states(effect: StopTasks, answer: HttpAnswer) -> TaskStates:
+    """Return the states of exactly the tasks that ``effect`` asked about.
+
+    Raises ``DecodeError`` when one is missing or malformed.
+    """
+    tasks = _decode_ok(answer).get("tasks")
+    if not isinstance(tasks, dict):
+        raise DecodeError("tasks", "an object", tasks)
+    states: dict[str, TaskState] = {}
+    results: dict[str, TaskResult] = {}
+    for task_id in effect.task_ids:
+        entry = tasks.get(task_id)
+        states[task_id] = state = _decode_state(task_id, entry)
+        if state is TaskState.FINISHED:
+            results[task_id] = _decode_result(_index_of(task_id), entry)
+    return TaskStates(effect.target, effect.task_ids, states, results)
+
+
+def decode_usage(answer: HttpAnswer) -> TargetUsage:
+    """Return the usage in ``answer``, or raise ``DecodeError``."""
+    body = _decode_ok(answer)
+    names = ("processors_milli", "memory_mb", "running")
+    return TargetUsage(*(_decode_count(name, body.get(name)) for name in names))
+
+
+def _decode_refusal(task_id: str, data: bytes) -> str:
+    body = _decode_object(data)
+    if body.get("task_id", task_id) != task_id:
+        raise DecodeError("task_id", task_id, body["task_id"])
+    reason = body.get("type")
+    if not isinstance(reason, str) or reason not in _REFUSALS:
+        raise DecodeError("type", f"one of {sorted(_REFUSALS)}", reason)
+    return reason
+
+
+def _decode_ok(answer: HttpAnswer) -> dict[str, Any]:
+    if answer.status != _OK:
+        raise DecodeError("status", str(_OK), answer.status)
+    return _decode_object(answer.body)
+
+
+def _decode_object(data: bytes) -> dict[str, Any]:
+    try:
+        body = json.loads(data, parse_constant=_reject_constant)
+    except (ValueError, RecursionError) as fault:
+        raise DecodeError("body", "JSON", data[:80]) from fault
+    if not isinstance(body, dict):
+        raise DecodeError("body", "an object", data[:80])
+    return body
+
+
+def _reject_constant(name: str) -> None:
+    raise ValueError(f"{name} is no JSON value")
+
+
+def _decode_result(index: int, body: dict[str, Any]) -> TaskResult:
+    succeeded = body.get("succeeded")
+    if not isinstance(succeeded, bool):
+        raise DecodeError("succeeded", "true or false", succeeded)
+    if "value" not in body:
+        raise DecodeError("value", "a value", None)
+    run_time_ms = _decode_count("run_time_ms", body.get("run_time_ms"))
+    if succeeded:
+        return TaskResult(index, Outcome.SUCCEEDED, body["value"], None, run_time_ms)
+    problem = Problem(Reason.TASK_FAILED)
+    return TaskResult(index, Outcome.FAILED, body["value"], problem, run_time_ms)
+
+
+def _decode_state(task_id: str, entry: Any) -> TaskState:
+    if not isinstance(entry, dict):
+        raise DecodeError(task_id, "an object", entry)
+    try:
+        return TaskState(entry.get("state"))
+    except ValueError as fault:
+        raise DecodeError(task_id, "a state", entry.get("state")) from fault
+
+
+def _decode_count(where: str, value: Any) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise DecodeError(where, "a whole number from 0", value)
+    return value
+
+
+def _index_of(task_id: str) -> int:
+    index = task_id.rpartition("/")[2]
+    if not (index.isascii() and index.isdigit()):
+        raise DecodeError("task_id", "a job's id, a slash and an index", task_id)
+    return int(index)
--- /dev/null
+++ b/hibiscusstack/target/encoding.py
@@ -0,0 +1,73 @@
+"""Requests to targets as bytes, each with its head and its JSON body."""
+
+__all__ = ["encode_start", "encode_stop", "encode_usage_query"]
+
+import json
+import re
+from typing import Any
+
+from hibiscusstack.dispatch.effects import StartTask, StopTasks
+from hibiscusstack.dispatch.targets import TargetInfo
+from hibiscusstack.exceptions import InvalidInputError
+
+_TRACEPARENT = re.compile(r"[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}")
+
+
+def encode_start(target: TargetInfo, effect: StartTask) -> bytes:
+    r"""Return the request that starts a task.
+
+    Raises ``InvalidInputError`` when the payload is not a JSON value. A malformed
+    ``traceparent`` is left out, as it must not break the request's head.
+
+    >>> from hibiscusstack.dispatch.jobs import Task
+    >>> target = TargetInfo("t1", "127.0.0.1", 80, "dc1")
+    >>> request = encode_start(target, StartTask("t1", "j/0", Task(0, "check"), 900))
+    >>> request.split(b"\r\n")[0]
+    b'POST /v1/tasks HTTP/1.1'
+    """
+    task = effect.task
+    body = {
+        "task_id": effect.task_id,
+        "kind": task.kind,
+        "payload": task.payload,
+        "lease_ms": effect.timeout_ms,
+        "memory_mb": task.memory_mb,
+        "processors_milli": task.processors_milli,
+    }
+    return _post(target, "/v1/tasks", _dump(body), _trace_header(effect.traceparent))
+
+
+def encode_stop(target: TargetInfo, effect: StopTasks) -> bytes:
+    """Return the request that stops tasks and closes its connection."""
+    body = {"task_ids": effect.task_ids, "only_unstarted": effect.only_unstarted}
+    return _post(target, "/v1/tasks/stop", _dump(body), "Connection: close\r\n")
+
+
+def encode_usage_query(target: TargetInfo) -> bytes:
+    """Return the request for a target's usage, which closes its connection."""
+    head = f"GET /v1/usage HTTP/1.1\r\nHost: {target.address}:{target.port}\r\n"
+    return f"{head}Connection: close\r\n\r\n".encode()
+
+
+def _dump(body: dict[str, Any]) -> bytes:
+    try:
+        return json.dumps(body, allow_nan=False, separators=(",", ":")).encode()
+    except (TypeError, ValueError, RecursionError) as fault:
+        raise InvalidInputError("payload", "a JSON value", str(fault)) from fault
+
+
+def _trace_header(traceparent: str) -> str:
+    if not _TRACEPARENT.fullmatch(traceparent):
+        return ""
+    return f"traceparent: {traceparent}\r\n"
+
+
+def _post(target: TargetInfo, path: str, body: bytes, more_headers: str) -> bytes:
+    head = (
+        f"POST {path} HTTP/1.1\r\n"
+        f"Host: {target.address}:{target.port}\r\n"
+        "Content-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\n"
+        f"{more_headers}\r\n"
+    )
+    return head.encode() + body
--- /dev/null
+++ b/hibiscusstack/target/pool.py
@@ -0,0 +1,105 @@
+"""The bounded connections to one target."""
+
+__all__ = ["ConnectionPool", "NoConnection"]
+
+import attrs
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.interfaces import IReactorTCP
+from twisted.internet.protocol import Factory
+from twisted.python.failure import Failure
+
+from hibiscusstack.target.connection import HttpConnection
+
+_CONNECT_TIMEOUT_MS = 1_000
+_MAX_IDLE_MS = 1_000
+
+
+@attrs.frozen
+class NoConnection:
+    """No connection could be had, so nothing was written."""
+
+    cause: str
+
+
+class ConnectionPool:
+    """Connections to one target, at most ``limit``, the latest used first.
+
+    One that has been idle for a second is not used again: it may have gone silent,
+    and a new one costs less than a task whose outcome is unknown.
+    """
+
+    def __init__(
+        self, reactor: IReactorTCP, address: str, port: int, limit: int
+    ) -> None:
+        self.address = address
+        self.port = port
+        self._reactor = reactor
+        self._limit = limit
+        self._idle: list[HttpConnection] = []
+        self._open: set[HttpConnection] = set()
+        self._connecting = 0
+
+    def count(self) -> int:
+        """Return the number of connections, those being opened included."""
+        return len(self._open) + self._connecting
+
+    def take_idle(self) -> HttpConnection | None:
+        """Return a connection that answered a moment ago, if there is one."""
+        self.close_stale()
+        return self._idle.pop() if self._idle else None
+
+    def open(
+        self, timeout_ms: float, reserved: int = 0
+    ) -> Deferred[HttpConnection | NoConnection]:
+        """Return a new connection, leaving ``reserved`` of the limit unused."""
+        if self.count() >= self._limit - reserved:
+            return succeed(NoConnection(f"all {self._limit} connections are in use"))
+        self._connecting += 1
+        timeout_s = min(timeout_ms, _CONNECT_TIMEOUT_MS) / 1000
+        endpoint = TCP4ClientEndpoint(
+            self._reactor, self.address, self.port, timeout=timeout_s
+        )
+        factory = Factory.forProtocol(self._new_connection)
+        factory.noisy = False
+        return endpoint.connect(factory).addCallbacks(self._opened, self._not_opened)
+
+    def release(self, connection: HttpConnection) -> None:
+        """Keep an open connection for the next exchange."""
+        connection.idle_since_s = self._reactor.seconds()
+        self._idle.append(connection)
+
+    def close_stale(self) -> None:
+        """Close the connections that have been idle for too long."""
+        oldest_s = self._reactor.seconds() - _MAX_IDLE_MS / 1000
+        while self._idle and self._idle[0].idle_since_s < oldest_s:
+            self._idle.pop(0).close()
+
+    def close_idle(self) -> None:
+        """Close every connection that carries no exchange."""
+        for connection in self._idle[:]:
+            connection.close()
+        self._idle.clear()
+
+    def close_all(self) -> None:
+        """Close every connection, whose exchanges then end as lost."""
+        for connection in list(self._open):
+            connection.close()
+        self._idle.clear()
+
+    def _new_connection(self) -> HttpConnection:
+        return HttpConnection(self._reactor, self._closed)
+
+    def _opened(self, connection: HttpConnection) -> HttpConnection:
+        self._connecting -= 1
+        self._open.add(connection)
+        return connection
+
+    def _not_opened(self, failure: Failure) -> NoConnection:
+        self._connecting -= 1
+        return NoConnection(failure.getErrorMessage() or failure.type.__name__)
+
+    def _closed(self, connection: HttpConnection) -> None:
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
