Connect the dispatcher hosts over WebSocket with CBOR messages

Messages are positional arrays behind a tag, converted by functions compiled once for each class. One connection serves each pair; a loss alone does not make a peer lost, a newer incarnation or a timeout does.

--- /dev/null
+++ b/hibiscusstack/host/__init__.py
@@ -0,0 +1,21 @@
+"""Connections between dispatcher hosts."""
+
+from hibiscusstack.host.codec import decode_message, encode_message
+from hibiscusstack.host.connection import NotConnected, SendBufferFull, SendFailure
+from hibiscusstack.host.dialing import PeerAddress
+from hibiscusstack.host.mesh import Mesh, MeshEvents, MeshTiming
+from hibiscusstack.host.network import Network, TcpNetwork
+
+__all__ = [
+    "Mesh",
+    "MeshEvents",
+    "MeshTiming",
+    "Network",
+    "NotConnected",
+    "PeerAddress",
+    "SendBufferFull",
+    "SendFailure",
+    "TcpNetwork",
+    "decode_message",
+    "encode_message",
+]
--- /dev/null
+++ b/hibiscusstack/host/connection.py
@@ -0,0 +1,219 @@
+"""One WebSocket connection between two hosts, on Twisted.
+
+The protocol logic is the sans-I/O layer of the websockets library; this module moves
+bytes between it and a Twisted transport.
+"""
+
+__all__ = [
+    "Connection",
+    "ConnectionEvents",
+    "NotConnected",
+    "SendBufferFull",
+    "SendFailure",
+    "accept_connection",
+    "dial_connection",
+]
+
+from typing import Protocol as Interface
+
+import attrs
+from expression import Error, Ok, Result
+from twisted.internet.interfaces import IPushProducer
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
+from websockets.client import ClientProtocol
+from websockets.frames import CloseCode, Frame, Opcode
+from websockets.http11 import Request, Response
+from websockets.protocol import State
+from websockets.server import ServerProtocol
+from websockets.uri import parse_uri
+from zope.interface import implementer
+
+from hibiscusstack.dispatch.messages import Message
+from hibiscusstack.exceptions import DecodeError
+from hibiscusstack.host.codec import MAX_FRAME_BYTES, decode_message, encode_message
+
+PEER_PATH = "/v1/peers"
+
+
+@attrs.frozen
+class NotConnected:
+    """No connection to the peer is open, so nothing was written."""
+
+
+@attrs.frozen
+class SendBufferFull:
+    """The peer does not read fast enough, so nothing was written."""
+
+    unsent_bytes: int
+
+
+SendFailure = NotConnected | SendBufferFull
+
+
+class ConnectionEvents(Interface):
+    """Who owns a connection and hears what happens on it."""
+
+    def connection_opened(self, connection: "Connection") -> None:
+        """Hear that the handshake is done and messages can be sent."""
+
+    def message_received(self, connection: "Connection", message: Message) -> None:
+        """Hear of one message; they come in the order of sending."""
+
+    def connection_closed(self, connection: "Connection", cause: str) -> None:
+        """Hear that the connection is gone; called once, also if it never opened."""
+
+
+@implementer(IPushProducer)
+class Connection(Protocol):
+    """A connection that carries messages, in order, until it closes.
+
+    ``max_unsent_bytes`` bounds what waits for a peer that reads slowly. After
+    :meth:`abort` no further message is delivered, even of bytes already received.
+    """
+
+    def __init__(
+        self,
+        events: ConnectionEvents,
+        websocket: ClientProtocol | ServerProtocol,
+        max_unsent_bytes: int,
+    ) -> None:
+        self.is_dialer = isinstance(websocket, ClientProtocol)
+        self._events = events
+        self._websocket = websocket
+        self._max_unsent_bytes = max_unsent_bytes
+        self._unsent_bytes = 0
+        self._is_paused = False
+        self._is_closed = False
+
+    def send(self, message: Message) -> Result[None, SendFailure]:
+        """Write one message, or return why nothing was written."""
+        if self._is_closed or self._websocket.state is not State.OPEN:
+            return Error(NotConnected())
+        if self._unsent_bytes > self._max_unsent_bytes:
+            return Error(SendBufferFull(self._unsent_bytes))
+        self._websocket.send_binary(encode_message(message))
+        self._flush()
+        return Ok(None)
+
+    def close(self, reason: str) -> None:
+        """Close after everything written so far has been sent."""
+        if self._websocket.state is State.OPEN:
+            self._websocket.send_close(CloseCode.NORMAL_CLOSURE, reason)
+            self._flush()
+        if self.transport is not None:
+            self.transport.loseConnection()
+        self._end(reason)
+
+    def abort(self, cause: str) -> None:
+        """Drop the connection at once."""
+        if self.transport is not None:
+            self.transport.abortConnection()
+        self._end(cause)
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Start the handshake, as the dialer."""
+        self.transport.registerProducer(self, True)
+        if hasattr(self.transport, "setTcpNoDelay"):
+            self.transport.setTcpNoDelay(True)
+        if self.is_dialer:
+            self._websocket.send_request(self._websocket.connect())
+            self._flush()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Feed received bytes to the WebSocket layer."""
+        if self._is_closed:
+            return
+        self._websocket.receive_data(data)
+        for event in self._websocket.events_received():
+            if self._is_closed:
+                return
+            self._handle(event)
+        if not self._is_closed:
+            self._flush()
+            self._close_if_failed()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
+        """Tell the owner that the connection is gone."""
+        self._end(reason.getErrorMessage())
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Count what is written from now on, as the transport's buffer is full."""
+        self._is_paused = True
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Forget what was counted, as the transport has sent it all."""
+        self._is_paused = False
+        self._unsent_bytes = 0
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: the end of the connection is told by connectionLost."""
+
+    def _handle(self, event: Request | Response | Frame) -> None:
+        if isinstance(event, Request):
+            self._websocket.send_response(self._websocket.accept(event))
+            self._flush()
+            self._open_if_agreed()
+        elif isinstance(event, Response):
+            self._open_if_agreed()
+        elif event.opcode is Opcode.BINARY and event.fin:
+            self._deliver(event.data)
+        elif event.opcode in (Opcode.BINARY, Opcode.TEXT, Opcode.CONT):
+            self.abort(f"an unexpected {event.opcode.name} frame")
+
+    def _open_if_agreed(self) -> None:
+        if self._websocket.state is State.OPEN:
+            self._events.connection_opened(self)
+
+    def _deliver(self, data: bytes) -> None:
+        try:
+            message = decode_message(bytes(data))
+        except DecodeError as error:
+            self.abort(str(error))
+            return
+        self._events.message_received(self, message)
+
+    def _close_if_failed(self) -> None:
+        if self._websocket.handshake_exc is not None:
+            self.abort(str(self._websocket.handshake_exc))
+        elif self._websocket.close_expected():
+            self.transport.loseConnection()
+
+    def _flush(self) -> None:
+        for data in self._websocket.data_to_send():
+            if not data:
+                self.transport.loseConnection()
+                return
+            if self._is_paused:
+                self._unsent_bytes += len(data)
+            self.transport.write(data)
+
+    def _end(self, cause: str) -> None:
+        if self._is_closed:
+            return
+        self._is_closed = True
+        if self.transport is not None:
+            self.transport.unregisterProducer()
+        self._events.connection_closed(self, cause)
+
+
+def dial_connection(
+    events: ConnectionEvents, address: str, port: int, max_unsent_bytes: int
+) -> Connection:
+    """Return the protocol for the dialing side of a connection.
+
+    The accepting side is :func:`accept_connection`.
+    """
+    host = f"[{address}]" if ":" in address else address
+    uri = parse_uri(f"ws://{host}:{port}{PEER_PATH}")
+    websocket = ClientProtocol(uri, max_size=MAX_FRAME_BYTES)
+    return Connection(events, websocket, max_unsent_bytes)
+
+
+def accept_connection(events: ConnectionEvents, max_unsent_bytes: int) -> Connection:
+    """Return the protocol for the accepting side of a connection.
+
+    The dialing side is :func:`dial_connection`.
+    """
+    websocket = ServerProtocol(max_size=MAX_FRAME_BYTES)
+    return Connection(events, websocket, max_unsent_bytes)
--- /dev/null
+++ b/hibiscusstack/host/structuring.py
@@ -0,0 +1,242 @@
+"""Compilation of attrs classes into converters to and from positional arrays.
+
+A class is written as the list of its field values in the order of definition, nested
+classes likewise, and an enumeration member as its value. Converters are compiled once
+for each class from its type hints, so that a message costs no introspection.
+"""
+
+__all__ = ["Converter", "compile_reader", "compile_writer"]
+
+import math
+from collections.abc import Callable, Mapping
+from enum import Enum
+from functools import cache
+from itertools import product
+from operator import attrgetter
+from types import NoneType, UnionType
+from typing import Any, get_args, get_origin, get_type_hints
+
+import attrs
+
+from hibiscusstack.exceptions import DecodeError
+
+Converter = Callable[[Any], Any]
+
+_JSON_TYPES = (str, int, float, bool, NoneType, list, dict)
+_SCALARS = (str, int, float, bool)
+
+
+@attrs.frozen
+class _Field:
+    """How one value is read: the types it may arrive in, then a conversion."""
+
+    wire_types: tuple[type, ...]
+    convert: Converter | None = None
+
+
+@cache
+def compile_writer(cls: type) -> Converter:
+    """Return a function that turns an instance of ``cls`` into a list.
+
+    >>> from hibiscusstack.dispatch.messages import HostName
+    >>> compile_writer(HostName)(HostName("dc1", "a", 7))
+    ['dc1', 'a', 7]
+
+    The inverse is :func:`compile_reader`. Time grows with the number of fields.
+    """
+    hints = get_type_hints(cls)
+    names = [field.name for field in attrs.fields(cls)]
+    read_fields = attrgetter(*names)
+    writers = [(at, _value_writer(hints[name])) for at, name in enumerate(names)]
+    conversions = [(at, convert) for at, convert in writers if convert is not None]
+    is_single = len(names) == 1
+
+    def write(instance: Any) -> list[Any]:
+        values = [read_fields(instance)] if is_single else list(read_fields(instance))
+        for at, convert in conversions:
+            values[at] = convert(values[at])
+        return values
+
+    return write
+
+
+@cache
+def compile_reader(cls: type) -> Converter:
+    """Return a function that turns a decoded list into an instance of ``cls``.
+
+    The function raises :class:`~hibiscusstack.exceptions.DecodeError`, and nothing
+    else, for a value of any other shape.
+
+    >>> from hibiscusstack.dispatch.messages import HostName
+    >>> compile_reader(HostName)(["dc1", "a", 7])
+    HostName(data_centre='dc1', name='a', incarnation=7)
+
+    The types of all fields are compared in one step with the set of the combinations
+    that the class allows. The inverse is :func:`compile_writer`.
+    """
+    hints = get_type_hints(cls)
+    names = [field.name for field in attrs.fields(cls)]
+    fields = [_value_reader(hints[name], f"{cls.__name__}.{name}") for name in names]
+    shapes = frozenset(product(*(field.wire_types for field in fields)))
+    conversions = [
+        (at, field.convert)
+        for at, field in enumerate(fields)
+        if field.convert is not None
+    ]
+
+    def read(values: Any) -> Any:
+        if type(values) is not list:
+            raise DecodeError(cls.__name__, "an array", type(values).__name__)
+        if tuple(map(type, values)) not in shapes:
+            raise _describe_mismatch(cls, names, fields, values)
+        for at, convert in conversions:
+            values[at] = convert(values[at])
+        return cls(*values)
+
+    return read
+
+
+def _describe_mismatch(
+    cls: type, names: list[str], fields: list[_Field], values: list[Any]
+) -> DecodeError:
+    if len(values) != len(fields):
+        return DecodeError(cls.__name__, f"{len(fields)} fields", len(values))
+    for name, field, value in zip(names, fields, values, strict=True):
+        if type(value) not in field.wire_types:
+            expected = " or ".join(kind.__name__ for kind in field.wire_types)
+            found = type(value).__name__
+            return DecodeError(f"{cls.__name__}.{name}", expected, found)
+    raise AssertionError("the values have an allowed shape")
+
+
+def _value_writer(hint: Any) -> Converter | None:
+    """Return the conversion of a value to its wire form, if it needs one."""
+    inner = _optional_of(hint)
+    if inner is not None:
+        return _skip_none(_value_writer(inner))
+    if get_origin(hint) is tuple:
+        return _tuple_writer(get_args(hint))
+    if isinstance(hint, type) and issubclass(hint, Enum):
+        return attrgetter("value")
+    if isinstance(hint, type) and attrs.has(hint):
+        return compile_writer(hint)
+    if get_origin(hint) is Mapping:
+        return dict
+    return None
+
+
+def _tuple_writer(args: tuple[Any, ...]) -> Converter | None:
+    if args[-1] is not Ellipsis:
+        return None
+    convert = _value_writer(args[0])
+    if convert is None:
+        return None
+    return lambda values: [convert(value) for value in values]
+
+
+def _value_reader(hint: Any, where: str) -> _Field:
+    """Return how a value of type ``hint`` is read."""
+    inner = _optional_of(hint)
+    if inner is not None:
+        field = _value_reader(inner, where)
+        return _Field((*field.wire_types, NoneType), _skip_none(field.convert))
+    if hint is Any:
+        return _Field(_JSON_TYPES, lambda value: _check_json(value, where))
+    if isinstance(hint, type):
+        return _class_reader(hint, where)
+    if get_origin(hint) is tuple:
+        return _Field((list,), _tuple_reader(get_args(hint), where))
+    if get_origin(hint) is Mapping:
+        return _Field((dict,), lambda value: _check_labels(value, where))
+    raise TypeError(f"no wire form for {hint}")
+
+
+def _class_reader(hint: type, where: str) -> _Field:
+    if hint in _SCALARS:
+        return _Field((hint,))
+    if issubclass(hint, Enum):
+        return _Field((str,), _enum_reader(hint, where))
+    return _Field((list,), compile_reader(hint))
+
+
+def _tuple_reader(args: tuple[Any, ...], where: str) -> Converter:
+    if args[-1] is not Ellipsis:
+        return _fixed_tuple_reader(args, where)
+    field = _value_reader(args[0], where)
+    if attrs.has(args[0]):
+        read = field.convert
+        return lambda values: tuple([read(value) for value in values])
+    return lambda values: tuple([_read_one(field, value, where) for value in values])
+
+
+def _fixed_tuple_reader(args: tuple[Any, ...], where: str) -> Converter:
+    fields = [_value_reader(arg, where) for arg in args]
+
+    def read(values: list[Any]) -> tuple[Any, ...]:
+        if len(values) != len(fields):
+            raise DecodeError(where, f"{len(fields)} values", len(values))
+        pairs = zip(fields, values, strict=True)
+        return tuple([_read_one(field, value, where) for field, value in pairs])
+
+    return read
+
+
+def _read_one(field: _Field, value: Any, where: str) -> Any:
+    if type(value) not in field.wire_types:
+        expected = " or ".join(kind.__name__ for kind in field.wire_types)
+        raise DecodeError(where, expected, type(value).__name__)
+    return value if field.convert is None else field.convert(value)
+
+
+def _enum_reader(cls: type[Enum], where: str) -> Converter:
+    members = {member.value: member for member in cls}
+
+    def read(value: str) -> Enum:
+        member = members.get(value)
+        if member is None:
+            raise DecodeError(where, f"a value of {cls.__name__}", value)
+        return member
+
+    return read
+
+
+def _check_labels(labels: dict[Any, Any], where: str) -> dict[str, str]:
+    for key, value in labels.items():
+        if type(key) is not str or type(value) is not str:
+            raise DecodeError(where, "strings by strings", (key, value))
+    return labels
+
+
+def _check_json(value: Any, where: str) -> Any:
+    """Return ``value`` if JSON can carry it; its depth is bounded by the decoder."""
+    kind = type(value)
+    if kind is list:
+        for item in value:
+            _check_json(item, where)
+    elif kind is dict:
+        for key, item in value.items():
+            if type(key) is not str:
+                raise DecodeError(where, "a string as key", key)
+            _check_json(item, where)
+    elif kind is float:
+        if not math.isfinite(value):
+            raise DecodeError(where, "a finite number", value)
+    elif kind not in _JSON_TYPES:
+        raise DecodeError(where, "a value that JSON can carry", kind.__name__)
+    return value
+
+
+def _skip_none(convert: Converter | None) -> Converter | None:
+    if convert is None:
+        return None
+    return lambda value: None if value is None else convert(value)
+
+
+def _optional_of(hint: Any) -> Any:
+    """Return the type ``T`` of a hint ``T | None``, or None for any other hint."""
+    if get_origin(hint) is not UnionType:
+        return None
+    others = [arg for arg in get_args(hint) if arg is not NoneType]
+    if len(others) != 1:
+        raise TypeError(f"no wire form for {hint}")
+    return others[0]
--- /dev/null
+++ b/hibiscusstack/host/tests/test_mesh.py
@@ -0,0 +1,137 @@
+"""Meshes that meet, lose and find one another again."""
+
+from hibiscusstack.dispatch.messages import CancelBatch, Hello
+from hibiscusstack.host.connection import NotConnected, SendBufferFull
+from hibiscusstack.host.tests.fleet import FakeTransport, Fleet
+
+
+def peers_of(fleet, port):
+    return sorted(fleet.meshes[port].peers())
+
+
+def test_all_hosts_meet_over_one_connection_for_each_pair():
+    fleet = Fleet(4)
+    fleet.run(1_000)
+    for port in fleet.meshes:
+        others = [fleet.name(other) for other in fleet.meshes if other != port]
+        assert peers_of(fleet, port) == others
+    assert len(fleet.network.open_pairs()) == 6
+
+
+def test_messages_come_in_order():
+    fleet = Fleet(2)
+    fleet.run(500)
+    for batch in range(50):
+        assert fleet.meshes[1].send(fleet.name(2), CancelBatch(batch)).is_ok()
+    fleet.run(50)
+    expected = [CancelBatch(batch) for batch in range(50)]
+    assert fleet.events[2].received(CancelBatch) == expected
+
+
+def test_a_peer_that_comes_back_in_time_is_not_lost():
+    fleet = Fleet(2)
+    fleet.run(500)
+    for near, far in fleet.network.pairs:
+        near.hang_up()
+        far.hang_up()
+    fleet.run(2_000)
+    assert peers_of(fleet, 1) == [fleet.name(2)]
+    assert fleet.events[1].lost == []
+    assert fleet.events[1].connected[-1] == fleet.name(2)
+
+
+def test_a_peer_that_stays_away_is_lost_once():
+    fleet = Fleet(2)
+    fleet.run(500)
+    fleet.network.is_cut = True
+    fleet.meshes[2].stop()
+    fleet.run(fleet.timing.lost_after_ms - 200)
+    assert fleet.events[1].lost == []
+    fleet.run(5_000)
+    assert fleet.events[1].lost == [fleet.name(2)]
+
+
+def test_a_connection_that_goes_silent_is_replaced():
+    fleet = Fleet(2)
+    fleet.run(500)
+    fleet.network.silence_all()
+    fleet.run(4_000)
+    assert fleet.meshes[1].send(fleet.name(2), CancelBatch(9)).is_ok()
+    fleet.run(100)
+    assert fleet.events[2].received(CancelBatch) == [CancelBatch(9)]
+    assert fleet.events[1].lost == []
+
+
+def test_a_new_incarnation_ends_the_older_at_once():
+    fleet = Fleet(2)
+    fleet.run(500)
+    fleet.meshes[2].stop()
+    fleet.run(10)
+    fleet.start(2, incarnation=2)
+    fleet.run(500)
+    assert fleet.events[1].lost == [fleet.name(2)]
+    assert peers_of(fleet, 1) == [fleet.name(2, incarnation=2)]
+    result = fleet.meshes[1].send(fleet.name(2), CancelBatch(1))
+    assert result.error == NotConnected()
+
+
+def test_an_older_incarnation_is_refused():
+    fleet = Fleet(1)
+    fleet.start(2, incarnation=5)
+    fleet.run(500)
+    fleet.start(2, incarnation=4)
+    fleet.run(500)
+    assert fleet.events[1].lost == []
+    assert fleet.name(2, incarnation=4) not in fleet.events[1].connected
+
+
+def test_a_host_that_was_paused_blames_no_peer():
+    fleet = Fleet(2)
+    fleet.run(500)
+    fleet.reactor.rightNow += 60
+    fleet.run(1_000)
+    assert fleet.events[1].lost == []
+    assert fleet.events[2].lost == []
+
+
+def test_a_peer_that_does_not_read_is_retired():
+    fleet = Fleet(2)
+    fleet.run(500)
+    mesh = fleet.meshes[1]
+    connection = mesh._sessions.connection_to(fleet.name(2))
+    connection._max_unsent_bytes = 100
+    connection.pauseProducing()
+    results = [mesh.send(fleet.name(2), CancelBatch(n)) for n in range(60)]
+    refused = [result.error for result in results if result.is_error()]
+    assert isinstance(refused[0], SendBufferFull)
+    assert refused[0].unsent_bytes < 200
+    assert set(refused[1:]) == {NotConnected()}
+
+
+def test_a_stranger_that_sends_garbage_is_dropped():
+    fleet = Fleet(1)
+    mesh = fleet.meshes[1]
+    for garbage in (b"\0" * 40, b"GET / HTTP/1.1\r\n\r\n", b"POST /v1/peers\r\n\r\n"):
+        connection = mesh._build_accepted()
+        transport = FakeTransport(fleet.reactor)
+        transport.far, transport.protocol = transport, connection
+        transport.is_silent = True
+        connection.makeConnection(transport)
+        connection.dataReceived(garbage)
+        fleet.run(3_000)
+        assert not transport.is_open
+    assert fleet.events[1].connected == []
+
+
+def test_nothing_is_delivered_after_a_connection_was_replaced():
+    fleet = Fleet(2)
+    fleet.run(500)
+    sender, receiver = fleet.meshes[1], fleet.meshes[2]
+    for batch in range(3):
+        sender.send(fleet.name(2), CancelBatch(batch))
+    replacement = receiver._build_accepted()
+    receiver._sessions._sessions[("dc1", "host1")].is_dialer = False
+    replacement.makeConnection(FakeTransport(fleet.reactor))
+    receiver.message_received(replacement, Hello(fleet.name(1), "127.0.0.1", 1))
+    fleet.run(50)
+    assert fleet.events[2].received(CancelBatch) == []
