Read the platform's log and live list with one type of failure

Every answer is checked field by field: a page of the log must be consecutive, and a bad entry of the live list is left out and named, so that it cannot hide that another host is leaving. No request is ever sent again by the client, since an append sent again is a second record.

The target client closes a connection that still waits for a task which the target, asked over a new connection, says it does not run.

--- /dev/null
+++ b/hibiscusstack/platform/http.py
@@ -0,0 +1,121 @@
+"""Bounded HTTP requests to the platform, with one type of failure."""
+
+__all__ = ["PlatformHttp"]
+
+import json
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import treq
+from treq.client import HTTPClient
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.interfaces import IReactorTCP, IReactorTime
+from twisted.python.failure import Failure
+from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.iweb import IResponse
+
+from hibiscusstack.exceptions import DecodeError, UnavailableError
+
+_CONNECT_TIMEOUT_S = 1
+_IDLE_TIMEOUT_S = 2
+_MAX_CONNECTIONS = 4
+_MAX_ANSWER_BYTES = 16 << 20
+_PEER = "platform"
+
+T = TypeVar("T")
+
+
+class PlatformHttp:
+    """Sends requests to one base address, each once and within ``timeout_ms``.
+
+    ``reactor`` gives the time. Without ``client`` one is made whose pool never sends
+    a request again by itself, since an append sent again would be a second record.
+    """
+
+    def __init__(
+        self,
+        reactor: IReactorTime | IReactorTCP,
+        base_address: str,
+        timeout_ms: int = 3_000,
+        client: HTTPClient | None = None,
+    ) -> None:
+        self._reactor = reactor
+        self._base_address = base_address.rstrip("/")
+        self._timeout_ms = timeout_ms
+        self._pool: HTTPConnectionPool | None = None
+        self._client = client or self._make_client()
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        status: int,
+        decode: Callable[[dict[str, Any]], T],
+        **options: Any,
+    ) -> Deferred[T]:
+        """Return the decoded body of an answer that has the expected ``status``.
+
+        Fails with ``UnavailableError`` and nothing else: no answer in time, another
+        status, an answer that is too long, or one that ``decode`` refuses by raising
+        ``DecodeError``. ``options`` go to treq.
+        """
+        answered = self._client.request(
+            method,
+            f"{self._base_address}{path}",
+            unbuffered=True,
+            allow_redirects=False,
+            **options,
+        )
+        answered.addCallback(_read_body, status)
+        answered.addCallback(lambda data: decode(_decode_object(data)))
+        answered.addTimeout(self._timeout_ms / 1000, self._reactor)
+        return answered.addErrback(self._unavailable)
+
+    def close(self) -> Deferred[None]:
+        """Close the idle connections."""
+        if self._pool is None:
+            return succeed(None)
+        return self._pool.closeCachedConnections()
+
+    def _make_client(self) -> HTTPClient:
+        self._pool = HTTPConnectionPool(self._reactor)
+        self._pool.retryAutomatically = False
+        self._pool.maxPersistentPerHost = _MAX_CONNECTIONS
+        self._pool.cachedConnectionTimeout = _IDLE_TIMEOUT_S
+        agent = Agent(self._reactor, connectTimeout=_CONNECT_TIMEOUT_S, pool=self._pool)
+        return HTTPClient(agent)
+
+    def _unavailable(self, failure: Failure) -> None:
+        # The idle connections may have gone silent as well.
+        self.close()
+        cause = failure.getErrorMessage() or failure.type.__name__
+        raise UnavailableError(_PEER, cause) from failure.value
+
+
+def _read_body(response: IResponse, status: int) -> Deferred[bytes]:
+    parts: list[bytes] = []
+    received_bytes = 0
+
+    def collect(data: bytes) -> None:
+        nonlocal received_bytes
+        received_bytes += len(data)
+        if received_bytes > _MAX_ANSWER_BYTES:
+            raise DecodeError("body", f"at most {_MAX_ANSWER_BYTES} bytes", "more")
+        parts.append(data)
+
+    def finish(_: None) -> bytes:
+        if response.code != status:
+            raise DecodeError("status", str(status), response.code)
+        return b"".join(parts)
+
+    return treq.collect(response, collect).addCallback(finish)
+
+
+def _decode_object(data: bytes) -> dict[str, Any]:
+    try:
+        body = json.loads(data)
+    except (ValueError, RecursionError) as fault:
+        raise DecodeError("body", "JSON", data[:80]) from fault
+    if not isinstance(body, dict):
+        raise DecodeError("body", "an object", data[:80])
+    return body
--- /dev/null
+++ b/hibiscusstack/platform/tests/test_log.py
@@ -0,0 +1,163 @@
+"""Tests of the log's client against the stand-in platform, in memory."""
+
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from treq.testing import StringStubbingResource, StubTreq
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from hibiscusstack.exceptions import DecodeError, UnavailableError
+from hibiscusstack.platform import LogClient, LogPage, PlatformHttp
+from hibiscusstack.platform.log import decode_page
+from hibiscusstack_standins.platform import platform_application
+
+BASE = "http://10.0.0.9:80"
+
+
+class Rig:
+    """A log client whose platform is a stand-in within this process."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.treq = StubTreq(platform_application(self.clock).resource())
+        http = PlatformHttp(self.clock, BASE, 3_000, self.treq)
+        self.log = LogClient(http)
+
+    def set_faults(self, **faults) -> None:
+        """Give the platform these faults and no others."""
+        answered = self.treq.post(f"{BASE}/control/faults", json=faults)
+        assert outcome_of(answered, self.treq.flush).code == 200
+
+    def outcome(self, deferred: Deferred):
+        """Let the exchange happen and return what came of it."""
+        return outcome_of(deferred, self.treq.flush)
+
+
+def outcome_of(deferred, flush=lambda: None):
+    """Return the value or the exception that a deferred was fired with."""
+    fired = []
+    deferred.addCallbacks(fired.append, lambda failure: fired.append(failure.value))
+    flush()
+    return fired[0] if fired else None
+
+
+def answering(status: int, body: bytes) -> LogClient:
+    """Return a client whose platform gives one fixed answer."""
+    stub = StringStubbingResource(lambda *_: (status, {}, body))
+    return LogClient(PlatformHttp(Clock(), BASE, 3_000, StubTreq(stub)))
+
+
+@pytest.fixture
+def rig() -> Rig:
+    return Rig()
+
+
+def test_appended_records_are_read_in_order(rig):
+    offsets = [rig.outcome(rig.log.append("a b", text)) for text in ("x", "ÿ\n")]
+    assert offsets == [1, 2]
+    page = rig.outcome(rig.log.read("a b", 1))
+    assert page == LogPage(((1, "x"), (2, "ÿ\n")), 1, 3)
+    assert rig.outcome(rig.log.read("a b", 2, limit=5)).records == ((2, "ÿ\n"),)
+    assert rig.outcome(rig.log.read("other", 1)) == LogPage((), 1, 1)
+
+
+def test_expired_records_are_told(rig):
+    for number in range(5):
+        rig.outcome(rig.log.append("s", str(number)))
+    rig.set_faults(retained_records=2)
+    page = rig.outcome(rig.log.read("s", 1))
+    assert page == LogPage(((4, "3"), (5, "4")), 4, 6)
+
+
+def test_an_outage_is_unavailable(rig):
+    rig.set_faults(log_outage="refuse")
+    assert isinstance(rig.outcome(rig.log.append("s", "x")), UnavailableError)
+    assert isinstance(rig.outcome(rig.log.read("s", 1)), UnavailableError)
+
+
+def test_a_hanging_log_is_unavailable_at_the_deadline(rig):
+    rig.set_faults(log_outage="hang")
+    outcomes = []
+    read = rig.log.read("s", 1)
+    read.addErrback(lambda failure: outcomes.append(failure.value))
+    rig.clock.advance(2.9)
+    assert outcomes == []
+    rig.clock.advance(0.2)
+    assert isinstance(outcomes[0], UnavailableError)
+
+
+def test_a_lost_append_answer_is_unavailable_though_it_took_effect(rig):
+    rig.set_faults(lose_append_answer=True)
+    outcomes = []
+    append = rig.log.append("s", "x")
+    append.addErrback(lambda failure: outcomes.append(failure.value))
+    rig.clock.advance(3.1)
+    rig.treq.flush()
+    assert isinstance(outcomes[0], UnavailableError)
+    rig.set_faults()
+    assert rig.outcome(rig.log.read("s", 1)).records == ((1, "x"),)
+
+
+@pytest.mark.parametrize(
+    ("status", "body"),
+    [
+        (200, b'{"offset": 1}'),
+        (307, b""),
+        (201, b'{"offset": 0}'),
+        (201, b'{"offset": true}'),
+        (201, b"[1]"),
+        (201, b"\xff"),
+        (201, b"[" * 100_000),
+        (201, b""),
+    ],
+)
+def test_any_other_answer_to_an_append_is_unavailable(status, body):
+    outcome = outcome_of(answering(status, body).append("s", "x"))
+    assert isinstance(outcome, UnavailableError)
+
+
+def test_an_endless_answer_is_unavailable():
+    outcome = outcome_of(answering(200, b" " * (17 << 20)).read("s", 1))
+    assert isinstance(outcome, UnavailableError)
+
+
+@pytest.mark.parametrize(
+    ("offsets", "first", "following"),
+    [([1, 3], 1, 4), ([2, 1], 1, 3), ([0], 1, 2), ([1], 1, 1), ([1], 2, 3)],
+)
+def test_a_page_that_is_not_consecutive_is_refused(offsets, first, following):
+    records = [{"offset": offset, "text": "x"} for offset in offsets]
+    body = {"records": records, "first_offset": first, "next_offset": following}
+    with pytest.raises(DecodeError):
+        decode_page(body, 1, 100)
+
+
+def test_a_page_longer_than_asked_is_refused():
+    records = [{"offset": offset, "text": "x"} for offset in (1, 2)]
+    body = {"records": records, "first_offset": 1, "next_offset": 3}
+    with pytest.raises(DecodeError):
+        decode_page(body, 1, 1)
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(
+    st.dictionaries(
+        st.sampled_from(["records", "first_offset", "next_offset"]),
+        st.integers(-1, 3)
+        | st.text(max_size=2)
+        | st.lists(
+            st.dictionaries(st.sampled_from(["offset", "text"]), st.integers(0, 3))
+            | st.none(),
+            max_size=3,
+        ),
+    )
+)
+def test_any_page_decodes_or_is_a_decode_error(body):
+    try:
+        page = decode_page(json.loads(json.dumps(body)), 1, 10)
+    except DecodeError:
+        return
+    assert isinstance(page, LogPage)
--- a/hibiscusstack/target/client.py
+++ b/hibiscusstack/target/client.py
@@ -14,6 +14,7 @@
     TargetReply,
     TaskNotSent,
     TaskSilent,
+    TaskState,
     TaskStates,
 )
 from hibiscusstack.dispatch.targets import TargetInfo
@@ -52,6 +53,7 @@
         self._reactor = reactor
         self._query_timeout_ms = query_timeout_ms
         self._pools: dict[str, ConnectionPool] = {}
+        self._waiting: dict[tuple[str, str], HttpConnection] = {}
         self._sweep: IDelayedCall | None = None
 
     def start(self, target: TargetInfo, effect: StartTask) -> Deferred[TargetReply]:
@@ -83,7 +85,11 @@
         return opened.addCallback(start_on)
 
     def stop(self, target: TargetInfo, effect: StopTasks) -> Deferred[TaskStates]:
-        """Stop tasks over a new connection and return the target's word on them."""
+        """Stop tasks over a new connection and return the target's word on them.
+
+        A connection that still waits for the answer to a task that the target does
+        not run has gone silent, and is closed after the word is given.
+        """
         try:
             request = encode_stop(target, effect)
         except InvalidInputError:
@@ -91,7 +97,8 @@
         answered = self._query(
             target, request, lambda answer: decode_states(effect, answer)
         )
-        return answered.addErrback(lambda _: _unknown_states(effect))
+        answered.addErrback(lambda _: _unknown_states(effect))
+        return answered.addCallback(self._retire_silent)
 
     def fetch_usage(self, target: TargetInfo) -> Deferred[TargetUsage]:
         """Return a target's usage; fails with ``UnavailableError``."""
@@ -123,6 +130,7 @@
         if remaining_ms <= 0:
             pool.release(connection)
             return succeed(TaskNotSent("no time was left to send the task"))
+        self._waiting[effect.target, effect.task_id] = connection
         answered = connection.exchange(request, remaining_ms)
         return answered.addCallback(self._read_start, pool, connection, effect)
 
@@ -133,6 +141,7 @@
         connection: HttpConnection,
         effect: StartTask,
     ) -> TargetReply:
+        self._waiting.pop((effect.target, effect.task_id), None)
         if isinstance(outcome, AnswerLost):
             pool.close_idle()
             return TaskSilent(outcome.cause)
@@ -149,6 +158,18 @@
             connection.close()
         return reply
 
+    def _retire_silent(self, states: TaskStates) -> TaskStates:
+        for task_id, state in (states.states or {}).items():
+            call = (states.target, task_id)
+            if call in self._waiting and state is not TaskState.RUNNING:
+                self._reactor.callLater(0, self._close_waiting, call)
+        return states
+
+    def _close_waiting(self, call: tuple[str, str]) -> None:
+        connection = self._waiting.get(call)
+        if connection is not None:
+            connection.close()
+
     def _query(
         self, target: TargetInfo, request: bytes, decode: Callable[[HttpAnswer], T]
     ) -> Deferred[T]:
--- a/hibiscusstack/target/connection.py
+++ b/hibiscusstack/target/connection.py
@@ -14,7 +14,6 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 from twisted.web._newclient import HTTPClientParser
-from twisted.web.iweb import UNKNOWN_LENGTH
 
 _MAX_ANSWER_BYTES = 1 << 20
 _MAX_HEAD_BYTES = 16 << 10
@@ -153,7 +152,7 @@
     def _finish(self, rest: bytes) -> None:
         parser = self._parser
         response = parser.response
-        has_length = response.length is not UNKNOWN_LENGTH
+        has_length = parser.connHeaders.hasHeader(b"content-length")
         is_chunked = parser.connHeaders.hasHeader(b"transfer-encoding")
         if has_length == is_chunked:
             self._lose("answer without one definite length")
--- a/hibiscusstack/target/decoding.py
+++ b/hibiscusstack/target/decoding.py
@@ -30,6 +30,7 @@
 
 _OK = 200
 _CONFLICT = 409
+_TASK_ID_PARTS = 3
 _REFUSALS = frozenset({"busy", "leaving", "stopped", "lease_expired"})
 
 
@@ -146,7 +147,8 @@
 
 
 def _index_of(task_id: str) -> int:
-    index = task_id.rpartition("/")[2]
+    parts = task_id.rsplit("/", 2)
+    index = parts[1] if len(parts) == _TASK_ID_PARTS else ""
     if not (index.isascii() and index.isdigit()):
-        raise DecodeError("task_id", "a job's id, a slash and an index", task_id)
+        raise DecodeError("task_id", "JOB/INDEX/BATCH", task_id)
     return int(index)
--- /dev/null
+++ b/hibiscusstack/target/tests/test_connection.py
@@ -0,0 +1,107 @@
+"""Tests of the exchange of one request and one answer on a connection."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from twisted.internet.task import Clock
+
+from hibiscusstack.target.connection import AnswerLost, HttpAnswer, HttpConnection
+from hibiscusstack.target.tests.network import FarEnd
+
+OK = b"HTTP/1.1 200 OK\r\n"
+
+
+def exchange_with(*pieces: bytes):
+    """Return the outcome of one exchange that is answered by ``pieces``."""
+    connection = HttpConnection(Clock(), lambda _: None)
+    far_end = FarEnd(connection)
+    outcomes = []
+    connection.exchange(b"request", 1_000).addCallback(outcomes.append)
+    for piece in pieces:
+        if far_end.is_closed_by_client:
+            break
+        far_end.send(piece)
+    assert len(outcomes) <= 1
+    return outcomes[0] if outcomes else None
+
+
+@pytest.mark.parametrize(
+    ("data", "expected"),
+    [
+        (OK + b"Content-Length: 2\r\n\r\n{}", HttpAnswer(200, b"{}", True)),
+        (OK + b"Content-Length: 0\r\n\r\n", HttpAnswer(200, b"", True)),
+        (
+            OK + b"Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+            HttpAnswer(200, b"{}", True),
+        ),
+        (
+            OK + b"Connection: close\r\nContent-Length: 2\r\n\r\n{}",
+            HttpAnswer(200, b"{}", False),
+        ),
+        (
+            b"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+            HttpAnswer(200, b"{}", False),
+        ),
+        (
+            b"HTTP/1.1 100 Continue\r\n\r\n" + OK + b"Content-Length: 1\r\n\r\n1",
+            HttpAnswer(200, b"1", True),
+        ),
+        (OK + b"Content-Length: 1\r\n\r\n1HTTP", HttpAnswer(200, b"1", False)),
+    ],
+)
+def test_a_whole_answer_is_read_however_it_is_cut(data, expected):
+    assert exchange_with(data) == expected
+    if expected.keeps_open:
+        assert exchange_with(*[data[i : i + 1] for i in range(len(data))]) == expected
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"nonsense\r\n\r\n",
+        b"HTTP/1.1 abc OK\r\n\r\n",
+        b"HTTP/x 200 OK\r\n\r\n",
+        OK + b"no colon\r\n\r\n",
+        OK + b"Content-Length: -1\r\n\r\n",
+        OK + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n1",
+        OK + b"Transfer-Encoding: gzip\r\n\r\n",
+        OK + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+        OK + b"Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n0\r\n\r\n",
+        OK + b"X: " + b"a" * 20_000,
+        OK + b"X: a\r\n" * 5_000,
+        b"HTTP/1.1 100 Continue\r\n\r\n" * 2_000,
+        OK + b"Content-Length: 2000000\r\n\r\n" + b"a" * 1_100_000,
+    ],
+)
+def test_a_malformed_or_endless_answer_is_lost(data):
+    assert isinstance(exchange_with(data), AnswerLost)
+    pieces = [data[i : i + 1_000] for i in range(0, len(data), 1_000)]
+    assert isinstance(exchange_with(*pieces), AnswerLost)
+
+
+def test_an_answer_without_a_length_ends_as_lost():
+    connection = HttpConnection(Clock(), lambda _: None)
+    far_end = FarEnd(connection)
+    outcomes = []
+    connection.exchange(b"request", 1_000).addCallback(outcomes.append)
+    far_end.send(OK + b"\r\n{}")
+    far_end.close()
+    assert isinstance(outcomes[0], AnswerLost)
+
+
+def test_a_half_answer_is_lost_with_its_connection():
+    connection = HttpConnection(Clock(), lambda _: None)
+    far_end = FarEnd(connection)
+    outcomes = []
+    connection.exchange(b"request", 1_000).addCallback(outcomes.append)
+    far_end.send(OK + b"Content-Length: 9\r\n\r\n{")
+    far_end.close()
+    assert isinstance(outcomes[0], AnswerLost)
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.lists(st.binary(max_size=60), max_size=8), st.booleans())
+def test_no_bytes_break_a_connection(pieces, with_head):
+    head = [OK, b"Content-Length: 20\r\n"] if with_head else []
+    outcome = exchange_with(*head, *pieces)
+    assert outcome is None or isinstance(outcome, HttpAnswer | AnswerLost)
--- a/hibiscusstack_standins/fleet.py
+++ b/hibiscusstack_standins/fleet.py
@@ -1,6 +1,6 @@
 """Many stand-in targets in one process, and the control of their faults."""
 
-__all__ = ["FleetPlan", "Target", "TargetFleet"]
+__all__ = ["FleetPlan", "Target", "TargetFleet", "counts_by_task"]
 
 from collections import Counter
 
@@ -48,6 +48,19 @@
     listening: IListeningPort
 
 
+def counts_by_task(counts: Counter[str]) -> Counter[str]:
+    """Return the starts of each ``JOB/INDEX``, summed over its placements.
+
+    >>> counts_by_task(Counter({"j/0/7": 1, "j/0/9": 1}))
+    Counter({'j/0': 2})
+    """
+    by_task: Counter[str] = Counter()
+    for task_id, count in counts.items():
+        task, _, _batch = task_id.rpartition("/")
+        by_task[task if "/" in task else task_id] += count
+    return by_task
+
+
 class TargetFleet:
     """Serves the targets of a plan, each on its own port."""
 
@@ -103,10 +116,12 @@
         workers = [target.resource.worker for target in self.targets.values()]
         counts = sum((worker.starts for worker in workers), Counter())
         refused = sum((worker.refused for worker in workers), Counter())
+        by_task = counts_by_task(counts)
         return {
             "counts": counts,
+            "counts_by_task": by_task,
             "started": counts.total(),
-            "started_twice": sum(count > 1 for count in counts.values()),
+            "started_twice": sum(count > 1 for count in by_task.values()),
             "refused": refused,
             "stops": sum(worker.stops for worker in workers),
             "by_target": {w.name: dict(w.starts) for w in workers},
