--- a/hibiscusstack/platform/tests/test_log.py
+++ b/hibiscusstack/platform/tests/test_log.py
@@ -120,10 +120,25 @@
 
 
 def test_an_endless_answer_is_unavailable():
-    outcome = outcome_of(answering(200, b" " * (17 << 20)).read("s", 1))
+    page = b'{"records": [], "first_offset": 1, "next_offset": 1}'
+    assert outcome_of(answering(200, page).read("s", 1)) == LogPage((), 1, 1)
+    outcome = outcome_of(answering(200, page + b" " * (17 << 20)).read("s", 1))
     assert isinstance(outcome, UnavailableError)
 
 
+def test_a_redirection_is_not_followed():
+    paths = []
+
+    def answer(method, url, *_):
+        paths.append(url)
+        return 302, {b"location": b"http://10.0.0.8/elsewhere"}, b""
+
+    http = PlatformHttp(Clock(), BASE, 3_000, StubTreq(StringStubbingResource(answer)))
+    outcome = outcome_of(LogClient(http).read("s", 1))
+    assert isinstance(outcome, UnavailableError)
+    assert len(paths) == 1
+
+
 @pytest.mark.parametrize(
     ("offsets", "first", "following"),
     [([1, 3], 1, 4), ([2, 1], 1, 3), ([0], 1, 2), ([1], 1, 1), ([1], 2, 3)],
--- a/hibiscusstack/target/tests/test_client.py
+++ b/hibiscusstack/target/tests/test_client.py
@@ -159,6 +159,18 @@
     assert len(network.far_ends) == 2
 
 
+def test_a_stale_connection_is_not_used_between_two_sweeps(client, network):
+    client.start(target_of(), start_of())
+    network.advance(0.5)
+    network.far_ends[0].answer(200, finished_body())
+    network.advance(0.6)
+    network.advance(0.5)
+    assert not network.far_ends[0].is_closed_by_client
+    client.start(target_of(), start_of("j/1/1"))
+    assert network.far_ends[0].is_closed_by_client
+    assert len(network.far_ends) == 2
+
+
 def test_a_connection_is_reused_at_once(client, network):
     finish_one(client, network)
     finish_one(client, network, "j/1/1")
--- a/hibiscusstack_standins/fleet.py
+++ b/hibiscusstack_standins/fleet.py
@@ -20,7 +20,7 @@
     read_json,
 )
 from hibiscusstack_standins.targets import TargetResource
-from hibiscusstack_standins.worker import TargetWorker
+from hibiscusstack_standins.worker import OnStart, TargetWorker
 
 
 @attrs.frozen
@@ -64,15 +64,18 @@
 class TargetFleet:
     """Serves the targets of a plan, each on its own port."""
 
-    def __init__(self, reactor: IReactorCore, plan: FleetPlan) -> None:
+    def __init__(
+        self, reactor: IReactorCore, plan: FleetPlan, on_start: OnStart | None = None
+    ) -> None:
         self._reactor = reactor
+        self._on_start = on_start
         self._plan = plan
         self.targets = {t.name: t for t in map(self._serve, range(plan.count))}
 
     def _serve(self, index: int) -> Target:
         plan = self._plan
         name = f"{plan.prefix}{index + 1}"
-        worker = TargetWorker(name, plan.slots, self._reactor)
+        worker = TargetWorker(name, plan.slots, self._reactor, self._on_start)
         resource = TargetResource(worker, self._reactor, plan.seed)
         site = Site(resource)
         site.noisy = False
--- a/hibiscusstack_standins/main.py
+++ b/hibiscusstack_standins/main.py
@@ -13,6 +13,7 @@
 from twisted.web.server import Site
 
 from hibiscusstack_standins.fleet import FleetPlan, TargetFleet
+from hibiscusstack_standins.journal import StartJournal
 from hibiscusstack_standins.platform import platform_application
 from hibiscusstack_standins.serving import listen
 
@@ -56,6 +57,7 @@
     targets.add_argument("--connections", type=int, default=64)
     targets.add_argument("--rack-size", type=int, default=8, help="targets per rack")
     targets.add_argument("--seed", type=int, default=0, help="for faults with a share")
+    targets.add_argument("--journal", type=Path, help="file that keeps every start")
     targets.add_argument("--platform", help="base address to register the targets at")
     return parser
 
@@ -77,7 +79,8 @@
         rack_size=arguments.rack_size,
         seed=arguments.seed,
     )
-    fleet = TargetFleet(reactor, plan)
+    journal = StartJournal(arguments.journal) if arguments.journal else None
+    fleet = TargetFleet(reactor, plan, journal.record if journal else None)
     site = Site(fleet.control().resource())
     listening = listen(reactor, site, arguments.address, arguments.port)
     entries = fleet.host_entries()
--- a/hibiscusstack_standins/targets.py
+++ b/hibiscusstack_standins/targets.py
@@ -8,6 +8,7 @@
 
 import attrs
 from twisted.internet.interfaces import IReactorTime
+from twisted.python.failure import Failure
 from twisted.web.http import Request
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
@@ -65,9 +66,10 @@
             return NOT_DONE_YET
         refusal = self._refused_by(faults)
         if refusal is None:
+            pending = _PendingAnswer(request, faults, self._reactor)
             refusal = self.worker.start(
                 task,
-                lambda result: self._answer_later(request, result, faults),
+                pending.task_ended,
                 fails=faults.fail_every_task,
                 straggle_factor=faults.straggle_factor,
             )
@@ -84,15 +86,6 @@
         reason = "leaving" if faults.leaving else faults.refuse
         return self.worker.refuse(reason) if reason else None
 
-    def _answer_later(
-        self, request: Request, result: RunResult, faults: TargetFaults
-    ) -> None:
-        if faults.answer_delay_ms:
-            delay_s = faults.answer_delay_ms / 1000
-            self._reactor.callLater(delay_s, _answer_result, request, result, faults)
-        else:
-            _answer_result(request, result, faults)
-
     def _stop(self, request: Request) -> int:
         body = read_json(request)
         task_ids = body.get("task_ids") if isinstance(body, dict) else None
@@ -107,19 +100,42 @@
         return answer_json(request, 200, self.worker.usage())
 
 
-def _answer_result(request: Request, result: RunResult, faults: TargetFaults) -> None:
-    if faults.mute or request.channel is None or request._disconnected:
-        return
-    if faults.lose_answer:
-        request.loseConnection()
-        return
-    body = attrs.asdict(result)
-    if faults.answer_other:
-        body["task_id"] = f"{result.task_id}0"
-    transport = request.transport
-    answer_json(request, 200, body)
-    if faults.answer_twice:
-        transport.write(_raw_answer(body))
+class _PendingAnswer:
+    """The answer to one start, given as its faults would have it."""
+
+    def __init__(
+        self, request: Request, faults: TargetFaults, reactor: IReactorTime
+    ) -> None:
+        self._request = request
+        self._faults = faults
+        self._reactor = reactor
+        self._is_awaited = True
+        request.notifyFinish().addErrback(self._caller_left)
+
+    def task_ended(self, result: RunResult) -> None:
+        """Answer, at once or late."""
+        delay_ms = self._faults.answer_delay_ms
+        if delay_ms:
+            self._reactor.callLater(delay_ms / 1000, self._answer, result)
+        else:
+            self._answer(result)
+
+    def _caller_left(self, _: Failure) -> None:
+        self._is_awaited = False
+
+    def _answer(self, result: RunResult) -> None:
+        if self._faults.mute or not self._is_awaited:
+            return
+        if self._faults.lose_answer:
+            self._request.loseConnection()
+            return
+        body = attrs.asdict(result)
+        if self._faults.answer_other:
+            body["task_id"] = f"{result.task_id}0"
+        transport = self._request.transport
+        answer_json(self._request, 200, body)
+        if self._faults.answer_twice:
+            transport.write(_raw_answer(body))
 
 
 def _raw_answer(body: dict) -> bytes:
--- a/hibiscusstack_standins/worker.py
+++ b/hibiscusstack_standins/worker.py
@@ -1,6 +1,6 @@
 """The state of one stand-in target: what it runs, has run and was told to stop."""
 
-__all__ = ["Refusal", "RunResult", "TargetWorker", "TaskRequest"]
+__all__ = ["OnStart", "Refusal", "RunResult", "TargetWorker", "TaskRequest"]
 
 from collections import Counter
 from collections.abc import Callable
@@ -42,6 +42,7 @@
 
 
 OnEnd = Callable[[RunResult], None]
+OnStart = Callable[[str, str], None]
 
 
 @attrs.define(eq=False)
@@ -59,13 +60,20 @@
     counts that in ``starts``.
     """
 
-    def __init__(self, name: str, slots: int, reactor: IReactorTime) -> None:
+    def __init__(
+        self,
+        name: str,
+        slots: int,
+        reactor: IReactorTime,
+        on_start: OnStart | None = None,
+    ) -> None:
         self.name = name
         self.slots = slots
         self.starts: Counter[str] = Counter()
         self.refused: Counter[str] = Counter()
         self.stops = 0
         self._reactor = reactor
+        self._on_start = on_start
         self._running: list[_Run] = []
         self._finished: dict[str, tuple[float, RunResult]] = {}
         self._stopped: dict[str, str] = {}
@@ -82,6 +90,8 @@
         if reason:
             return self.refuse(reason)
         self.starts[request.task_id] += 1
+        if self._on_start is not None:
+            self._on_start(self.name, request.task_id)
         run = _Run(request, on_end, self._now_ms())
         self._running.append(run)
         wanted_ms = _run_ms_of(request.payload) * straggle_factor
