--- a/hibiscusstack/dispatch/answers.py
+++ b/hibiscusstack/dispatch/answers.py
@@ -51,6 +51,7 @@
     TARGET_LOST = "target-lost"
     HOST_LOST = "host-lost"
     ANSWER_EXPIRED = "answer-expired"
+    NO_ANSWER = "no-answer"
 
 
 @attrs.frozen
--- a/hibiscusstack/exceptions.py
+++ b/hibiscusstack/exceptions.py
@@ -8,6 +8,7 @@
     "DecodeError",
     "HibiscusError",
     "InvalidInputError",
+    "RequestRefusedError",
     "SettingsError",
     "UnavailableError",
 ]
@@ -31,6 +32,26 @@
     """Bytes could not be decoded into a message."""
 
 
+class RequestRefusedError(HibiscusError):
+    """A request was refused before it became a job.
+
+    ``type_name`` is the stable type of the problem, ``status`` the HTTP status.
+    """
+
+    def __init__(
+        self,
+        type_name: str,
+        status: int,
+        detail: str = "",
+        retry_after_ms: int | None = None,
+    ) -> None:
+        self.type_name = type_name
+        self.status = status
+        self.detail = detail
+        self.retry_after_ms = retry_after_ms
+        super().__init__(f"{type_name} ({status}): {detail}")
+
+
 class SettingsError(HibiscusError):
     """A settings file has faults; ``faults`` lists every one of them."""
 
