--- a/hibiscusstack/caller/client.py
+++ b/hibiscusstack/caller/client.py
@@ -111,16 +111,21 @@
         team: str = "default",
         labels: Mapping[str, str] | None = None,
         timeout_ms: int = 30_000,
+        job_id: str = "",
         key: str | None = None,
         traceparent: str = "",
     ) -> JobAnswer:
         """Return the one whole answer to a job, whatever its outcome.
 
+        With ``job_id`` or ``key`` the job keeps this name in every attempt, and can
+        be submitted again under it by another process; otherwise ids are taken as
+        needed.
+
         Raises :class:`~hibiscusstack.exceptions.RequestRefusedError` for a job that
         breaks a rule of the interface and so cannot have run.
         """
         job = Job(
-            job_id="",
+            job_id=job_id,
             caller=self._caller,
             tasks=tuple(tasks),
             team=team,
@@ -131,7 +136,7 @@
         submission = Submission(job, key)
         self._budget.record_first_attempt()
         try:
-            submitting = await self._start_submitting(key)
+            submitting = await self._start_submitting(submission)
         except (RequestRefusedError, UnavailableError) as error:
             return not_run(NO_JOB_ID, Reason.OWNER_UNREACHABLE, str(error))
         return await self._attempt_until_final(submission, submitting)
@@ -167,9 +172,10 @@
                 error = fault
         raise error
 
-    async def _start_submitting(self, key: str | None) -> Submitting:
-        if key is not None:
-            return Submitting(key, is_key=True)
+    async def _start_submitting(self, submission: Submission) -> Submitting:
+        pinned = submission.key or submission.job.job_id
+        if pinned:
+            return Submitting(pinned, is_pinned=True)
         return Submitting(await self._ids.take())
 
     async def _attempt_until_final(
@@ -200,7 +206,7 @@
         self, submission: Submission, submitting: Submitting, deadline_ms: int
     ) -> AttemptResult:
         remaining_ms = max(1, deadline_ms - self._clock.now_ms())
-        job_id = "" if submitting.is_key else submitting.job_id
+        job_id = submitting.job_id if submission.key is None else ""
         job = attrs.evolve(submission.job, job_id=job_id, timeout_ms=remaining_ms)
         fields = encode_submission(Submission(job, submission.key))
         longest_ms = remaining_ms + self._settings.answer_grace_ms
--- a/hibiscusstack/caller/error_handlers.py
+++ b/hibiscusstack/caller/error_handlers.py
@@ -2,7 +2,7 @@
 
 __all__ = ["add_error_handlers"]
 
-from eliot import write_traceback
+from eliot import log_message
 from klein import Klein
 from twisted.internet.defer import CancelledError
 from twisted.python.failure import Failure
@@ -74,7 +74,10 @@
 
 
 def _write_internal_error(_api: object, request: IRequest, failure: Failure) -> bytes:
-    write_traceback(
-        exc_info=(failure.type, failure.value, failure.getTracebackObject())
+    log_message(
+        "caller:internal_error",
+        error=failure.type.__name__,
+        reason=str(failure.value),
+        traceback=failure.getTraceback(),
     )
     return write_problem(request, problem_of_input_fault(InputFault.INTERNAL_ERROR))
--- a/hibiscusstack/caller/resubmission.py
+++ b/hibiscusstack/caller/resubmission.py
@@ -82,8 +82,8 @@
 class Submitting:
     """The attempts to submit one job under one id.
 
-    ``is_key`` says that the name is a key which the caller chose, so that no fresh
-    one may take its place.
+    ``is_pinned`` says that the application chose the id, or a key in its place, so
+    that no fresh one may stand for it.
 
     >>> submitting = Submitting("j1")
     >>> type(submitting.decide(Lost("silence"))).__name__
@@ -95,7 +95,7 @@
     """
 
     job_id: str
-    is_key: bool = False
+    is_pinned: bool = False
     is_unaccounted: bool = False
 
     def decide(self, result: AttemptResult) -> NextStep:
@@ -140,7 +140,7 @@
     def _retry_with_fresh_id(self, answer: JobAnswer, problem: Problem) -> NextStep:
         if problem.reason not in FRESH_ID_REASONS:
             return Finish(answer)
-        if not self.is_key:
+        if not self.is_pinned:
             return RetryFreshId(answer, problem.retry_after_ms)
         if problem.reason in ATTEMPT_REASONS - HOPELESS_REASONS:
             return RetrySameId(answer, problem.retry_after_ms)
--- a/hibiscusstack/caller/submissions.py
+++ b/hibiscusstack/caller/submissions.py
@@ -1,6 +1,11 @@
 """Decoding of submitted jobs, and their encoding for the client library."""
 
-__all__ = ["Submission", "decode_submission", "encode_submission"]
+__all__ = [
+    "Submission",
+    "decode_submission",
+    "encode_submission",
+    "read_submission",
+]
 
 from collections.abc import Mapping
 from typing import Any
@@ -43,7 +48,15 @@
 
     See also :func:`encode_submission`. The cost is linear in the length of the body.
     """
-    reader = FieldReader(parse_json_body(body))
+    return read_submission(parse_json_body(body), traceparent)
+
+
+def read_submission(value: Any, traceparent: str = "") -> Submission:
+    """Return the submission in a parsed JSON object.
+
+    Raises as :func:`decode_submission` does.
+    """
+    reader = FieldReader(value)
     job_id = reader.read_name("id", default="")
     key = reader.read_name("key", default=None)
     if job_id and key is not None:
