--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,7 @@
 
 test: setup
 	$(PYTHON) -m pytest
+
+.PHONY: bench-engine
+bench-engine: setup
+	$(PYTHON) -m benches.engine
--- a/hibiscusstack/dispatch/batches.py
+++ b/hibiscusstack/dispatch/batches.py
@@ -20,6 +20,7 @@
     returned: set[int] = attrs.field(factory=set)
     unsent_results: list[TaskResult] = attrs.field(factory=list)
     unsent_returned: list[int] = attrs.field(factory=list)
+    has_urgent: bool = False
     closed_ms: int | None = None
 
 
@@ -86,6 +87,8 @@
         entry.open_indexes.discard(result.index)
         entry.results[result.index] = result
         entry.unsent_results.append(result)
+        if result.outcome is not Outcome.SUCCEEDED:
+            entry.has_urgent = True
 
     def give_back(self, owner: HostName, batch: int, index: int) -> None:
         """Mark one task as returned to its owner unstarted."""
@@ -95,6 +98,7 @@
         entry.open_indexes.discard(index)
         entry.returned.add(index)
         entry.unsent_returned.append(index)
+        entry.has_urgent = True
 
     def take_report(
         self, owner: HostName, batch: int, now_ms: int
@@ -107,10 +111,7 @@
         entry = self._find(owner, batch)
         if entry is None or not (entry.unsent_results or entry.unsent_returned):
             return None
-        is_urgent = bool(entry.unsent_returned) or any(
-            result.outcome is not Outcome.SUCCEEDED for result in entry.unsent_results
-        )
-        if entry.open_indexes and not is_urgent:
+        if entry.open_indexes and not entry.has_urgent:
             return None
         if not entry.open_indexes:
             entry.closed_ms = now_ms
@@ -119,6 +120,7 @@
         )
         entry.unsent_results = []
         entry.unsent_returned = []
+        entry.has_urgent = False
         return message
 
     def describe(self, owner: HostName, batch: int) -> BatchResults:
--- a/hibiscusstack/dispatch/home.py
+++ b/hibiscusstack/dispatch/home.py
@@ -188,6 +188,8 @@
 
     def _start_on(self, names: Iterable[str], now_ms: int) -> list[Effect]:
         effects: list[Effect] = []
+        if self._queue.is_empty():
+            return effects
         for name in self.slots.by_most_free(names, now_ms):
             effects += self._fill(name, now_ms)
         return effects
--- a/hibiscusstack/dispatch/owner.py
+++ b/hibiscusstack/dispatch/owner.py
@@ -77,6 +77,7 @@
         self._next_batch = 1
         self._targets: tuple[TargetInfo, ...] = ()
         self._home_of: Mapping[str, HostName] = {}
+        self._homed: dict[frozenset[str], frozenset[str]] = {}
         self._alarms: list[tuple[int, str]] = []
         self._inquiry = Inquiry()
         self._answers: list[JobAnswer] = []
@@ -106,6 +107,7 @@
         """Take over a new list of labelled targets and their homes."""
         self._targets = targets
         self._home_of = home_of
+        self._homed = {}
 
     def submit(self, job: Job, now_ms: int) -> list[Effect]:
         """Admit a job and place its tasks, or refuse it whole."""
@@ -196,9 +198,16 @@
         matches = {}
         for task in job.tasks:
             names = matching_targets(self.policy, job, task, self._targets)
-            matches[task.index] = frozenset(n for n in names if n in self._home_of)
+            matches[task.index] = self._with_home(names)
         return matches
 
+    def _with_home(self, names: frozenset[str]) -> frozenset[str]:
+        found = self._homed.get(names)
+        if found is None:
+            found = frozenset(n for n in names if n in self._home_of)
+            self._homed[names] = found
+        return found
+
     def _place(
         self, owned: _OwnedJob, matches: Mapping[int, frozenset[str]], now_ms: int
     ) -> list[Effect]:
--- a/hibiscusstack/dispatch/queueing.py
+++ b/hibiscusstack/dispatch/queueing.py
@@ -50,6 +50,9 @@
     def record_run(self, entry: QueuedTask, run_time_ms: int) -> None:
         """Account for a task that has ended on its target."""
 
+    def is_empty(self) -> bool:
+        """Tell whether nothing waits."""
+
     def queued_ms(self) -> int:
         """Return the expected run time of all that waits."""
 
@@ -85,6 +88,10 @@
     def record_run(self, entry: QueuedTask, run_time_ms: int) -> None:
         """Do nothing: this queue learns nothing from run times."""
 
+    def is_empty(self) -> bool:
+        """Tell whether nothing waits."""
+        return not self._entries
+
     def queued_ms(self) -> int:
         """Return the declared run time of all that waits."""
         return sum(entry.task.run_time_ms for entry in self._entries)
