--- /dev/null
+++ b/hibiscusstack/settings/kinds.py
@@ -0,0 +1,191 @@
+"""The kinds of values in a settings file: how each is read, shown and described."""
+
+__all__ = ["Address", "Addresses", "Choice", "Number", "Text", "Url", "ValueKind"]
+
+import ipaddress
+import re
+from typing import Any, Protocol
+from urllib.parse import urlsplit
+
+import attrs
+
+from hibiscusstack.host.dialing import PeerAddress
+
+MAX_PORT = 65_535
+
+_NAME = re.compile(r"[A-Za-z0-9._-]{1,64}")
+
+
+class ValueKind(Protocol):
+    """One kind of value."""
+
+    @property
+    def expected(self) -> str:
+        """Return what a value must be, for messages and documentation."""
+
+    def parse(self, text: str) -> Any:
+        """Return the value, or raise ``ValueError`` if ``text`` is none."""
+
+    def render(self, value: Any) -> str:
+        """Return the text that :meth:`parse` turns into ``value``."""
+
+
+@attrs.frozen
+class Number:
+    """A whole number within bounds.
+
+    >>> Number(0, 10).parse("7")
+    7
+    """
+
+    least: int
+    most: int
+
+    @property
+    def expected(self) -> str:
+        """Return the bounds."""
+        return f"a whole number from {self.least} to {self.most}"
+
+    def parse(self, text: str) -> int:
+        """Return the number."""
+        if not re.fullmatch(r"[+-]?[0-9]{1,18}", text):
+            raise ValueError(text)
+        value = int(text)
+        if not self.least <= value <= self.most:
+            raise ValueError(text)
+        return value
+
+    def render(self, value: int) -> str:
+        """Return the digits."""
+        return str(value)
+
+
+@attrs.frozen
+class Text:
+    """A name that ids and metrics can carry."""
+
+    @property
+    def expected(self) -> str:
+        """Return the allowed characters."""
+        return "1 to 64 letters, digits, '.', '_' or '-'"
+
+    def parse(self, text: str) -> str:
+        """Return the name."""
+        if not _NAME.fullmatch(text):
+            raise ValueError(text)
+        return text
+
+    def render(self, value: str) -> str:
+        """Return the name."""
+        return value
+
+
+@attrs.frozen
+class Choice:
+    """One of several words."""
+
+    words: tuple[str, ...]
+
+    @property
+    def expected(self) -> str:
+        """Return the words."""
+        return "one of " + ", ".join(self.words)
+
+    def parse(self, text: str) -> str:
+        """Return the word."""
+        if text not in self.words:
+            raise ValueError(text)
+        return text
+
+    def render(self, value: str) -> str:
+        """Return the word."""
+        return value
+
+
+@attrs.frozen
+class Address:
+    """An IP number."""
+
+    is_optional: bool = False
+
+    @property
+    def expected(self) -> str:
+        """Return whether it may be empty."""
+        return "an IP number or nothing" if self.is_optional else "an IP number"
+
+    def parse(self, text: str) -> str:
+        """Return the IP number in its usual form."""
+        if not text and self.is_optional:
+            return ""
+        return str(ipaddress.ip_address(text))
+
+    def render(self, value: str) -> str:
+        """Return the IP number."""
+        return value
+
+
+@attrs.frozen
+class Addresses:
+    """IP numbers with ports, separated by commas or line ends.
+
+    >>> Addresses().parse("127.0.0.1:7400, [::1]:7400")[1]
+    PeerAddress(address='::1', port=7400)
+    """
+
+    @property
+    def expected(self) -> str:
+        """Return the form."""
+        return "a list of IP:PORT, IPv6 numbers in brackets, or nothing"
+
+    def parse(self, text: str) -> tuple[PeerAddress, ...]:
+        """Return the addresses in the order of the text."""
+        parts = [part.strip() for part in re.split(r"[,\n]", text)]
+        return tuple(_parse_address_and_port(part) for part in parts if part)
+
+    def render(self, value: tuple[PeerAddress, ...]) -> str:
+        """Return the list, separated by commas."""
+        return ", ".join(_render_address_and_port(address) for address in value)
+
+
+@attrs.frozen
+class Url:
+    """The base of an HTTP interface."""
+
+    @property
+    def expected(self) -> str:
+        """Return the form."""
+        return "http://IP:PORT, without a query"
+
+    def parse(self, text: str) -> str:
+        """Return the URL without a final slash."""
+        parts = urlsplit(text)
+        if parts.scheme not in ("http", "https") or parts.query or parts.fragment:
+            raise ValueError(text)
+        if not parts.hostname or parts.username is not None:
+            raise ValueError(text)
+        ipaddress.ip_address(parts.hostname)
+        if parts.port == 0:
+            raise ValueError(text)
+        return text.rstrip("/")
+
+    def render(self, value: str) -> str:
+        """Return the URL."""
+        return value
+
+
+def _parse_address_and_port(text: str) -> PeerAddress:
+    match = re.fullmatch(r"(?:\[(?P<v6>.+)\]|(?P<v4>[^:]+)):(?P<port>[0-9]{1,5})", text)
+    if match is None:
+        raise ValueError(text)
+    address = ipaddress.ip_address(match["v6"] or match["v4"])
+    if (address.version == 6) != bool(match["v6"]):
+        raise ValueError(text)
+    port = int(match["port"])
+    if not 1 <= port <= MAX_PORT:
+        raise ValueError(text)
+    return PeerAddress(str(address), port)
+
+
+def _render_address_and_port(value: PeerAddress) -> str:
+    address = f"[{value.address}]" if ":" in value.address else value.address
+    return f"{address}:{value.port}"
--- /dev/null
+++ b/hibiscusstack/settings/reading.py
@@ -0,0 +1,117 @@
+"""Reading of a settings file, with every fault in it at once."""
+
+__all__ = ["parse_settings", "read_settings"]
+
+import configparser
+from pathlib import Path
+from typing import Any, get_type_hints
+
+import attrs
+from expression import Error, Ok, Result
+
+from hibiscusstack.exceptions import InvalidInputError, SettingsError
+from hibiscusstack.settings.sections import PeerSettings, Settings, kind_of
+
+MAX_FILE_BYTES = 1_048_576
+
+
+def read_settings(path: Path) -> Result[Settings, SettingsError]:
+    """Return the settings in the file at ``path``, or every fault in it.
+
+    A file that cannot be read is a fault as well. See :func:`parse_settings`.
+    """
+    try:
+        with path.open("rb") as file:
+            content = file.read(MAX_FILE_BYTES + 1)
+    except OSError as error:
+        fault = InvalidInputError(str(path), "a readable file", error.strerror)
+        return Error(SettingsError([fault]))
+    if len(content) > MAX_FILE_BYTES:
+        expected = f"at most {MAX_FILE_BYTES} bytes"
+        fault = InvalidInputError(str(path), expected, "more")
+        return Error(SettingsError([fault]))
+    try:
+        text = content.decode("utf-8")
+    except UnicodeDecodeError as error:
+        fault = InvalidInputError(str(path), "UTF-8 text", error.reason)
+        return Error(SettingsError([fault]))
+    return parse_settings(text, str(path))
+
+
+def parse_settings(text: str, source: str) -> Result[Settings, SettingsError]:
+    r"""Return the settings that ``text`` holds, or every fault in it.
+
+    ``source`` names the text in the faults. Unknown sections and keys are faults.
+
+    >>> result = parse_settings("[host]\nname = a b\n", "h.ini")
+    >>> str(result.error.faults[0])
+    "h.ini [host] name: expected 1 to 64 letters, digits, '.', '_' or '-', found 'a b'"
+    """
+    parser = configparser.ConfigParser(
+        default_section="", interpolation=None, delimiters=("=",)
+    )
+    parser.optionxform = str
+    try:
+        parser.read_string(text, source)
+    except configparser.Error as error:
+        fault = InvalidInputError(source, "INI text", error.message)
+        return Error(SettingsError([fault]))
+    return _Reader(source, parser).read()
+
+
+@attrs.define
+class _Reader:
+    """Gathers the sections and every fault on the way."""
+
+    source: str
+    parser: configparser.ConfigParser
+    faults: list[InvalidInputError] = attrs.field(factory=list)
+
+    def read(self) -> Result[Settings, SettingsError]:
+        """Return the whole settings, or the faults."""
+        classes = get_type_hints(Settings)
+        for name in self.parser.sections():
+            if name not in classes:
+                expected = "one of the sections " + ", ".join(classes)
+                self._add_fault(f"[{name}]", expected, name)
+        values = {name: self._read_section(name, classes[name]) for name in classes}
+        if not self.faults:
+            self._check_peers(values["peers"])
+        if self.faults:
+            return Error(SettingsError(self.faults))
+        return Ok(Settings(**values))
+
+    def _read_section(self, name: str, cls: type) -> Any:
+        found = dict(self.parser.items(name)) if name in self.parser else {}
+        fields = attrs.fields_dict(cls)
+        for key in found:
+            if key not in fields:
+                expected = "one of the keys " + ", ".join(fields)
+                self._add_fault(f"[{name}] {key}", expected, found[key])
+        count = len(self.faults)
+        values = {
+            key: self._read_key(f"[{name}] {key}", field, found.get(key))
+            for key, field in fields.items()
+        }
+        return cls(**values) if len(self.faults) == count else None
+
+    def _read_key(self, where: str, field: attrs.Attribute, text: str | None) -> Any:
+        kind = kind_of(field)
+        if text is None:
+            if field.default is attrs.NOTHING:
+                self._add_fault(where, kind.expected, "no value")
+            return field.default
+        try:
+            return kind.parse(text)
+        except ValueError:
+            self._add_fault(where, kind.expected, text)
+            return None
+
+    def _check_peers(self, peers: PeerSettings) -> None:
+        if peers.silence_ms <= peers.heartbeat_ms:
+            expected = f"more than heartbeat_ms, which is {peers.heartbeat_ms}"
+            self._add_fault("[peers] silence_ms", expected, peers.silence_ms)
+
+    def _add_fault(self, where: str, expected: str, found: object) -> None:
+        fault = InvalidInputError(f"{self.source} {where}", expected, found)
+        self.faults.append(fault)
--- /dev/null
+++ b/hibiscusstack/settings/sections.py
@@ -0,0 +1,185 @@
+"""The sections of a settings file as attrs classes."""
+
+__all__ = [
+    "CallerSettings",
+    "HostSettings",
+    "LimitSettings",
+    "OperatorSettings",
+    "PeerSettings",
+    "PlatformSettings",
+    "Settings",
+    "TargetSettings",
+    "TelemetrySettings",
+    "kind_of",
+]
+
+from typing import Any
+
+import attrs
+
+from hibiscusstack.host.dialing import PeerAddress
+from hibiscusstack.settings.kinds import (
+    MAX_PORT,
+    Address,
+    Addresses,
+    Choice,
+    Number,
+    Text,
+    Url,
+    ValueKind,
+)
+
+MAX_DURATION_MS = 3_600_000
+MAX_BYTES = 1 << 30
+MAX_COUNT = 10_000_000
+
+_DURATION = Number(1, MAX_DURATION_MS)
+_PORT = Number(0, MAX_PORT)
+_COUNT = Number(1, MAX_COUNT)
+_BYTES = Number(1024, MAX_BYTES)
+
+
+def _key(kind: ValueKind, doc: str, default: Any = attrs.NOTHING) -> Any:
+    metadata = {"kind": kind, "doc": doc}
+    return attrs.field(default=default, metadata=metadata)
+
+
+def kind_of(field: attrs.Attribute) -> ValueKind:
+    """Return the kind of value that a key of a section takes."""
+    return field.metadata["kind"]
+
+
+@attrs.frozen
+class HostSettings:
+    """Who this host is, and where its peers reach it."""
+
+    name: str = _key(Text(), "The name of this host, unique in its data centre.")
+    data_centre: str = _key(Text(), "The data centre that this host stands in.")
+    address: str = _key(Address(), "The IP number at which peers reach this host.")
+    peer_port: int = _key(_PORT, "The port for peers; 0 lets the kernel choose.", 7400)
+    drain_timeout_ms: int = _key(
+        _DURATION,
+        "How long a graceful stop waits for work in progress before it gives up.",
+        120_000,
+    )
+    leave_ms: int = _key(
+        Number(0, MAX_DURATION_MS),
+        "How long readiness fails before new jobs are refused, for the balancer.",
+        2_000,
+    )
+
+
+@attrs.frozen
+class CallerSettings:
+    """The HTTP interface for callers."""
+
+    address: str = _key(Address(), "The IP number to listen at.", "127.0.0.1")
+    port: int = _key(_PORT, "The port; 0 lets the kernel choose.", 7401)
+    max_body_bytes: int = _key(_BYTES, "The largest body of a request.", 1_048_576)
+    receive_timeout_ms: int = _key(
+        _DURATION, "How long a caller may take to send a whole request.", 10_000
+    )
+
+
+@attrs.frozen
+class OperatorSettings:
+    """The HTTP interface for operators."""
+
+    address: str = _key(Address(), "The IP number to listen at.", "127.0.0.1")
+    port: int = _key(_PORT, "The port; 0 lets the kernel choose.", 7402)
+
+
+@attrs.frozen
+class PlatformSettings:
+    """The platform's log and live list."""
+
+    log_url: str = _key(Url(), "The base of the log service.")
+    list_url: str = _key(Url(), "The base of the live list.")
+    poll_interval_ms: int = _key(
+        _DURATION, "How often the log and the live list are read.", 1_000
+    )
+    timeout_ms: int = _key(_DURATION, "The deadline of each call.", 5_000)
+    configuration_stream: str = _key(
+        Text(), "The stream of the log with the configuration.", "configuration"
+    )
+
+
+@attrs.frozen
+class PeerSettings:
+    """Connections to the other dispatcher hosts."""
+
+    seeds: tuple[PeerAddress, ...] = _key(
+        Addresses(), "Peers to dial besides those of the live list.", ()
+    )
+    heartbeat_ms: int = _key(_DURATION, "The interval of heartbeats.", 500)
+    silence_ms: int = _key(
+        _DURATION, "A connection on which nothing came for so long is retired.", 2_000
+    )
+    lost_after_ms: int = _key(
+        _DURATION, "A peer without a connection for so long is lost.", 3_000
+    )
+    connect_timeout_ms: int = _key(_DURATION, "The deadline of a connection.", 2_000)
+    max_unsent_bytes: int = _key(
+        _BYTES, "What may wait for a peer that reads slowly.", 16_777_216
+    )
+
+
+@attrs.frozen
+class TargetSettings:
+    """Calls to targets."""
+
+    lease_ms: int = _key(_DURATION, "The lease that a task runs under.", 30_000)
+    timeout_ms: int = _key(
+        _DURATION, "The longest wait for the answer of a task.", 60_000
+    )
+    probe_ms: int = _key(
+        _DURATION, "The deadline of a question about tasks gone silent.", 2_000
+    )
+    connect_timeout_ms: int = _key(_DURATION, "The deadline of a connection.", 2_000)
+
+
+@attrs.frozen
+class LimitSettings:
+    """Bounds on what this host keeps in memory."""
+
+    max_waiting_requests: int = _key(
+        _COUNT, "How many requests of callers may wait for an answer.", 20_000
+    )
+    id_lifetime_ms: int = _key(
+        _DURATION, "How long an issued id can be submitted.", 600_000
+    )
+
+
+@attrs.frozen
+class TelemetrySettings:
+    """Logs, metrics and traces."""
+
+    log_level: str = _key(
+        Choice(("debug", "info", "warning", "error")),
+        "Events below this level are not written.",
+        "info",
+    )
+    statsd_address: str = _key(
+        Address(is_optional=True), "The statsd server; none turns metrics off.", ""
+    )
+    statsd_port: int = _key(Number(1, MAX_PORT), "The port of the statsd server.", 8125)
+    trace_exporter: str = _key(
+        Choice(("none", "console")), "Where spans go besides the memory.", "none"
+    )
+    max_spans: int = _key(
+        _COUNT, "How many spans are kept in memory for operators.", 20_000
+    )
+
+
+@attrs.frozen
+class Settings:
+    """Everything that a daemon is told at its start."""
+
+    host: HostSettings
+    caller: CallerSettings
+    operator: OperatorSettings
+    platform: PlatformSettings
+    peers: PeerSettings
+    targets: TargetSettings
+    limits: LimitSettings
+    telemetry: TelemetrySettings
--- /dev/null
+++ b/hibiscusstack/telemetry/traces.py
@@ -0,0 +1,140 @@
+"""Spans of the hops of jobs, kept in memory and, if wished, exported."""
+
+__all__ = ["SpanRecord", "SpanRing", "Tracer", "build_tracer", "traceparent_of"]
+
+from collections import deque
+from collections.abc import Mapping
+
+import attrs
+from opentelemetry.context import Context
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, SpanProcessor, TracerProvider
+from opentelemetry.sdk.trace.export import ConsoleSpanExporter, SimpleSpanProcessor
+from opentelemetry.trace import Span, format_span_id, format_trace_id
+from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
+
+JOB_ATTRIBUTE = "job_id"
+NANOSECONDS_PER_MS = 1_000_000
+
+_PROPAGATOR = TraceContextTextMapPropagator()
+
+
+@attrs.frozen
+class SpanRecord:
+    """One hop that has ended; ``start_ms`` is the time of day."""
+
+    job_id: str
+    name: str
+    trace_id: str
+    span_id: str
+    parent_id: str
+    start_ms: float
+    duration_ms: float
+    attributes: Mapping[str, str]
+
+
+class SpanRing(SpanProcessor):
+    """The newest spans of jobs, bounded in number."""
+
+    def __init__(self, max_spans: int) -> None:
+        self._max_spans = max_spans
+        self._order: deque[str] = deque()
+        self._by_job: dict[str, deque[SpanRecord]] = {}
+
+    def on_start(self, span: Span, parent_context: Context | None = None) -> None:
+        """Do nothing: a span is kept once it has ended."""
+
+    def on_end(self, span: ReadableSpan) -> None:
+        """Keep a span that belongs to a job, in place of the oldest."""
+        job_id = str((span.attributes or {}).get(JOB_ATTRIBUTE, ""))
+        if not job_id:
+            return
+        self._by_job.setdefault(job_id, deque()).append(_record_of(job_id, span))
+        self._order.append(job_id)
+        if len(self._order) > self._max_spans:
+            self._drop_oldest()
+
+    def spans_of(self, job_id: str) -> tuple[SpanRecord, ...]:
+        """Return the kept spans of one job in the order of their starts."""
+        spans = self._by_job.get(job_id, ())
+        return tuple(sorted(spans, key=lambda span: span.start_ms))
+
+    def _drop_oldest(self) -> None:
+        job_id = self._order.popleft()
+        spans = self._by_job[job_id]
+        spans.popleft()
+        if not spans:
+            del self._by_job[job_id]
+
+
+@attrs.frozen
+class Tracer:
+    """Starts spans whose parent came with a request or a message."""
+
+    provider: TracerProvider
+    ring: SpanRing
+
+    def start_span(
+        self, name: str, job_id: str, traceparent: str, **attributes: str | int
+    ) -> Span:
+        """Return a span that has begun; whoever asked for it ends it.
+
+        An empty or malformed ``traceparent`` makes it the root of a new trace.
+        """
+        carrier = {"traceparent": traceparent} if traceparent else {}
+        context = _PROPAGATOR.extract(carrier, context=Context())
+        tracer = self.provider.get_tracer("hibiscusstack")
+        return tracer.start_span(
+            name, context=context, attributes={JOB_ATTRIBUTE: job_id, **attributes}
+        )
+
+    def close(self) -> None:
+        """Hand over everything that waits to be exported."""
+        self.provider.shutdown()
+
+
+def build_tracer(exporter: str, max_spans: int, host_name: str) -> Tracer:
+    """Return a tracer that keeps ``max_spans`` spans.
+
+    ``exporter`` is ``none``, or ``console`` for JSON on standard output.
+
+    >>> tracer = build_tracer("none", 10, "h1")
+    >>> tracer.start_span("caller.submit", "j1", "").end()
+    >>> [span.name for span in tracer.ring.spans_of("j1")]
+    ['caller.submit']
+    """
+    resource = Resource({"service.name": "hibiscusd", "host.name": host_name})
+    provider = TracerProvider(resource=resource, shutdown_on_exit=False)
+    ring = SpanRing(max_spans)
+    provider.add_span_processor(ring)
+    if exporter == "console":
+        provider.add_span_processor(SimpleSpanProcessor(ConsoleSpanExporter()))
+    return Tracer(provider, ring)
+
+
+def traceparent_of(span: Span) -> str:
+    """Return the W3C header that makes ``span`` the parent of the next hop."""
+    context = span.get_span_context()
+    trace_id = format_trace_id(context.trace_id)
+    span_id = format_span_id(context.span_id)
+    return f"00-{trace_id}-{span_id}-{int(context.trace_flags):02x}"
+
+
+def _record_of(job_id: str, span: ReadableSpan) -> SpanRecord:
+    context = span.get_span_context()
+    parent = span.parent
+    attributes = {
+        key: str(value)
+        for key, value in (span.attributes or {}).items()
+        if key != JOB_ATTRIBUTE
+    }
+    return SpanRecord(
+        job_id=job_id,
+        name=span.name,
+        trace_id=format_trace_id(context.trace_id),
+        span_id=format_span_id(context.span_id),
+        parent_id="" if parent is None else format_span_id(parent.span_id),
+        start_ms=span.start_time / NANOSECONDS_PER_MS,
+        duration_ms=(span.end_time - span.start_time) / NANOSECONDS_PER_MS,
+        attributes=attributes,
+    )
