--- a/hibiscusstack/dispatch/policy.py
+++ b/hibiscusstack/dispatch/policy.py
@@ -5,13 +5,14 @@
     "Limits",
     "Placement",
     "Policy",
+    "PolicyInForce",
     "Team",
     "WorkClass",
     "labelled",
     "matching_targets",
 ]
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 import attrs
 
@@ -78,8 +79,8 @@
 class _TargetSets:
     """The targets that each combination of placements leaves, found when needed."""
 
-    targets: Sequence[TargetInfo]
-    labels: list[dict[str, str]]
+    targets: Mapping[str, TargetInfo]
+    labels: dict[str, dict[str, str]]
     by_placements: dict[tuple[int, ...], frozenset[str]] = attrs.field(factory=dict)
 
 
@@ -93,6 +94,11 @@
     teams: Mapping[str, Team] = attrs.field(factory=dict)
     limits: Limits = Limits()
     _sets: list[_TargetSets] = attrs.field(factory=list, init=False, repr=False)
+    _classes_by_name: Mapping[str, WorkClass] = attrs.field(init=False, repr=False)
+
+    @_classes_by_name.default
+    def _index_classes(self) -> dict[str, WorkClass]:
+        return {each.name: each for each in self.classes}
 
     def class_of(self, job: Job) -> str:
         """Return the name of the class that ``job`` belongs to.
@@ -105,16 +111,19 @@
         found = [self._class_of_work(work) for work in _distinct_works(job)]
         return min(found, key=lambda each: each.urgency, default=DEFAULT_CLASS).name
 
+    def matching_targets(
+        self, job: Job, task: Task, targets: Mapping[str, TargetInfo]
+    ) -> frozenset[str]:
+        """Return what :func:`matching_targets` does for this policy."""
+        return matching_targets(self, job, task, targets)
+
     def _class_of_work(self, work: Mapping[str, str]) -> WorkClass:
         matching = (each for each in self.classes if each.work.matches(work))
         return next(matching, DEFAULT_CLASS)
 
     def class_named(self, name: str) -> WorkClass:
         """Return the class called ``name``; an unknown name is the default class."""
-        for each in self.classes:
-            if each.name == name:
-                return each
-        return DEFAULT_CLASS
+        return self._classes_by_name.get(name, DEFAULT_CLASS)
 
     def team_named(self, name: str) -> Team:
         """Return the team called ``name``, with plain bounds if none is published."""
@@ -137,31 +146,50 @@
 
 
 def matching_targets(
-    policy: Policy, job: Job, task: Task, targets: Sequence[TargetInfo]
+    policy: Policy, job: Job, task: Task, targets: Mapping[str, TargetInfo]
 ) -> frozenset[str]:
     """Return the names of the targets that ``task`` of ``job`` may run on.
 
     A target must satisfy every placement whose work selector matches the task; with
-    none, all targets match. ``targets`` have their published labels already, see
-    :func:`labelled`. Targets that leave are kept here, since leaving changes more
-    often than labels do; whoever places work leaves them out.
+    none, all targets match. The labels that the policy publishes are added to those
+    of the targets. Targets that leave are kept here, since leaving changes more often
+    than labels do; whoever places work leaves them out.
 
     >>> placement = Placement("p", parse_selector(""), parse_selector("gpu"))
-    >>> targets = (TargetInfo("w1", "127.0.0.1", 1, "dc1", labels={"gpu": "a"}),)
+    >>> target = TargetInfo("w1", "127.0.0.1", 1, "dc1", labels={"gpu": "a"})
     >>> job = Job("j1", "desk", (Task(0, "check"),))
-    >>> sorted(matching_targets(Policy(placements=(placement,)), job, job.tasks[0],
-    ...                         targets))
+    >>> policy = Policy(placements=(placement,))
+    >>> sorted(matching_targets(policy, job, job.tasks[0], {"w1": target}))
     ['w1']
 
     The result for one combination of placements is found once for each policy and
-    each sequence of targets: its cost is that of matching all targets, and a later
-    call costs one match for each placement. Pass the same sequence object while the
-    targets stay the same, since a new one starts the cache anew.
+    each mapping of targets: its cost is that of matching all targets, and a later
+    call costs one match for each placement. Pass the same mapping while the targets
+    stay the same, since a new one starts the cache anew.
     """
     sets = _sets_for(policy, targets)
+    if not policy.placements:
+        return _find_cached(policy, (), sets)
     work = labels_of_work(job, task)
     indexes = enumerate(policy.placements)
     key = tuple(index for index, each in indexes if each.work.matches(work))
+    return _find_cached(policy, key, sets)
+
+
+def _sets_for(policy: Policy, targets: Mapping[str, TargetInfo]) -> _TargetSets:
+    cached = policy._sets
+    if not cached or cached[0].targets is not targets:
+        labels = {
+            name: labels_of_target(labelled(policy, target))
+            for name, target in targets.items()
+        }
+        cached[:] = [_TargetSets(targets, labels)]
+    return cached[0]
+
+
+def _find_cached(
+    policy: Policy, key: tuple[int, ...], sets: _TargetSets
+) -> frozenset[str]:
     found = sets.by_placements.get(key)
     if found is None:
         found = _find_targets([policy.placements[index] for index in key], sets)
@@ -171,19 +199,12 @@
     return found
 
 
-def _sets_for(policy: Policy, targets: Sequence[TargetInfo]) -> _TargetSets:
-    cached = policy._sets
-    if cached and cached[0].targets is targets:
-        return cached[0]
-    cached[:] = [_TargetSets(targets, [labels_of_target(each) for each in targets])]
-    return cached[0]
-
-
-def _find_targets(placements: Sequence[Placement], sets: _TargetSets) -> frozenset[str]:
+def _find_targets(placements: Iterable[Placement], sets: _TargetSets) -> frozenset[str]:
+    selectors: Sequence[Selector] = [each.targets for each in placements]
     return frozenset(
-        target.name
-        for target, labels in zip(sets.targets, sets.labels, strict=True)
-        if all(each.targets.matches(labels) for each in placements)
+        name
+        for name, labels in sets.labels.items()
+        if all(selector.matches(labels) for selector in selectors)
     )
 
 
@@ -194,3 +215,20 @@
         if key not in seen:
             seen[key] = labels_of_work(job, task)
     return list(seen.values())
+
+
+@attrs.define
+class PolicyInForce:
+    """The policy that the parts of one host share; replaced by a later version."""
+
+    policy: Policy = attrs.field(factory=Policy)
+
+    def class_of(self, job: Job) -> str:
+        """Return the name of the class that ``job`` belongs to."""
+        return self.policy.class_of(job)
+
+    def matching_targets(
+        self, job: Job, task: Task, targets: Mapping[str, TargetInfo]
+    ) -> frozenset[str]:
+        """Return the names of the targets that ``task`` may run on."""
+        return matching_targets(self.policy, job, task, targets)
--- /dev/null
+++ b/hibiscusstack/dispatch/run_times.py
@@ -0,0 +1,88 @@
+"""Run times learned for each kind of task."""
+
+__all__ = ["RunTimes"]
+
+import attrs
+
+from hibiscusstack.dispatch.jobs import Task
+
+MAX_KINDS = 4_096
+LEARNING_PART = 0.02
+TRUSTED_RUNS = 8
+LEAST_EXPECTED_MS = 1.0
+BETTER_PART = 0.95
+
+
+@attrs.define
+class _Kind:
+    """Moving averages over the runs of one kind.
+
+    Two predictions compete: the mean run time, and the declared time corrected by
+    the mean ratio. The one with the smaller mean error is used.
+    """
+
+    mean_ms: float
+    declared_mean_ms: float
+    mean_error_ms: float = 0.0
+    scaled_error_ms: float = 0.0
+    runs: int = 0
+
+    def scaled(self, declared_ms: float) -> float:
+        return declared_ms * self.mean_ms / self.declared_mean_ms
+
+    def record(self, declared_ms: float, run_time_ms: float) -> None:
+        self.runs += 1
+        part = max(LEARNING_PART, 1.0 / self.runs)
+        mean_error_ms = abs(run_time_ms - self.mean_ms)
+        scaled_error_ms = abs(run_time_ms - self.scaled(declared_ms))
+        self.mean_error_ms += part * (mean_error_ms - self.mean_error_ms)
+        self.scaled_error_ms += part * (scaled_error_ms - self.scaled_error_ms)
+        self.mean_ms += part * (run_time_ms - self.mean_ms)
+        self.declared_mean_ms += part * (declared_ms - self.declared_mean_ms)
+
+    def expected(self, declared_ms: float) -> float:
+        if self.runs < TRUSTED_RUNS:
+            return declared_ms
+        if self.scaled_error_ms < BETTER_PART * self.mean_error_ms:
+            return self.scaled(declared_ms)
+        return self.mean_ms
+
+
+class RunTimes:
+    """What runs of each kind have taken, and what a task is expected to take.
+
+    A declared time counts until enough runs were seen. Memory is bounded by the
+    number of kinds; the kind seen longest ago is forgotten first.
+
+    >>> times = RunTimes()
+    >>> task = Task(0, "check", run_time_ms=1_000)
+    >>> times.expected_ms(task)
+    1000.0
+    >>> for _ in range(20):
+    ...     times.record(task, 100)
+    >>> round(times.expected_ms(task))
+    100
+    """
+
+    def __init__(self) -> None:
+        self._kinds: dict[str, _Kind] = {}
+
+    def record(self, task: Task, run_time_ms: float) -> None:
+        """Learn from one run that ended on its target."""
+        declared_ms = max(float(task.run_time_ms), LEAST_EXPECTED_MS)
+        run_time_ms = max(run_time_ms, LEAST_EXPECTED_MS)
+        kind = self._kinds.pop(task.kind, None)
+        if kind is None:
+            kind = _Kind(run_time_ms, declared_ms)
+        kind.record(declared_ms, run_time_ms)
+        self._kinds[task.kind] = kind
+        if len(self._kinds) > MAX_KINDS:
+            del self._kinds[next(iter(self._kinds))]
+
+    def expected_ms(self, task: Task) -> float:
+        """Return how long ``task`` is expected to run; constant cost."""
+        declared_ms = max(float(task.run_time_ms), LEAST_EXPECTED_MS)
+        kind = self._kinds.get(task.kind)
+        if kind is None:
+            return declared_ms
+        return max(kind.expected(declared_ms), LEAST_EXPECTED_MS)
