--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -39,8 +39,6 @@
     Admission,
     AdmitEverything,
     HomeLoad,
-    JobPolicy,
-    MatchEverything,
     TargetHealth,
 )
 from hibiscusstack.dispatch.jobs import Job
@@ -57,6 +55,7 @@
     QueryBatch,
 )
 from hibiscusstack.dispatch.owner import Owner
+from hibiscusstack.dispatch.policy import Policy, labelled
 from hibiscusstack.dispatch.queueing import FifoQueue, TaskQueue
 from hibiscusstack.dispatch.targets import TargetInfo
 
@@ -83,8 +82,9 @@
         name: HostName,
         clock: Clock,
         ids: IdIssuer,
+        *,
         queue: TaskQueue | None = None,
-        policy: JobPolicy | None = None,
+        policy: Policy | None = None,
         admission: Admission | None = None,
         health: TargetHealth | None = None,
     ) -> None:
@@ -92,17 +92,25 @@
         self.ids = ids
         self.configuration_offset = 0
         self._clock = clock
-        self._owner = Owner(
-            name, policy or MatchEverything(), admission or AdmitEverything()
-        )
+        self._owner = Owner(name, policy or Policy(), admission or AdmitEverything())
         self._home = Home(queue or FifoQueue(), health)
         self._forwarding = Forwarding()
         self._finished = FinishedJobs()
         self._callers: dict[str, str] = {}
         self._waiters: dict[str, list[_Waiter]] = {}
-        self._targets: dict[str, TargetInfo] = {}
+        self._listed: tuple[TargetInfo, ...] = ()
         self._peers: dict[HostName, Heartbeat | None] = {}
         self._is_draining = False
+        self._handlers = {
+            PlaceBatch: self._home.place,
+            CancelBatch: self._home.cancel,
+            QueryBatch: self._home.query,
+            BatchResults: self._take_results,
+            ForwardJob: self._take_forwarded,
+            ForwardAnswer: self._forwarding.answered,
+            CancelJob: self._owner.cancel_forwarded,
+            Heartbeat: self._hear,
+        }
 
     @property
     def is_draining(self) -> bool:
@@ -188,15 +196,15 @@
         return self._run(effects + self._assign_homes())
 
     def targets_listed(self, targets: Iterable[TargetInfo]) -> list[Effect]:
-        """Take over the targets of this data centre, labelled."""
-        self._targets = {target.name: target for target in targets}
+        """Take over the platform's list of the targets of this data centre."""
+        self._listed = tuple(targets)
         return self._run(self._assign_homes())
 
-    def configured(self, policy: JobPolicy, offset: int) -> list[Effect]:
+    def configured(self, policy: Policy, offset: int) -> list[Effect]:
         """Put a new version of the configuration in force."""
         self._owner.policy = policy
         self.configuration_offset = offset
-        return []
+        return self._run(self._assign_homes())
 
     def heartbeat(self) -> Heartbeat:
         """Return what peers have to know of this host now."""
@@ -270,29 +278,27 @@
         return [SendPeer(waiter.host, ForwardAnswer(waiter.request, answer))]
 
     def _handle(self, sender: HostName, message: Message) -> list[Effect]:
-        now_ms = self._clock.now_ms()
-        match message:
-            case PlaceBatch():
-                return self._home.place(sender, message, now_ms)
-            case BatchResults():
-                self._note_load(sender, message)
-                return self._owner.results(sender, message, now_ms)
-            case CancelBatch(batch):
-                return self._home.cancel(sender, batch, now_ms)
-            case QueryBatch(batch):
-                return self._home.query(sender, batch, now_ms)
-            case ForwardJob(request, job):
-                return self._accept(_Waiter(request, sender), job)
-            case ForwardAnswer():
-                return self._forwarding.answered(sender, message)
-            case CancelJob(job_id, caller):
-                return self._owner.cancel(job_id, caller, now_ms)
-            case Heartbeat():
-                return self._hear(sender, message)
-            case _:
-                return []
-
-    def _hear(self, sender: HostName, message: Heartbeat) -> list[Effect]:
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return []
+        return handler(sender, message, self._clock.now_ms())
+
+    def _take_results(
+        self, sender: HostName, message: BatchResults, now_ms: int
+    ) -> list[Effect]:
+        known = self._owner.loads.get(sender)
+        if known is not None:
+            self._owner.loads[sender] = HomeLoad(
+                message.free_slots, message.queued_ms, known.targets
+            )
+        return self._owner.results(sender, message, now_ms)
+
+    def _take_forwarded(
+        self, sender: HostName, message: ForwardJob, now_ms: int
+    ) -> list[Effect]:
+        return self._accept(_Waiter(message.request, sender), message.job)
+
+    def _hear(self, sender: HostName, message: Heartbeat, now_ms: int) -> list[Effect]:
         previous = self._peers.get(sender)
         self._peers[sender] = message
         self._owner.loads[sender] = HomeLoad(
@@ -303,13 +309,6 @@
             return self._assign_homes()
         return []
 
-    def _note_load(self, sender: HostName, message: BatchResults) -> None:
-        known = self._owner.loads.get(sender)
-        if known is not None:
-            self._owner.loads[sender] = HomeLoad(
-                message.free_slots, message.queued_ms, known.targets
-            )
-
     def _refresh_own_load(self) -> None:
         free_slots, queued_ms = self._home.load(self._clock.now_ms())
         self._owner.loads[self.name] = HomeLoad(
@@ -317,12 +316,12 @@
         )
 
     def _assign_homes(self) -> list[Effect]:
-        home_of = assign_homes(self._targets, self._home_candidates())
+        staying = [target.name for target in self._listed if not target.is_leaving]
+        home_of = assign_homes(staying, self._home_candidates())
         own = frozenset(t for t, home in home_of.items() if home == self.name)
-        self._owner.replace_targets(self._targets, home_of)
-        effects = self._home.replace_targets(
-            self._targets.values(), own, self._clock.now_ms()
-        )
+        targets = tuple(labelled(self._owner.policy, each) for each in self._listed)
+        self._owner.replace_targets(targets, home_of)
+        effects = self._home.replace_targets(targets, own, self._clock.now_ms())
         self._refresh_own_load()
         return effects
 
