Let a home share its slots by class and team

Cause: the queue by order of arrival lets one class take every slot. The share queue is now the default of the engine; it learns which targets are homed here, and a task that goes back to its owner gives its charge back.

--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -55,8 +55,10 @@
     QueryBatch,
 )
 from hibiscusstack.dispatch.owner import Owner
-from hibiscusstack.dispatch.policy import Policy, labelled
-from hibiscusstack.dispatch.queueing import FifoQueue, TaskQueue
+from hibiscusstack.dispatch.policy import Policy, PolicyInForce
+from hibiscusstack.dispatch.queueing import TaskQueue
+from hibiscusstack.dispatch.run_times import RunTimes
+from hibiscusstack.dispatch.shares import ShareQueue
 from hibiscusstack.dispatch.targets import TargetInfo
 
 DRAINING_RETRY_AFTER_MS = 0
@@ -84,7 +86,7 @@
         ids: IdIssuer,
         *,
         queue: TaskQueue | None = None,
-        policy: Policy | None = None,
+        policy: PolicyInForce | None = None,
         admission: Admission | None = None,
         health: TargetHealth | None = None,
     ) -> None:
@@ -92,8 +94,11 @@
         self.ids = ids
         self.configuration_offset = 0
         self._clock = clock
-        self._owner = Owner(name, policy or Policy(), admission or AdmitEverything())
-        self._home = Home(queue or FifoQueue(), health)
+        self._policy = policy or PolicyInForce()
+        self._owner = Owner(name, self._policy, admission or AdmitEverything())
+        if queue is None:
+            queue = ShareQueue(self._policy, RunTimes())
+        self._home = Home(queue, health)
         self._forwarding = Forwarding()
         self._finished = FinishedJobs()
         self._callers: dict[str, str] = {}
@@ -202,7 +207,7 @@
 
     def configured(self, policy: Policy, offset: int) -> list[Effect]:
         """Put a new version of the configuration in force."""
-        self._owner.policy = policy
+        self._policy.policy = policy
         self.configuration_offset = offset
         return self._run(self._assign_homes())
 
@@ -319,9 +324,11 @@
         staying = [target.name for target in self._listed if not target.is_leaving]
         home_of = assign_homes(staying, self._home_candidates())
         own = frozenset(t for t, home in home_of.items() if home == self.name)
-        targets = tuple(labelled(self._owner.policy, each) for each in self._listed)
+        targets = {each.name: each for each in self._listed}
         self._owner.replace_targets(targets, home_of)
-        effects = self._home.replace_targets(targets, own, self._clock.now_ms())
+        effects = self._home.replace_targets(
+            targets.values(), own, self._clock.now_ms()
+        )
         self._refresh_own_load()
         return effects
 
--- a/hibiscusstack/dispatch/home.py
+++ b/hibiscusstack/dispatch/home.py
@@ -94,6 +94,8 @@
         """Take over a new list of targets, ``own`` being those homed here."""
         self.slots.replace_targets(targets)
         self._own_targets = own
+        homed = [t for t in map(self.slots.target, own) if t is not None]
+        self._queue.replace_targets(homed)
         return self._start_on(self.slots.names(), now_ms)
 
     @property
@@ -188,7 +190,7 @@
 
     def _start_on(self, names: Iterable[str], now_ms: int) -> list[Effect]:
         effects: list[Effect] = []
-        if self._queue.is_empty():
+        if not len(self._queue):
             return effects
         for name in self.slots.by_most_free(names, now_ms):
             effects += self._fill(name, now_ms)
@@ -273,6 +275,7 @@
         attempts = self._attempts.pop(entry.task_id, 1) + 1
         is_open = self._batches.is_open(entry.owner, entry.batch, entry.task.index)
         if must_return or not is_open or attempts > MAX_START_ATTEMPTS:
+            self._queue.record_run(entry, 0)
             self._give_back(entry)
             return self._report(entry.owner, entry.batch, now_ms)
         self._attempts[entry.task_id] = attempts
@@ -298,6 +301,7 @@
     def _return(self, running: _Running, now_ms: int) -> list[Effect]:
         self._remove(running)
         entry = running.entry
+        self._queue.record_run(entry, 0)
         self._give_back(entry)
         effects = self._report(entry.owner, entry.batch, now_ms)
         return effects + self._start_on([running.target], now_ms)
--- a/hibiscusstack/dispatch/owner.py
+++ b/hibiscusstack/dispatch/owner.py
@@ -29,7 +29,7 @@
     PlaceBatch,
     QueryBatch,
 )
-from hibiscusstack.dispatch.policy import Policy, matching_targets
+from hibiscusstack.dispatch.policy import PolicyInForce
 from hibiscusstack.dispatch.targets import TargetInfo
 
 MAX_PLACEMENTS_PER_TASK = 5
@@ -67,15 +67,17 @@
     became of each. Finished jobs are returned as answers and leave this table.
     """
 
-    def __init__(self, name: HostName, policy: Policy, admission: Admission) -> None:
-        self.policy = policy
+    def __init__(
+        self, name: HostName, policy: PolicyInForce, admission: Admission
+    ) -> None:
+        self._policy = policy
         self.admission = admission
         self.loads: dict[HostName, HomeLoad] = {}
         self._name = name
         self._jobs: dict[str, _OwnedJob] = {}
         self._placements: dict[int, _Placement] = {}
         self._next_batch = 1
-        self._targets: tuple[TargetInfo, ...] = ()
+        self._targets: Mapping[str, TargetInfo] = {}
         self._home_of: Mapping[str, HostName] = {}
         self._homed: dict[frozenset[str], frozenset[str]] = {}
         self._alarms: list[tuple[int, str]] = []
@@ -102,7 +104,7 @@
         return len(owned.results), len(owned.job.tasks)
 
     def replace_targets(
-        self, targets: tuple[TargetInfo, ...], home_of: Mapping[str, HostName]
+        self, targets: Mapping[str, TargetInfo], home_of: Mapping[str, HostName]
     ) -> None:
         """Take over a new list of labelled targets and their homes."""
         self._targets = targets
@@ -111,7 +113,7 @@
 
     def submit(self, job: Job, now_ms: int) -> list[Effect]:
         """Admit a job and place its tasks, or refuse it whole."""
-        class_name = self.policy.class_of(job)
+        class_name = self._policy.class_of(job)
         matches = self._match(job)
         unmatched = [index for index, names in matches.items() if not names]
         if unmatched:
@@ -197,7 +199,7 @@
     def _match(self, job: Job) -> dict[int, frozenset[str]]:
         matches = {}
         for task in job.tasks:
-            names = matching_targets(self.policy, job, task, self._targets)
+            names = self._policy.matching_targets(job, task, self._targets)
             matches[task.index] = self._with_home(names)
         return matches
 
--- a/hibiscusstack/dispatch/queueing.py
+++ b/hibiscusstack/dispatch/queueing.py
@@ -3,6 +3,7 @@
 __all__ = ["FifoQueue", "QueuedTask", "TaskQueue"]
 
 from collections import deque
+from collections.abc import Iterable
 from typing import Protocol
 
 import attrs
@@ -48,10 +49,16 @@
         """Take out every task that can no longer finish before its deadline."""
 
     def record_run(self, entry: QueuedTask, run_time_ms: int) -> None:
-        """Account for a task that has ended on its target."""
+        """Account for a task that has ended on its target.
 
-    def is_empty(self) -> bool:
-        """Tell whether nothing waits."""
+        With a time of 0 it never ran and goes back to its owner.
+        """
+
+    def __len__(self) -> int:
+        """Return the number of tasks that wait."""
+
+    def replace_targets(self, targets: Iterable[TargetInfo]) -> None:
+        """Take over the targets whose home this host is."""
 
     def queued_ms(self) -> int:
         """Return the expected run time of all that waits."""
@@ -88,9 +95,12 @@
     def record_run(self, entry: QueuedTask, run_time_ms: int) -> None:
         """Do nothing: this queue learns nothing from run times."""
 
-    def is_empty(self) -> bool:
-        """Tell whether nothing waits."""
-        return not self._entries
+    def __len__(self) -> int:
+        """Return the number of tasks that wait."""
+        return len(self._entries)
+
+    def replace_targets(self, targets: Iterable[TargetInfo]) -> None:
+        """Do nothing: this queue shares nothing out."""
 
     def queued_ms(self) -> int:
         """Return the declared run time of all that waits."""
