--- a/hibiscusstack/host/codec.py
+++ b/hibiscusstack/host/codec.py
@@ -30,6 +30,7 @@
     8: messages.CancelBatch,
     9: messages.FetchConfiguration,
     10: messages.RecordsPage,
+    11: messages.QueryBatch,
 }
 _WRITERS = {cls: (tag, compile_writer(cls)) for tag, cls in _TAGS.items()}
 _READERS = {tag: compile_reader(cls) for tag, cls in _TAGS.items()}
