--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -6,7 +6,7 @@
 import sys
 import time
 
-from specs import issued_ids
+from specs import issued_ids, target_starts
 from specs.specification import (
     MAX_STATES,
     Specification,
@@ -14,7 +14,7 @@
     find_counterexample,
 )
 
-SPECIFICATIONS = (issued_ids.SPECIFICATION,)
+SPECIFICATIONS = (issued_ids.SPECIFICATION, target_starts.SPECIFICATION)
 
 
 def main() -> int:
--- a/specs/specification.py
+++ b/specs/specification.py
@@ -105,6 +105,7 @@
     rules: Rules,
     max_states: int,
     depths: dict[tuple, int] | None,
+    *,
     only: str = "",
 ) -> Search:
     initial = specification.initial[scenario]
