Send a job to another data centre when its targets are only there

Cause: a host placed work in its own data centre alone, so a job whose targets stand elsewhere could never run, and an overloaded data centre refused what another one could take. The owner now knows the homes of all data centres, prefers its own, and tries at most two others. A remote home gets the same message as a local one and is recovered in the same way; a data centre that is cut off has no homes, so jobs for it are refused at once. The answer names the other data centres.

--- a/hibiscusstack/dispatch/answers.py
+++ b/hibiscusstack/dispatch/answers.py
@@ -79,12 +79,15 @@
 
     ``results`` has one entry for each task, in the order of the tasks, unless the
     job was refused before any task was known, in which case it is empty.
+    ``other_data_centres`` names those, beside the owner's, to which parts of the job
+    were sent.
     """
 
     job_id: str
     outcome: Outcome
     results: tuple[TaskResult, ...] = ()
     problem: Problem | None = None
+    other_data_centres: tuple[str, ...] = ()
 
 
 def not_run(
--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -201,7 +201,7 @@
         return self._run(effects + self._assign_homes())
 
     def targets_listed(self, targets: Iterable[TargetInfo]) -> list[Effect]:
-        """Take over the platform's list of the targets of this data centre."""
+        """Take over the platform's list of the targets of all data centres."""
         self._listed = tuple(targets)
         return self._run(self._assign_homes())
 
@@ -321,27 +321,33 @@
         )
 
     def _assign_homes(self) -> list[Effect]:
-        staying = [target.name for target in self._listed if not target.is_leaving]
-        home_of = assign_homes(staying, self._home_candidates())
+        home_of: dict[str, HostName] = {}
+        for data_centre in {each.data_centre for each in self._listed}:
+            home_of |= self._homes_in(data_centre)
         own = frozenset(t for t, home in home_of.items() if home == self.name)
-        targets = {each.name: each for each in self._listed}
-        self._owner.replace_targets(targets, home_of)
-        effects = self._home.replace_targets(
-            targets.values(), own, self._clock.now_ms()
-        )
+        self._owner.replace_targets({each.name: each for each in self._listed}, home_of)
+        here = [t for t in self._listed if t.data_centre == self.name.data_centre]
+        effects = self._home.replace_targets(here, own, self._clock.now_ms())
         self._refresh_own_load()
         return effects
 
-    def _home_candidates(self) -> list[HostName]:
-        peers = [
+    def _homes_in(self, data_centre: str) -> dict[str, HostName]:
+        staying = [
+            target.name
+            for target in self._listed
+            if target.data_centre == data_centre and not target.is_leaving
+        ]
+        return assign_homes(staying, self._home_candidates(data_centre))
+
+    def _home_candidates(self, data_centre: str) -> list[HostName]:
+        candidates = [
             peer
             for peer, heartbeat in self._peers.items()
-            if peer.data_centre == self.name.data_centre
-            and not (heartbeat is not None and heartbeat.is_draining)
+            if not (heartbeat is not None and heartbeat.is_draining)
         ]
-        if self._is_draining:
-            return sorted(peers)
-        return sorted([*peers, self.name])
+        if not self._is_draining:
+            candidates.append(self.name)
+        return sorted(each for each in candidates if each.data_centre == data_centre)
 
     def _run(self, effects: list[Effect]) -> list[Effect]:
         """Deliver messages to this host and answers; return what is left to do."""
--- a/hibiscusstack/dispatch/owner.py
+++ b/hibiscusstack/dispatch/owner.py
@@ -3,7 +3,7 @@
 __all__ = ["Owner"]
 
 import heapq
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import attrs
 
@@ -13,7 +13,6 @@
     Problem,
     Reason,
     TaskResult,
-    not_run,
 )
 from hibiscusstack.dispatch.conclusion import conclude_job
 from hibiscusstack.dispatch.effects import Effect, SendPeer, TaskStates
@@ -35,6 +34,9 @@
 MAX_PLACEMENTS_PER_TASK = 5
 CANCEL_TIMEOUT_MS = 250
 RECOVERY_TIMEOUT_MS = 10_000
+MAX_OTHER_DATA_CENTRES = 2
+
+Matches = Mapping[int, frozenset[str]]
 
 
 @attrs.define
@@ -55,6 +57,7 @@
     results: dict[int, TaskResult] = attrs.field(factory=dict)
     placements: dict[int, _Placement] = attrs.field(factory=dict)
     placed_count: dict[int, int] = attrs.field(factory=dict)
+    other_data_centres: set[str] = attrs.field(factory=set)
     stop_problem: Problem | None = None
     stop_deadline_ms: int = 0
 
@@ -79,7 +82,8 @@
         self._next_batch = 1
         self._targets: Mapping[str, TargetInfo] = {}
         self._home_of: Mapping[str, HostName] = {}
-        self._homed: dict[frozenset[str], frozenset[str]] = {}
+        self._homed: dict[tuple[frozenset[str], str], frozenset[str]] = {}
+        self._others: list[str] | None = None
         self._alarms: list[tuple[int, str]] = []
         self._inquiry = Inquiry()
         self._answers: list[JobAnswer] = []
@@ -110,19 +114,14 @@
         self._targets = targets
         self._home_of = home_of
         self._homed = {}
+        self._others = None
 
     def submit(self, job: Job, now_ms: int) -> list[Effect]:
         """Admit a job and place its tasks, or refuse it whole."""
         class_name = self._policy.class_of(job)
-        matches = self._match(job)
-        unmatched = [index for index, names in matches.items() if not names]
-        if unmatched:
-            detail = f"no target may run task {unmatched[0]}"
-            self._answers.append(not_run(job.job_id, Reason.NO_MATCHING_TARGET, detail))
-            return []
-        problem = self.admission.admit(job, class_name, self.loads, now_ms)
-        if problem is not None:
-            answer = JobAnswer(job.job_id, Outcome.NOT_RUN, problem=problem)
+        plan = self._plan(job, class_name, now_ms)
+        if isinstance(plan, Problem):
+            answer = JobAnswer(job.job_id, Outcome.NOT_RUN, problem=plan)
             self._answers.append(answer)
             return []
         owned = _OwnedJob(job, class_name, now_ms + job.timeout_ms)
@@ -131,7 +130,7 @@
         if not job.tasks:
             self._finish(owned, now_ms)
             return []
-        return self._place(owned, matches, now_ms)
+        return self._place(owned, plan, now_ms)
 
     def cancel(self, job_id: str, caller: str, now_ms: int) -> list[Effect]:
         """Stop a job for its own caller; another caller's wish has no effect."""
@@ -196,23 +195,80 @@
         effects += requests
         return effects + self._conclude(verdicts, now_ms)
 
-    def _match(self, job: Job) -> dict[int, frozenset[str]]:
+    def _plan(self, job: Job, class_name: str, now_ms: int) -> Matches | Problem:
+        """Return the targets of each task in one data centre, or the refusal.
+
+        This data centre comes first. Another one is tried when no target here may
+        run the job, or when this one is overloaded.
+        """
+        refusal = None
+        for data_centre in self._data_centres():
+            matches = self._match(job, (data_centre,))
+            if not all(matches.values()):
+                continue
+            problem = self._admit(job, class_name, {data_centre}, now_ms)
+            if problem is None:
+                return matches
+            refusal = refusal or problem
+            if problem.reason is not Reason.OVERLOADED:
+                break
+        return refusal or self._plan_across(job, class_name, now_ms)
+
+    def _plan_across(self, job: Job, class_name: str, now_ms: int) -> Matches | Problem:
+        """Return the targets of a job that no single data centre can run."""
+        matches = self._match(job, self._data_centres())
+        unmatched = [index for index, names in matches.items() if not names]
+        if unmatched:
+            detail = f"no reachable target may run task {unmatched[0]}"
+            return Problem(Reason.NO_MATCHING_TARGET, detail)
+        every = set(self._data_centres())
+        return self._admit(job, class_name, every, now_ms) or matches
+
+    def _admit(
+        self, job: Job, class_name: str, data_centres: set[str], now_ms: int
+    ) -> Problem | None:
+        loads = {
+            host: load
+            for host, load in self.loads.items()
+            if host.data_centre in data_centres
+        }
+        return self.admission.admit(job, class_name, loads, now_ms)
+
+    def _data_centres(self) -> list[str]:
+        """Return the data centres with reachable homes, this one first."""
+        if self._others is None:
+            found = {home.data_centre for home in self._home_of.values()}
+            self._others = sorted(found - {self._name.data_centre})
+        free = dict.fromkeys(self._others, 0)
+        for host, load in self.loads.items():
+            if host.data_centre in free:
+                free[host.data_centre] += load.free_slots
+        ranked = sorted(self._others, key=lambda name: -free[name])
+        return [self._name.data_centre, *ranked[:MAX_OTHER_DATA_CENTRES]]
+
+    def _match(self, job: Job, data_centres: Sequence[str]) -> Matches:
+        """Return the targets of each task in the first data centre that has any."""
         matches = {}
         for task in job.tasks:
             names = self._policy.matching_targets(job, task, self._targets)
-            matches[task.index] = self._with_home(names)
+            found = (self._homed_in(names, each) for each in data_centres)
+            matches[task.index] = next(filter(None, found), frozenset())
         return matches
 
-    def _with_home(self, names: frozenset[str]) -> frozenset[str]:
-        found = self._homed.get(names)
+    def _homed_in(self, names: frozenset[str], data_centre: str) -> frozenset[str]:
+        key = (names, data_centre)
+        found = self._homed.get(key)
         if found is None:
-            found = frozenset(n for n in names if n in self._home_of)
-            self._homed[names] = found
+            homes = ((name, self._home_of.get(name)) for name in names)
+            found = frozenset(
+                name
+                for name, home in homes
+                if home is not None and home.data_centre == data_centre
+            )
+            self._homed[key] = found
         return found
 
-    def _place(
-        self, owned: _OwnedJob, matches: Mapping[int, frozenset[str]], now_ms: int
-    ) -> list[Effect]:
+    def _place(self, owned: _OwnedJob, matches: Matches, now_ms: int) -> list[Effect]:
         portions = split_over_homes(matches, self._home_of, self.loads, self._name)
         return [self._send_portion(owned, portion, now_ms) for portion in portions]
 
@@ -227,6 +283,8 @@
         )
         self._placements[batch] = placement
         owned.placements[batch] = placement
+        if portion.home.data_centre != self._name.data_centre:
+            owned.other_data_centres.add(portion.home.data_centre)
         for index in portion.indexes:
             owned.placed_count[index] = owned.placed_count.get(index, 0) + 1
         self._expect_load(portion)
@@ -294,7 +352,7 @@
         limit = MAX_PLACEMENTS_PER_TASK
         spent = {i for i in indexes if owned.placed_count[i] >= limit}
         self._give_up(owned, spent, Reason.TARGET_LOST)
-        all_matches = self._match(owned.job)
+        all_matches = self._match(owned.job, self._data_centres())
         matches = {index: all_matches[index] for index in sorted(indexes - spent)}
         homeless = {index for index, names in matches.items() if not names}
         self._give_up(owned, homeless, Reason.NO_MATCHING_TARGET)
@@ -370,7 +428,9 @@
     def _finish(self, owned: _OwnedJob, now_ms: int) -> None:
         del self._jobs[owned.job.job_id]
         self.admission.finished(owned.job, owned.class_name, now_ms)
-        self._answers.append(conclude_job(owned.job, owned.results, owned.stop_problem))
+        answer = conclude_job(owned.job, owned.results, owned.stop_problem)
+        others = tuple(sorted(owned.other_data_centres))
+        self._answers.append(attrs.evolve(answer, other_data_centres=others))
 
 
 def _problem_after(failed: TaskResult) -> Problem:
--- a/hibiscusstack/dispatch/tests/fleets.py
+++ b/hibiscusstack/dispatch/tests/fleets.py
@@ -1,6 +1,13 @@
 """Small named fleets of engines with scripted targets, in virtual time."""
 
-__all__ = ["Fleet", "ScriptedTarget", "job_of", "kendra_fleet", "run_times"]
+__all__ = [
+    "Fleet",
+    "ScriptedTarget",
+    "job_of",
+    "kendra_fleet",
+    "run_times",
+    "societe_fleet",
+]
 
 import heapq
 import itertools
@@ -68,12 +75,23 @@
 class Fleet:
     """Engines, targets and the messages between them."""
 
-    def __init__(self, hosts: int, targets: int, slots: int = 8, **engine_fields):
+    def __init__(
+        self,
+        hosts: int,
+        targets: int,
+        slots: int = 8,
+        data_centres: int = 1,
+        **engine_fields,
+    ):
         self.clock = ManualClock()
-        self.names = [HostName("dc1", f"h{i}", 1) for i in range(hosts)]
+        self.names = [
+            HostName(f"dc{i % data_centres + 1}", f"h{i}", 1) for i in range(hosts)
+        ]
         self.engines = {name: self._engine(name, engine_fields) for name in self.names}
         infos = [
-            TargetInfo(f"t{i}", "127.0.0.1", 1, "dc1", slots=slots)
+            TargetInfo(
+                f"t{i}", "127.0.0.1", 1, f"dc{i % data_centres + 1}", slots=slots
+            )
             for i in range(targets)
         ]
         self.targets = {info.name: ScriptedTarget(info) for info in infos}
@@ -248,6 +266,11 @@
         return TaskState.NEVER_STARTED
 
 
+def societe_fleet(**engine_fields) -> Fleet:
+    """Return two data centres of the Société with two hosts and four targets each."""
+    return Fleet(hosts=4, targets=8, data_centres=2, **engine_fields)
+
+
 def kendra_fleet(**engine_fields) -> Fleet:
     """Return three hosts and eight targets, one data centre of the Kendra."""
     return Fleet(hosts=3, targets=8, **engine_fields)
--- /dev/null
+++ b/hibiscusstack/dispatch/tests/test_data_centres.py
@@ -0,0 +1,88 @@
+"""Jobs whose targets stand in another data centre."""
+
+from hibiscusstack.dispatch.answers import Outcome, Problem, Reason
+from hibiscusstack.dispatch.interfaces import AdmitEverything
+from hibiscusstack.dispatch.policy_text import read_policy
+from hibiscusstack.dispatch.tests.fleets import job_of, societe_fleet
+
+NORTH_ONLY = """
+[labels t1]
+canal = north
+
+[placement north]
+work = canal = north
+targets = canal = north
+"""
+
+
+class RefusesFirst(AdmitEverything):
+    """Refuses each first try of a job, as an overloaded data centre does."""
+
+    def __init__(self) -> None:
+        self.seen: set[str] = set()
+
+    def admit(self, job, class_name, loads, now_ms):
+        """Refuse the first try."""
+        if job.job_id in self.seen:
+            return None
+        self.seen.add(job.job_id)
+        return Problem(Reason.OVERLOADED, retry_after_ms=100)
+
+
+def configure(fleet, text):
+    for host in range(len(fleet.names)):
+        fleet.call(host, "configured", read_policy(text).ok, 1)
+
+
+def test_job_stays_in_its_own_data_centre():
+    fleet = societe_fleet()
+    request = fleet.submit(0, job_of(fleet.mint(0), *[50] * 20))
+    fleet.run(500)
+    assert fleet.answers[request].outcome is Outcome.SUCCEEDED
+    assert fleet.answers[request].other_data_centres == ()
+    assert not fleet.targets["t1"].starts
+
+
+def test_job_goes_where_its_only_target_is_and_says_so():
+    fleet = societe_fleet()
+    configure(fleet, NORTH_ONLY)
+    job = job_of(fleet.mint(0), 50, labels={"canal": "north"})
+    request = fleet.submit(0, job)
+    fleet.run(500)
+    assert fleet.answers[request].outcome is Outcome.SUCCEEDED
+    assert fleet.answers[request].other_data_centres == ("dc2",)
+    assert sum(fleet.targets["t1"].starts.values()) == 1
+
+
+def test_job_for_a_data_centre_that_is_cut_off_is_refused_at_once():
+    fleet = societe_fleet()
+    configure(fleet, NORTH_ONLY)
+    for other in (1, 3):
+        fleet.cut_link(0, other)
+        fleet.call(0, "peer_lost", fleet.names[other])
+    request = fleet.submit(0, job_of(fleet.mint(0), 50, labels={"canal": "north"}))
+    assert fleet.answers[request].problem.reason is Reason.NO_MATCHING_TARGET
+    local = fleet.submit(0, job_of(fleet.mint(0), 50))
+    fleet.run(500)
+    assert fleet.answers[local].outcome is Outcome.SUCCEEDED
+
+
+def test_overload_here_sends_the_job_elsewhere():
+    fleet = societe_fleet(admission=RefusesFirst)
+    request = fleet.submit(0, job_of(fleet.mint(0), 50, 50))
+    fleet.run(500)
+    assert fleet.answers[request].other_data_centres == ("dc2",)
+    assert fleet.answers[request].outcome is Outcome.SUCCEEDED
+
+
+def test_remote_home_that_is_lost_is_recovered_through_its_targets():
+    fleet = societe_fleet()
+    configure(fleet, NORTH_ONLY)
+    request = fleet.submit(
+        0, job_of(fleet.mint(0), *[50] * 20, labels={"canal": "north"})
+    )
+    fleet.run(20)
+    fleet.kill(1 if fleet.engines[fleet.names[1]].heartbeat().targets else 3)
+    fleet.run(2_000)
+    assert fleet.answers[request].outcome is Outcome.SUCCEEDED
+    assert fleet.total_starts() == 20
