--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,10 @@
 .PHONY: bench-engine
 bench-engine: setup
 	$(PYTHON) -m benches.engine
+
+demo: setup
+	$(PYTHON) -m scripts.demo
+
+.PHONY: settings-page
+settings-page: setup
+	$(PYTHON) -c "from hibiscusstack.settings import describe_settings as d; print(d(), end='')" > docs/SETTINGS.md
--- /dev/null
+++ b/hibiscusstack/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon ``hibiscusd``."""
--- /dev/null
+++ b/hibiscusstack/daemon/configuration.py
@@ -0,0 +1,158 @@
+"""The configuration of this host, kept current from the log and from peers."""
+
+__all__ = ["ConfigurationKeeper"]
+
+import uuid
+from collections.abc import Callable, Iterable
+
+from eliot import log_message
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from hibiscusstack.daemon.dispatcher import Dispatcher
+from hibiscusstack.dispatch.configuration import Version
+from hibiscusstack.dispatch.configuration_effects import (
+    AppendLog,
+    ConfigurationChanged,
+    ConfigurationEffect,
+    ConfigurationFault,
+    LogPage,
+    ReadLog,
+)
+from hibiscusstack.dispatch.configuration_sync import ConfigurationSync
+from hibiscusstack.dispatch.effects import SendPeer
+from hibiscusstack.dispatch.messages import (
+    FetchConfiguration,
+    Heartbeat,
+    HostName,
+    Message,
+    RecordsPage,
+)
+from hibiscusstack.dispatch.policy_text import read_policy
+from hibiscusstack.dispatch.publication import PublicationDecided
+from hibiscusstack.platform import LogClient
+
+
+class ConfigurationKeeper:
+    """Carries out what the synchronisation of the configuration asks for."""
+
+    def __init__(
+        self,
+        sync: ConfigurationSync,
+        log: LogClient,
+        stream: str,
+        dispatcher: Dispatcher,
+        on_known: Callable[[], None],
+    ) -> None:
+        self.sync = sync
+        self._log = log
+        self._stream = stream
+        self._dispatcher = dispatcher
+        self._on_known = on_known
+        self._publishing: dict[str, Deferred[PublicationDecided]] = {}
+
+    def tick(self, members: Iterable[HostName]) -> None:
+        """Do what is due."""
+        self._carry_out(self.sync.on_tick(list(members)))
+
+    def hear(self, sender: HostName, message: Message) -> bool:
+        """Return whether a message was about the configuration alone."""
+        if isinstance(message, Heartbeat):
+            offset = message.configuration_offset
+            self._carry_out(self.sync.on_heartbeat(sender, offset))
+            return False
+        if isinstance(message, FetchConfiguration):
+            self._carry_out(self.sync.on_fetch(sender, message))
+            return True
+        if isinstance(message, RecordsPage):
+            self._carry_out(self.sync.on_records(sender, message))
+            return True
+        return False
+
+    def publish(
+        self, publisher: str, parent: int, body: str
+    ) -> Deferred[PublicationDecided]:
+        """Publish a version and return what became of it.
+
+        Raises :class:`~hibiscusstack.exceptions.SettingsError` for a text with
+        faults, before anything is appended.
+        """
+        policy = read_policy(body)
+        if policy.is_error():
+            raise policy.error
+        nonce = uuid.uuid4().hex
+        decided: Deferred[PublicationDecided] = Deferred()
+        self._publishing[nonce] = decided
+        self._carry_out(self.sync.publish(publisher, nonce, parent, body))
+        return decided
+
+    def _carry_out(self, effects: Iterable[ConfigurationEffect]) -> None:
+        for effect in effects:
+            self._carry_out_one(effect)
+
+    def _carry_out_one(self, effect: ConfigurationEffect) -> None:
+        match effect:
+            case ReadLog():
+                self._read(effect)
+            case AppendLog():
+                self._append(effect)
+            case SendPeer():
+                self._dispatcher.carry_out([effect])
+            case ConfigurationChanged():
+                self._put_in_force(effect.version)
+            case ConfigurationFault():
+                log_message(
+                    "configuration:fault",
+                    level="error",
+                    offset=effect.offset,
+                    cause=effect.cause.value,
+                )
+            case PublicationDecided():
+                self._publishing.pop(effect.nonce).callback(effect)
+
+    def _read(self, effect: ReadLog) -> None:
+        page = self._log.read(self._stream, effect.from_offset, effect.limit)
+        page.addCallbacks(
+            lambda page: LogPage(page.records, page.first_offset, page.next_offset),
+            self._read_failed,
+        )
+        page.addCallback(self._take_page)
+
+    def _take_page(self, page: LogPage | None) -> None:
+        if page is None:
+            self._carry_out(self.sync.on_log_failed())
+        else:
+            self._carry_out(self.sync.on_log_page(page))
+
+    def _read_failed(self, failure: Failure) -> None:
+        _log_failure("configuration:read_failed", failure)
+
+    def _append(self, effect: AppendLog) -> None:
+        offset = self._log.append(self._stream, effect.text)
+        offset.addErrback(self._append_failed)
+        offset.addCallback(
+            lambda offset: self._carry_out(
+                self.sync.on_append_answer(effect.nonce, offset)
+            )
+        )
+
+    def _append_failed(self, failure: Failure) -> None:
+        _log_failure("configuration:append_failed", failure)
+
+    def _put_in_force(self, version: Version) -> None:
+        policy = read_policy(version.body)
+        if policy.is_error():
+            log_message(
+                "configuration:unreadable",
+                level="error",
+                offset=version.offset,
+                faults=str(policy.error),
+            )
+        else:
+            self._dispatcher.configure(policy.ok, version.offset)
+            log_message("configuration:in_force", offset=version.offset)
+        self._on_known()
+
+
+def _log_failure(event: str, failure: Failure) -> None:
+    log_message(event, level="warning", cause=failure.getErrorMessage())
--- /dev/null
+++ b/hibiscusstack/daemon/daemon.py
@@ -0,0 +1,318 @@
+"""The daemon: every part of a host, wired together on one loop."""
+
+__all__ = ["Daemon"]
+
+import random
+import secrets
+import time
+
+from eliot import log_message
+from klein import Klein
+from twisted.internet.defer import (
+    Deferred,
+    DeferredList,
+    inlineCallbacks,
+    maybeDeferred,
+)
+from twisted.internet.interfaces import IListeningPort
+from twisted.internet.task import LoopingCall
+from twisted.python.failure import Failure
+
+from hibiscusstack.caller.api import CallerApi
+from hibiscusstack.caller.limits import ApiLimits
+from hibiscusstack.caller.site import build_site
+from hibiscusstack.clock import Clock, SystemClock
+from hibiscusstack.daemon.configuration import ConfigurationKeeper
+from hibiscusstack.daemon.dispatcher import Dispatcher
+from hibiscusstack.daemon.hops import PeerHops
+from hibiscusstack.daemon.job_service import HostJobService
+from hibiscusstack.daemon.lifecycle import Phase, StopCause, build_lifecycle
+from hibiscusstack.daemon.live_list import LiveListPoller
+from hibiscusstack.daemon.operator_service import HostOperatorService
+from hibiscusstack.daemon.targets import TargetCaller
+from hibiscusstack.dispatch.configuration_sync import (
+    ConfigurationSync,
+    ConfigurationTimings,
+)
+from hibiscusstack.dispatch.engine import Engine
+from hibiscusstack.dispatch.ids import IdIssuer
+from hibiscusstack.dispatch.messages import Heartbeat, Hello, HostName, Message
+from hibiscusstack.host import Mesh, MeshTiming, TcpNetwork
+from hibiscusstack.operator.api import OperatorApi
+from hibiscusstack.platform import LiveListClient, LogClient, PlatformHttp
+from hibiscusstack.settings import Settings
+from hibiscusstack.target import TargetClient
+from hibiscusstack.telemetry import Metric, StatsdMetrics, build_tracer
+
+TICK_INTERVAL_MS = 20
+CONFIGURATION_INTERVAL_MS = 100
+REPORT_INTERVAL_MS = 1_000
+LAST_ANSWERS_MS = 200
+SECRET_BYTES = 32
+INCARNATION_RANDOM_BITS = 20
+NANOSECONDS_PER_MS = 1_000_000
+
+
+def choose_incarnation() -> int:
+    """Return a number that grows from one start of a host to the next.
+
+    The random part tells two starts in the same millisecond apart.
+
+    >>> choose_incarnation() < (1 << 63)
+    True
+    """
+    now_ms = time.time_ns() // NANOSECONDS_PER_MS
+    return now_ms << INCARNATION_RANDOM_BITS | secrets.randbits(INCARNATION_RANDOM_BITS)
+
+
+class Daemon:
+    """One dispatcher host; ``on_stopped`` is told why it stopped."""
+
+    def __init__(self, settings: Settings, reactor, on_stopped) -> None:
+        self.phase = Phase.STARTING
+        self.lifecycle = build_lifecycle(self)
+        self._settings = settings
+        self._reactor = reactor
+        self._on_stopped = on_stopped
+        self._clock: Clock = SystemClock()
+        self._name = HostName(
+            settings.host.data_centre, settings.host.name, choose_incarnation()
+        )
+        self._timers: list = []
+        self._calls: list[LoopingCall] = []
+        self._ports: list[IListeningPort] = []
+        self._build_telemetry()
+        self._build_dispatcher()
+        self._build_mesh()
+        self._build_platform()
+        self._build_services()
+
+    def start(self) -> Deferred[None]:
+        """Listen at every address, then start to work."""
+        return self._listen_everywhere().addCallbacks(self._begin, self._fail_to_start)
+
+    def enter(self, phase: Phase) -> None:
+        """Show a new phase of life."""
+        self.phase = phase
+        log_message("daemon:phase", phase=phase.value)
+
+    def leave_balancer(self) -> None:
+        """Wait until the balancer has seen that readiness fails."""
+        host = self._settings.host
+        self._call_later(host.leave_ms, self.lifecycle.left_balancer)
+        self._call_later(host.drain_timeout_ms, self.lifecycle.timed_out)
+
+    def refuse_new_work(self) -> None:
+        """Let the engine refuse new work, and tell the peers at once."""
+        self._dispatcher.drain()
+        self._mesh.send_heartbeats()
+
+    def stop(self, cause: StopCause) -> None:
+        """Close everything, after the last answers have left."""
+        delay_ms = LAST_ANSWERS_MS if cause is StopCause.DRAINED else 0
+        log_message("daemon:stopping", cause=cause.name.lower())
+        self._reactor.callLater(delay_ms / 1000, self._close, cause)
+
+    def heartbeat(self) -> Heartbeat:
+        """Return what peers have to know of this host."""
+        return self._dispatcher.heartbeat()
+
+    def peer_connected(self, peer: HostName) -> None:
+        """Pass on a new connection to a peer."""
+        self._dispatcher.peer_connected(peer)
+
+    def peer_disconnected(self, peer: HostName) -> None:
+        """Pass on the end of a connection."""
+        self._dispatcher.peer_disconnected(peer)
+
+    def peer_lost(self, peer: HostName) -> None:
+        """Pass on the loss of a peer."""
+        self._dispatcher.peer_lost(peer)
+
+    def peer_message(self, sender: HostName, message: Message) -> None:
+        """Pass on a message to the part that it is for."""
+        if not self._keeper.hear(sender, message):
+            self._dispatcher.peer_message(sender, message)
+
+    def _build_telemetry(self) -> None:
+        telemetry = self._settings.telemetry
+        name = self._settings.host.name
+        self._metrics = StatsdMetrics(
+            telemetry.statsd_address, telemetry.statsd_port, name
+        )
+        self._tracer = build_tracer(
+            telemetry.trace_exporter,
+            telemetry.max_spans,
+            name,
+            telemetry.trace_percent,
+        )
+
+    def _build_dispatcher(self) -> None:
+        settings = self._settings
+        ids = IdIssuer(
+            self._name,
+            self._clock,
+            secrets.token_bytes(SECRET_BYTES),
+            settings.limits.id_lifetime_ms,
+        )
+        self._target_client = TargetClient(self._reactor, settings.targets.probe_ms)
+        targets = TargetCaller(
+            self._target_client,
+            self._clock,
+            self._tracer,
+            self._metrics,
+            settings.targets.timeout_ms,
+        )
+        engine = Engine(self._name, self._clock, ids)
+        hops = PeerHops(self._tracer)
+        self._dispatcher = Dispatcher(engine, targets, hops, self._metrics)
+
+    def _build_mesh(self) -> None:
+        host, peers = self._settings.host, self._settings.peers
+        self._mesh = Mesh(
+            hello=Hello(self._name, host.address, host.peer_port),
+            events=self,
+            network=TcpNetwork(self._reactor, peers.connect_timeout_ms),
+            reactor=self._reactor,
+            clock=self._clock,
+            seeds=peers.seeds,
+            timing=MeshTiming(
+                peers.heartbeat_ms, peers.silence_ms, peers.lost_after_ms
+            ),
+            rng=random.Random(self._name.incarnation),
+            max_unsent_bytes=peers.max_unsent_bytes,
+        )
+        self._dispatcher.send = lambda to, message: self._mesh.send(to, message).is_ok()
+
+    def _build_platform(self) -> None:
+        platform = self._settings.platform
+        self._log_http = PlatformHttp(
+            self._reactor, platform.log_url, platform.timeout_ms
+        )
+        self._list_http = PlatformHttp(
+            self._reactor, platform.list_url, platform.timeout_ms
+        )
+        timings = ConfigurationTimings(
+            poll_ms=platform.poll_interval_ms, request_timeout_ms=platform.timeout_ms
+        )
+        self._keeper = ConfigurationKeeper(
+            ConfigurationSync(self._name, self._clock, timings),
+            LogClient(self._log_http),
+            platform.configuration_stream,
+            self._dispatcher,
+            self.lifecycle.configured,
+        )
+        self._live_list = LiveListPoller(
+            LiveListClient(self._list_http),
+            self._dispatcher,
+            self._mesh,
+            self._name.data_centre,
+        )
+
+    def _build_services(self) -> None:
+        jobs = HostJobService(
+            self._dispatcher,
+            lambda: self.phase,
+            self._clock,
+            self._tracer,
+            self._metrics,
+        )
+        operators = HostOperatorService(
+            dispatcher=self._dispatcher,
+            keeper=self._keeper,
+            mesh=self._mesh,
+            ring=self._tracer.ring,
+            phase=lambda: self.phase,
+            request_drain=self.lifecycle.drain_requested,
+        )
+        self._caller_api = CallerApi(jobs, self._api_limits())
+        self._operator_api = OperatorApi(operators)
+
+    def _api_limits(self) -> ApiLimits:
+        caller = self._settings.caller
+        return ApiLimits(
+            max_body_bytes=caller.max_body_bytes,
+            receive_timeout_ms=caller.receive_timeout_ms,
+            max_waiting=self._settings.limits.max_waiting_requests,
+        )
+
+    @inlineCallbacks
+    def _listen_everywhere(self):
+        caller, operator = self._settings.caller, self._settings.operator
+        self._ports.append((yield self._mesh.listen()))
+        self._listen_http(caller.address, caller.port, self._caller_api.app)
+        self._listen_http(operator.address, operator.port, self._operator_api.app)
+        for name, port in zip(
+            ("peers", "callers", "operators"), self._ports, strict=True
+        ):
+            address = port.getHost()
+            log_message(
+                "daemon:listening",
+                for_whom=name,
+                address=address.host,
+                port=address.port,
+            )
+
+    def _listen_http(self, address: str, port: int, app: Klein) -> None:
+        site = build_site(app.resource(), self._api_limits(), self._reactor)
+        site.noisy = False
+        self._ports.append(self._reactor.listenTCP(port, site, interface=address))
+
+    def _begin(self, _: None) -> None:
+        self._mesh.start()
+        self._call_every(TICK_INTERVAL_MS, self._tick)
+        self._call_every(CONFIGURATION_INTERVAL_MS, self._tick_configuration)
+        self._call_every(self._settings.platform.poll_interval_ms, self._live_list.poll)
+        self._call_every(REPORT_INTERVAL_MS, self._report)
+
+    def _fail_to_start(self, failure: Failure) -> None:
+        log_message(
+            "daemon:start_failed", level="error", cause=failure.getErrorMessage()
+        )
+        self.stop(StopCause.START_FAILED)
+
+    def _tick(self) -> None:
+        self._dispatcher.tick()
+        if self.phase is Phase.DRAINING and self._is_idle():
+            self.lifecycle.became_idle()
+
+    def _is_idle(self) -> bool:
+        return self._dispatcher.is_idle and not self._caller_api.waiting
+
+    def _tick_configuration(self) -> None:
+        self._keeper.tick(self._mesh.peers())
+
+    def _report(self) -> None:
+        heartbeat = self.heartbeat()
+        self._metrics.gauge(Metric.FREE_SLOTS, heartbeat.free_slots)
+        self._metrics.gauge(Metric.QUEUED_MS, heartbeat.queued_ms)
+        self._metrics.gauge(Metric.HOME_TARGETS, heartbeat.targets)
+        self._metrics.gauge(Metric.CONFIGURATION, heartbeat.configuration_offset)
+        self._metrics.gauge(Metric.JOBS_WAITING, self._dispatcher.waiting)
+        self._metrics.gauge(Metric.PEERS_CONNECTED, len(self._mesh.peers()))
+
+    def _close(self, cause: StopCause) -> None:
+        for timer in self._timers:
+            if timer.active():
+                timer.cancel()
+        for call in self._calls:
+            call.stop()
+        self._mesh.stop()
+        self._target_client.close()
+        self._tracer.close()
+        closing = [maybeDeferred(port.stopListening) for port in self._ports]
+        closing += [self._log_http.close(), self._list_http.close()]
+        DeferredList(closing).addBoth(lambda _: self._on_stopped(cause))
+
+    def _call_later(self, delay_ms: int, function) -> None:
+        self._timers.append(self._reactor.callLater(delay_ms / 1000, function))
+
+    def _call_every(self, interval_ms: int, function) -> None:
+        call = LoopingCall(function)
+        call.clock = self._reactor
+        self._calls.append(call)
+        call.start(interval_ms / 1000).addErrback(_log_broken_timer)
+
+
+def _log_broken_timer(failure: Failure) -> None:
+    log_message("daemon:timer_error", level="error", cause=failure.getTraceback())
--- /dev/null
+++ b/hibiscusstack/daemon/job_service.py
@@ -0,0 +1,123 @@
+"""The dispatcher as the HTTP API for callers sees it."""
+
+__all__ = ["HostJobService"]
+
+from collections.abc import Callable
+
+import attrs
+from eliot import log_message
+from opentelemetry.trace import Span
+from twisted.internet.defer import Deferred, succeed
+
+from hibiscusstack.caller.service import IssuedIds, JobPhase, JobState
+from hibiscusstack.clock import Clock
+from hibiscusstack.daemon.dispatcher import Dispatcher
+from hibiscusstack.daemon.lifecycle import Phase
+from hibiscusstack.dispatch.answers import JobAnswer, Outcome, Reason, not_run
+from hibiscusstack.dispatch.ids import parse_issued_id
+from hibiscusstack.dispatch.jobs import Job
+from hibiscusstack.exceptions import InvalidInputError
+from hibiscusstack.telemetry import Metric, Metrics, Tracer, traceparent_of
+
+NOT_READY_RETRY_MS = 1_000
+
+_METRIC_OF_OUTCOME = {
+    Outcome.SUCCEEDED: Metric.JOBS_SUCCEEDED,
+    Outcome.FAILED: Metric.JOBS_FAILED,
+    Outcome.NOT_RUN: Metric.JOBS_NOT_RUN,
+    Outcome.UNKNOWN: Metric.JOBS_UNKNOWN,
+}
+
+
+class HostJobService:
+    """Submits, follows and cancels jobs on this host; see ``JobService``."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        phase: Callable[[], Phase],
+        clock: Clock,
+        tracer: Tracer,
+        metrics: Metrics,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._engine = dispatcher.engine
+        self._phase = phase
+        self._clock = clock
+        self._tracer = tracer
+        self._metrics = metrics
+
+    def refusal_reason(self) -> Reason | None:
+        """Return why new jobs are refused, else ``None``."""
+        phase = self._phase()
+        if phase is Phase.STARTING:
+            return Reason.NOT_READY
+        if phase is Phase.READY:
+            return None
+        return Reason.DRAINING
+
+    def issue_ids(self, count: int) -> IssuedIds:
+        """Return fresh ids; none while new jobs are refused."""
+        if self.refusal_reason() is not None:
+            return IssuedIds((), 0)
+        ids = self._engine.ids
+        return IssuedIds(tuple(ids.mint(count)), ids.lifetime_ms)
+
+    def job_id_of_key(self, caller: str, key: str) -> str:
+        """Refuse the key, as this release knows issued ids only."""
+        raise InvalidInputError("key", "an issued id in place of a key", key)
+
+    def submit(self, job: Job) -> Deferred[JobAnswer]:
+        """Return the answer to a job, once it has ended or is refused."""
+        if self._phase() is Phase.STARTING:
+            detail = "this host does not know the configuration yet"
+            return succeed(
+                not_run(job.job_id, Reason.NOT_READY, detail, NOT_READY_RETRY_MS)
+            )
+        span = self._tracer.start_span(
+            "caller.submit", job.job_id, job.traceparent, tasks=len(job.tasks)
+        )
+        traced = attrs.evolve(job, traceparent=traceparent_of(span))
+        self._metrics.count(Metric.JOBS_SUBMITTED)
+        answered = self._dispatcher.submit(traced)
+        return answered.addCallback(self._finish, span, self._clock.now_ms())
+
+    def status(self, job_id: str, caller: str) -> JobState | None:
+        """Return the state of a job that this host owns and ``caller`` submitted."""
+        progress = self._engine.progress_of(job_id, caller)
+        if progress is not None:
+            ended, tasks = progress
+            phase = JobPhase.RUNNING if ended else JobPhase.QUEUED
+            return JobState(job_id, phase, tasks, ended)
+        answer = self._engine.answer_of(job_id, caller)
+        if answer is None:
+            return None
+        tasks = len(answer.results)
+        return JobState(job_id, JobPhase.ENDED, tasks, tasks, answer)
+
+    def cancel(self, job_id: str, caller: str) -> bool:
+        """Cancel a job, here or at its owner."""
+        issued = parse_issued_id(job_id)
+        if issued.is_error():
+            return False
+        is_own = issued.ok.owner == self._engine.name
+        if is_own and self.status(job_id, caller) is None:
+            return False
+        self._dispatcher.cancel(job_id, caller)
+        return True
+
+    def _finish(self, answer: JobAnswer, span: Span, begun_ms: int) -> JobAnswer:
+        duration_ms = self._clock.now_ms() - begun_ms
+        reason = answer.problem.reason.value if answer.problem else ""
+        span.set_attribute("outcome", answer.outcome.value)
+        span.end()
+        self._metrics.count(_METRIC_OF_OUTCOME[answer.outcome])
+        self._metrics.time(Metric.JOB_TIME_MS, duration_ms)
+        log_message(
+            "job:answered",
+            job_id=answer.job_id,
+            outcome=answer.outcome.value,
+            reason=reason,
+            duration_ms=duration_ms,
+        )
+        return answer
--- /dev/null
+++ b/hibiscusstack/daemon/live_list.py
@@ -0,0 +1,69 @@
+"""Polling of the platform's live list."""
+
+__all__ = ["LiveListPoller"]
+
+from eliot import log_message
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
+from hibiscusstack.daemon.dispatcher import Dispatcher
+from hibiscusstack.host import Mesh, PeerAddress
+from hibiscusstack.platform import LiveList, LiveListClient
+
+
+class LiveListPoller:
+    """Passes each newer live list on; while it is out of reach, the last one holds."""
+
+    def __init__(
+        self,
+        client: LiveListClient,
+        dispatcher: Dispatcher,
+        mesh: Mesh,
+        data_centre: str,
+    ) -> None:
+        self._client = client
+        self._dispatcher = dispatcher
+        self._mesh = mesh
+        self._data_centre = data_centre
+        self._version: int | None = None
+        self._is_asking = False
+        self._is_failing = False
+
+    def poll(self) -> Deferred[None] | None:
+        """Ask for the list unless an earlier question is still open."""
+        if self._is_asking:
+            return None
+        self._is_asking = True
+        listed = self._client.fetch()
+        listed.addCallbacks(self._take, self._fail)
+        return listed
+
+    def _take(self, live_list: LiveList) -> None:
+        self._is_asking = False
+        self._is_failing = False
+        if live_list.version == self._version:
+            return
+        self._version = live_list.version
+        own = [t for t in live_list.targets if t.data_centre == self._data_centre]
+        self._mesh.replace_listed(
+            PeerAddress(host.address, host.port) for host in live_list.dispatchers
+        )
+        self._dispatcher.replace_targets(own)
+        log_message(
+            "platform:live_list",
+            version=live_list.version,
+            targets=len(own),
+            leaving=sum(target.is_leaving for target in own),
+            dispatchers=len(live_list.dispatchers),
+            faults=[str(fault) for fault in live_list.faults],
+        )
+
+    def _fail(self, failure: Failure) -> None:
+        self._is_asking = False
+        if not self._is_failing:
+            log_message(
+                "platform:live_list_failed",
+                level="warning",
+                cause=failure.getErrorMessage(),
+            )
+        self._is_failing = True
--- /dev/null
+++ b/hibiscusstack/daemon/operator_service.py
@@ -0,0 +1,167 @@
+"""The dispatcher as the HTTP API for operators sees it."""
+
+__all__ = ["HostOperatorService"]
+
+from collections.abc import Callable
+
+from twisted.internet.defer import Deferred
+
+from hibiscusstack.daemon.configuration import ConfigurationKeeper
+from hibiscusstack.daemon.dispatcher import Dispatcher
+from hibiscusstack.daemon.lifecycle import Phase
+from hibiscusstack.dispatch.configuration import Version
+from hibiscusstack.dispatch.publication import PublicationDecided, PublicationOutcome
+from hibiscusstack.host import Mesh
+from hibiscusstack.operator.service import (
+    ConfigurationVersion,
+    HostView,
+    PublishAccepted,
+    PublishLost,
+    PublishOutcome,
+    PublishUnknown,
+    QueueView,
+    SpanView,
+    TargetView,
+)
+from hibiscusstack.telemetry import SpanRing
+
+
+class HostOperatorService:
+    """What operators read and change through this host; see ``OperatorService``."""
+
+    def __init__(
+        self,
+        *,
+        dispatcher: Dispatcher,
+        keeper: ConfigurationKeeper,
+        mesh: Mesh,
+        ring: SpanRing,
+        phase: Callable[[], Phase],
+        request_drain: Callable[[], None],
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._engine = dispatcher.engine
+        self._keeper = keeper
+        self._mesh = mesh
+        self._ring = ring
+        self._phase = phase
+        self._request_drain = request_drain
+
+    def configuration(self) -> ConfigurationVersion | None:
+        """Return the configuration in force on this host, if it has one yet."""
+        if not self._keeper.sync.is_ready():
+            return None
+        version = self._keeper.sync.chain.version
+        earlier = [v.offset for v in self._versions() if v.offset < version.offset]
+        return ConfigurationVersion(
+            version.offset, max(earlier, default=0), version.body
+        )
+
+    def configuration_history(self) -> tuple[ConfigurationVersion, ...]:
+        """Return the accepted versions that this host remembers, oldest first."""
+        history = []
+        parent = 0
+        for version in self._versions():
+            history.append(ConfigurationVersion(version.offset, parent, version.body))
+            parent = version.offset
+        return tuple(history)
+
+    def publish_configuration(
+        self, text: str, parent_offset: int
+    ) -> Deferred[PublishOutcome]:
+        """Append a version that replaces the one at ``parent_offset``."""
+        publisher = self._engine.name.name
+        decided = self._keeper.publish(publisher, parent_offset, text)
+        return decided.addCallback(_outcome_of)
+
+    def targets(self) -> tuple[TargetView, ...]:
+        """Return the targets that this host knows."""
+        return tuple(
+            TargetView(
+                name=view.target.name,
+                data_centre=view.target.data_centre,
+                rack=view.target.rack,
+                home="" if view.home is None else view.home.name,
+                state="leaving" if view.target.is_leaving else "live",
+                slots=view.target.slots,
+                running=view.running,
+                labels=view.target.labels,
+            )
+            for view in self._engine.view_targets()
+        )
+
+    def hosts(self) -> tuple[HostView, ...]:
+        """Return the dispatcher hosts that this host knows, itself included."""
+        own = self._engine.name
+        offset = self._engine.configuration_offset
+        views = [
+            HostView(
+                own.name,
+                own.data_centre,
+                own.incarnation,
+                self._phase().value,
+                offset,
+                0,
+            )
+        ]
+        for peer, heartbeat in self._engine.view_peers():
+            silent_ms = self._mesh.silent_ms(peer)
+            views.append(
+                HostView(
+                    name=peer.name,
+                    data_centre=peer.data_centre,
+                    incarnation=peer.incarnation,
+                    state=_state_of(heartbeat, silent_ms),
+                    configuration_offset=heartbeat.configuration_offset
+                    if heartbeat
+                    else 0,
+                    last_heard_ms=-1 if silent_ms is None else silent_ms,
+                )
+            )
+        return tuple(views)
+
+    def queue(self) -> tuple[QueueView, ...]:
+        """Return what waits on this host."""
+        view = self._engine.view_queue()
+        if not view.tasks:
+            return ()
+        return (QueueView("all", "all", view.tasks, view.queued_ms),)
+
+    def drain(self) -> None:
+        """Start a graceful stop."""
+        self._request_drain()
+
+    def trace(self, job_id: str) -> tuple[SpanView, ...]:
+        """Return the hops of one job that this host has recorded, oldest first."""
+        spans = self._ring.spans_of(job_id)
+        first_ms = min((span.start_ms for span in spans), default=0.0)
+        return tuple(
+            SpanView(
+                span.name,
+                span.span_id,
+                span.parent_id,
+                span.start_ms - first_ms,
+                span.duration_ms,
+                span.attributes,
+            )
+            for span in spans
+        )
+
+    def _versions(self) -> list[Version]:
+        return self._keeper.sync.chain.history()
+
+
+def _outcome_of(decided: PublicationDecided) -> PublishOutcome:
+    if decided.outcome is PublicationOutcome.IN_FORCE:
+        return PublishAccepted(decided.in_force)
+    if decided.outcome is PublicationOutcome.UNDECIDED:
+        return PublishUnknown("the log has not decided yet")
+    return PublishLost(decided.in_force)
+
+
+def _state_of(heartbeat, silent_ms: int | None) -> str:
+    if silent_ms is None:
+        return "unreachable"
+    if heartbeat is not None and heartbeat.is_draining:
+        return "draining"
+    return "ready"
--- /dev/null
+++ b/hibiscusstack/daemon/targets.py
@@ -0,0 +1,124 @@
+"""The targets that effects name, and the calls to them."""
+
+__all__ = ["TargetCaller"]
+
+from collections.abc import Callable, Iterable
+
+import attrs
+from eliot import log_message
+from opentelemetry.trace import Span
+from twisted.python.failure import Failure
+
+from hibiscusstack.clock import Clock
+from hibiscusstack.dispatch.effects import (
+    StartTask,
+    StopTasks,
+    TargetReply,
+    TaskFinished,
+    TaskNotSent,
+    TaskRefused,
+    TaskSilent,
+    TaskStates,
+)
+from hibiscusstack.dispatch.targets import TargetInfo
+from hibiscusstack.target import TargetClient
+from hibiscusstack.telemetry import Metric, Metrics, Tracer, traceparent_of
+
+_METRIC_OF_REPLY = {
+    TaskFinished: Metric.TASKS_FINISHED,
+    TaskRefused: Metric.TASKS_REFUSED,
+    TaskNotSent: Metric.TASKS_NOT_SENT,
+    TaskSilent: Metric.TASKS_SILENT,
+}
+
+
+class TargetCaller:
+    """Carries out starts and stops, each answered by exactly one callback.
+
+    A target that left the list is remembered, since tasks on it may still have to be
+    asked about or stopped.
+    """
+
+    def __init__(
+        self,
+        client: TargetClient,
+        clock: Clock,
+        tracer: Tracer,
+        metrics: Metrics,
+        max_timeout_ms: int,
+    ) -> None:
+        self._client = client
+        self._clock = clock
+        self._tracer = tracer
+        self._metrics = metrics
+        self._max_timeout_ms = max_timeout_ms
+        self._known: dict[str, TargetInfo] = {}
+
+    def replace_targets(self, targets: Iterable[TargetInfo]) -> None:
+        """Take over a newer list."""
+        self._known.update({target.name: target for target in targets})
+
+    def start(
+        self, effect: StartTask, replied: Callable[[StartTask, TargetReply], None]
+    ) -> None:
+        """Start a task once and pass on what the target replied."""
+        target = self._known.get(effect.target)
+        if target is None:
+            replied(effect, TaskNotSent("the target is not known"))
+            return
+        self._metrics.count(Metric.TASKS_STARTED)
+        span = self._start_span(effect)
+        sent = attrs.evolve(
+            effect,
+            timeout_ms=min(effect.timeout_ms, self._max_timeout_ms),
+            traceparent=traceparent_of(span),
+        )
+        started_ms = self._clock.now_ms()
+        reply = self._client.start(target, sent)
+        reply.addErrback(_silent_after_error)
+        reply.addCallback(self._finish, span, started_ms)
+        reply.addCallback(lambda result: replied(effect, result))
+
+    def stop(self, effect: StopTasks, answered: Callable[[TaskStates], None]) -> None:
+        """Stop tasks and pass on what the target says of them."""
+        target = self._known.get(effect.target)
+        if target is None:
+            answered(TaskStates(effect.target, effect.task_ids, None))
+            return
+        self._metrics.count(Metric.STOPS_SENT)
+        states = self._client.stop(target, effect)
+        states.addErrback(_no_states_after_error, effect)
+        states.addCallback(answered)
+
+    def _start_span(self, effect: StartTask) -> Span:
+        job_id = effect.task_id.rsplit("/", 2)[0]
+        return self._tracer.start_span(
+            "target.task",
+            job_id,
+            effect.traceparent,
+            target=effect.target,
+            task=effect.task.index,
+            kind=effect.task.kind,
+        )
+
+    def _finish(self, reply: TargetReply, span: Span, started_ms: int) -> TargetReply:
+        span.set_attribute("reply", type(reply).__name__)
+        span.end()
+        self._metrics.count(_METRIC_OF_REPLY[type(reply)])
+        self._metrics.time(Metric.TASK_TIME_MS, self._clock.now_ms() - started_ms)
+        return reply
+
+
+def _silent_after_error(failure: Failure) -> TaskSilent:
+    """Claim nothing about a task after an error in this program."""
+    _log_error("daemon:start_error", failure)
+    return TaskSilent(failure.getErrorMessage())
+
+
+def _no_states_after_error(failure: Failure, effect: StopTasks) -> TaskStates:
+    _log_error("daemon:stop_error", failure)
+    return TaskStates(effect.target, effect.task_ids, None)
+
+
+def _log_error(event: str, failure: Failure) -> None:
+    log_message(event, level="error", cause=failure.getTraceback())
--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -55,11 +55,12 @@
     QueryBatch,
 )
 from hibiscusstack.dispatch.owner import Owner
-from hibiscusstack.dispatch.policy import Policy, PolicyInForce
+from hibiscusstack.dispatch.policy import Policy, PolicyInForce, labelled
 from hibiscusstack.dispatch.queueing import TaskQueue
 from hibiscusstack.dispatch.run_times import RunTimes
 from hibiscusstack.dispatch.shares import ShareQueue
 from hibiscusstack.dispatch.targets import TargetInfo
+from hibiscusstack.dispatch.views import QueueSnapshot, TargetSnapshot
 
 DRAINING_RETRY_AFTER_MS = 0
 
@@ -104,6 +105,7 @@
         self._callers: dict[str, str] = {}
         self._waiters: dict[str, list[_Waiter]] = {}
         self._listed: tuple[TargetInfo, ...] = ()
+        self._home_of: dict[str, HostName] = {}
         self._peers: dict[HostName, Heartbeat | None] = {}
         self._is_draining = False
         self._handlers = {
@@ -222,6 +224,26 @@
             targets=self._home.own_count,
         )
 
+    def view_targets(self) -> list[TargetSnapshot]:
+        """Return the listed targets, labelled, in the order of the list."""
+        return [
+            TargetSnapshot(
+                labelled(self._policy.policy, target),
+                self._home_of.get(target.name),
+                self._home.slots.running_on(target.name),
+            )
+            for target in self._listed
+        ]
+
+    def view_peers(self) -> list[tuple[HostName, Heartbeat | None]]:
+        """Return the peers that are not lost, with the last that each said."""
+        return sorted(self._peers.items(), key=lambda item: item[0])
+
+    def view_queue(self) -> QueueSnapshot:
+        """Return what waits on this host."""
+        _, queued_ms = self._home.load(self._clock.now_ms())
+        return QueueSnapshot(self._home.waiting_count, queued_ms)
+
     def drain(self) -> list[Effect]:
         """Refuse new work and return what waits here to its owners."""
         self._is_draining = True
@@ -323,6 +345,7 @@
     def _assign_homes(self) -> list[Effect]:
         staying = [target.name for target in self._listed if not target.is_leaving]
         home_of = assign_homes(staying, self._home_candidates())
+        self._home_of = home_of
         own = frozenset(t for t, home in home_of.items() if home == self.name)
         targets = {each.name: each for each in self._listed}
         self._owner.replace_targets(targets, home_of)
--- a/hibiscusstack/dispatch/home.py
+++ b/hibiscusstack/dispatch/home.py
@@ -88,6 +88,11 @@
         """The number of tasks sent to targets whose end is not known."""
         return len(self._running)
 
+    @property
+    def waiting_count(self) -> int:
+        """The number of tasks placed here that are in no target's hands."""
+        return self._batches.open_count() - len(self._running)
+
     def replace_targets(
         self, targets: Iterable[TargetInfo], own: frozenset[str], now_ms: int
     ) -> list[Effect]:
--- /dev/null
+++ b/hibiscusstack/dispatch/views.py
@@ -0,0 +1,25 @@
+"""What operators see of the engine's state."""
+
+__all__ = ["QueueSnapshot", "TargetSnapshot"]
+
+import attrs
+
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.dispatch.targets import TargetInfo
+
+
+@attrs.frozen
+class TargetSnapshot:
+    """One target with its home, and the tasks that this host runs on it."""
+
+    target: TargetInfo
+    home: HostName | None
+    running: int
+
+
+@attrs.frozen
+class QueueSnapshot:
+    """How many tasks wait, and their expected run time."""
+
+    tasks: int
+    queued_ms: int
--- a/hibiscusstack/host/mesh.py
+++ b/hibiscusstack/host/mesh.py
@@ -54,6 +54,9 @@
     def peer_connected(self, peer: HostName) -> None:
         """Hear that a connection to ``peer`` was opened, or replaced another."""
 
+    def peer_disconnected(self, peer: HostName) -> None:
+        """Hear that the connection to ``peer`` is gone; another may follow."""
+
     def peer_lost(self, peer: HostName) -> None:
         """Hear that ``peer`` is gone: away for too long, or restarted."""
 
@@ -191,6 +194,7 @@
             self._book.note_closed(link.dialled, now_ms)
         if peer is not None:
             log_message("host:connection_closed", peer=str(peer), cause=cause)
+            self._events.peer_disconnected(peer)
 
     def _listening(self, port: IListeningPort) -> IListeningPort:
         self._hello = attrs.evolve(self._hello, port=port.getHost().port)
--- a/hibiscusstack/host/tests/fleet.py
+++ b/hibiscusstack/host/tests/fleet.py
@@ -119,6 +119,7 @@
     """Events of one mesh, in order."""
 
     connected: list[HostName] = attrs.field(factory=list)
+    disconnected: list[HostName] = attrs.field(factory=list)
     lost: list[HostName] = attrs.field(factory=list)
     messages: list[tuple[HostName, Message]] = attrs.field(factory=list)
 
@@ -130,6 +131,10 @@
         """Record it."""
         self.connected.append(peer)
 
+    def peer_disconnected(self, peer):
+        """Record it."""
+        self.disconnected.append(peer)
+
     def peer_lost(self, peer):
         """Record it."""
         self.lost.append(peer)
--- a/hibiscusstack/settings/sections.py
+++ b/hibiscusstack/settings/sections.py
@@ -128,14 +128,12 @@
 class TargetSettings:
     """Calls to targets."""
 
-    lease_ms: int = _key(_DURATION, "The lease that a task runs under.", 30_000)
     timeout_ms: int = _key(
-        _DURATION, "The longest wait for the answer of a task.", 60_000
+        _DURATION, "The longest lease of a task and wait for its answer.", 60_000
     )
     probe_ms: int = _key(
         _DURATION, "The deadline of a question about tasks gone silent.", 2_000
     )
-    connect_timeout_ms: int = _key(_DURATION, "The deadline of a connection.", 2_000)
 
 
 @attrs.frozen
@@ -143,7 +141,7 @@
     """Bounds on what this host keeps in memory."""
 
     max_waiting_requests: int = _key(
-        _COUNT, "How many requests of callers may wait for an answer.", 20_000
+        _COUNT, "How many requests of callers may wait for an answer.", 4_096
     )
     id_lifetime_ms: int = _key(
         _DURATION, "How long an issued id can be submitted.", 600_000
@@ -166,6 +164,9 @@
     trace_exporter: str = _key(
         Choice(("none", "console")), "Where spans go besides the memory.", "none"
     )
+    trace_percent: int = _key(
+        Number(0, 100), "The part of jobs that are traced, unless callers decide.", 100
+    )
     max_spans: int = _key(
         _COUNT, "How many spans are kept in memory for operators.", 20_000
     )
--- a/hibiscusstack/telemetry/traces.py
+++ b/hibiscusstack/telemetry/traces.py
@@ -10,6 +10,7 @@
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.sdk.trace import ReadableSpan, SpanProcessor, TracerProvider
 from opentelemetry.sdk.trace.export import ConsoleSpanExporter, SimpleSpanProcessor
+from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
 from opentelemetry.trace import Span, format_span_id, format_trace_id
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
@@ -93,9 +94,14 @@
         self.provider.shutdown()
 
 
-def build_tracer(exporter: str, max_spans: int, host_name: str) -> Tracer:
+def build_tracer(
+    exporter: str, max_spans: int, host_name: str, percent: int = 100
+) -> Tracer:
     """Return a tracer that keeps ``max_spans`` spans.
 
+    It traces ``percent`` of the jobs that come without a parent, and the others as
+    their parent says.
+
     ``exporter`` is ``none``, or ``console`` for JSON on standard output.
 
     >>> tracer = build_tracer("none", 10, "h1")
@@ -104,7 +110,11 @@
     ['caller.submit']
     """
     resource = Resource({"service.name": "hibiscusd", "host.name": host_name})
-    provider = TracerProvider(resource=resource, shutdown_on_exit=False)
+    provider = TracerProvider(
+        sampler=ParentBased(TraceIdRatioBased(percent / 100)),
+        resource=resource,
+        shutdown_on_exit=False,
+    )
     ring = SpanRing(max_spans)
     provider.add_span_processor(ring)
     if exporter == "console":
--- /dev/null
+++ b/scripts/submitting.py
@@ -0,0 +1,127 @@
+"""Callers that submit jobs over HTTP and submit again what may have been lost."""
+
+__all__ = ["Caller", "Submission"]
+
+import http.client
+import json
+import time
+import zlib
+from collections.abc import Sequence
+from typing import Any
+from urllib.parse import urlsplit
+
+import attrs
+
+ANSWER_TIMEOUT_S = 60
+RETRY_PAUSE_S = 0.3
+MAX_ATTEMPTS = 20
+ATTEMPT_REASONS = ("not-ready", "draining", "owner-unreachable", "id-expired")
+
+
+@attrs.define
+class Submission:
+    """One job of one caller: what was sent, and the answer that came."""
+
+    job_id: str
+    body: dict[str, Any]
+    attempts: int = 0
+    sends_of_id: int = 0
+    answer: dict[str, Any] | None = None
+    extra_answers: list[dict[str, Any]] = attrs.field(factory=list)
+    abandoned_ids: list[str] = attrs.field(factory=list)
+
+    @property
+    def outcome(self) -> str:
+        """Return the outcome that the caller was told, if any."""
+        return "" if self.answer is None else self.answer["outcome"]
+
+
+class Caller:
+    """Submits jobs through whichever host answers.
+
+    A job is submitted again under the same id after a lost connection, and under a
+    fresh id only after a *not run* of its first attempt.
+    """
+
+    def __init__(self, name: str, urls: Sequence[str]) -> None:
+        self._name = name
+        self._urls = list(urls)
+        self._turn = zlib.crc32(name.encode())
+
+    def submit(self, body: dict[str, Any], resubmits: bool) -> Submission:
+        """Return the submission with its final answer, or without any."""
+        submission = Submission("", {**body, "caller": self._name})
+        while submission.answer is None and submission.attempts < MAX_ATTEMPTS:
+            self._attempt(submission)
+        if resubmits and submission.answer is not None:
+            self._submit_again(submission)
+        return submission
+
+    def _attempt(self, submission: Submission) -> None:
+        submission.attempts += 1
+        url = self._next_url()
+        if not submission.job_id:
+            submission.job_id = self._take_id(url)
+            submission.sends_of_id = 0
+        if submission.job_id:
+            self._send(url, submission)
+        if submission.answer is None:
+            time.sleep(RETRY_PAUSE_S)
+
+    def _send(self, url: str, submission: Submission) -> None:
+        answer = self._post(url, submission)
+        if answer is None:
+            return
+        if not _speaks_of_one_attempt(answer):
+            submission.answer = answer
+        elif submission.sends_of_id == 1:
+            submission.abandoned_ids.append(submission.job_id)
+            submission.job_id = ""
+
+    def _submit_again(self, submission: Submission) -> None:
+        answer = self._post(self._next_url(), submission)
+        if answer is not None:
+            submission.extra_answers.append(answer)
+
+    def _take_id(self, url: str) -> str:
+        status, body = _post_json(f"{url}/v1/ids", {"count": 1})
+        return body["ids"][0] if status == 200 and body["ids"] else ""
+
+    def _post(self, url: str, submission: Submission) -> dict[str, Any] | None:
+        body = {
+            **submission.body,
+            "id": submission.job_id,
+            "is_first_attempt": submission.sends_of_id == 0,
+        }
+        submission.sends_of_id += 1
+        status, answer = _post_json(f"{url}/v1/jobs", body)
+        if status == 200:
+            return answer
+        return answer.get("answer")
+
+    def _next_url(self) -> str:
+        self._turn += 1
+        return self._urls[self._turn % len(self._urls)]
+
+
+def _speaks_of_one_attempt(answer: dict[str, Any]) -> bool:
+    """Tell whether a *not run* leaves open what earlier attempts did."""
+    reason = (answer.get("problem") or {}).get("reason", "")
+    return answer["outcome"] == "not_run" and reason in ATTEMPT_REASONS
+
+
+def _post_json(url: str, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+    """Return status and body of an answer; status 0 when none came."""
+    parts = urlsplit(url)
+    connection = http.client.HTTPConnection(
+        parts.hostname, parts.port, timeout=ANSWER_TIMEOUT_S
+    )
+    try:
+        headers = {"Content-Type": "application/json"}
+        connection.request("POST", parts.path, json.dumps(body), headers)
+        response = connection.getresponse()
+        return response.status, json.loads(response.read())
+    except (OSError, http.client.HTTPException, ValueError):
+        return 0, {}
+    finally:
+        connection.close()
