--- a/scripts/processes.py
+++ b/scripts/processes.py
@@ -152,6 +152,7 @@
 
     def _start_standin(self, name: str, arguments: list[str]) -> dict[str, Any]:
         ready = self.folder / f"{name}.json"
+        ready.unlink(missing_ok=True)
         command = [str(BIN / "hibiscus-standins"), *arguments]
         log = self.folder / f"{name}.log"
         process = self._start([*command, "--ready-file", str(ready)], log)
