Let a target's word reach back only as far as its memory

A target that is restarted while a task runs, or that drops old results, said that the task never started, and the task was started again: with every target of a fleet restarted, 24 starts for 12 tasks. A target now says for how long back it remembers, as a duration, and its word counts only if that reaches back to when the task could first have been sent. Otherwise the outcome is unknown. Starts after the change: 12 for 12 tasks.

--- a/hibiscusstack/dispatch/effects.py
+++ b/hibiscusstack/dispatch/effects.py
@@ -81,13 +81,16 @@
 class TaskStates:
     """A target's word on tasks; ``None`` when the target could not be reached.
 
-    ``results`` holds the results of those tasks that are finished.
+    ``results`` holds the results of those tasks that are finished. ``memory_ms`` is
+    for how long back the target remembers every start and result; a target that was
+    restarted, or that drops old results, knows nothing of what was before.
     """
 
     target: str
     task_ids: tuple[str, ...]
     states: dict[str, TaskState] | None
     results: dict[str, TaskResult] = attrs.field(factory=dict)
+    memory_ms: int = 0
 
 
 @attrs.frozen
--- a/hibiscusstack/dispatch/home.py
+++ b/hibiscusstack/dispatch/home.py
@@ -225,7 +225,9 @@
         entry = running.entry
         give_up_ms = max(entry.deadline_ms, now_ms) + SILENCE_GRACE_MS
         targets = frozenset({running.target})
-        self._inquiry.ask(entry.task_id, entry.task.index, targets, give_up_ms)
+        self._inquiry.ask(
+            entry.task_id, entry.task.index, targets, running.started_ms, give_up_ms
+        )
         requests, _ = self._inquiry.tick(now_ms)
         return list(requests)
 
--- a/hibiscusstack/dispatch/inquiry.py
+++ b/hibiscusstack/dispatch/inquiry.py
@@ -30,7 +30,9 @@
     task_id: str
     index: int
     pending: set[str]
+    since_ms: int
     give_up_ms: int
+    is_unprovable: bool = False
 
 
 class Inquiry:
@@ -38,7 +40,8 @@
 
     A task counts as never started only when every target that could have received
     it has said so. Targets remember a stop, so that word also holds for requests
-    that are still on their way.
+    that are still on their way. A target whose memory does not reach back to the
+    time when the task could first have been sent proves nothing by that word.
     """
 
     def __init__(self) -> None:
@@ -52,10 +55,19 @@
         return len(self._questions)
 
     def ask(
-        self, task_id: str, index: int, targets: frozenset[str], give_up_ms: int
+        self,
+        task_id: str,
+        index: int,
+        targets: frozenset[str],
+        since_ms: int,
+        give_up_ms: int,
     ) -> None:
-        """Open a question; ``tick`` sends it, and gives up at ``give_up_ms``."""
-        self._questions[task_id] = _Question(task_id, index, set(targets), give_up_ms)
+        """Open a question; ``tick`` sends it, and gives up at ``give_up_ms``.
+
+        ``since_ms`` is the earliest time at which the task may have been sent.
+        """
+        question = _Question(task_id, index, set(targets), since_ms, give_up_ms)
+        self._questions[task_id] = question
         for target in targets:
             self._by_target.setdefault(target, set()).add(task_id)
 
@@ -89,12 +101,12 @@
             self._next_ask_ms[states.target] = now_ms + RETRY_INTERVAL_MS
             return []
         self._next_ask_ms[states.target] = now_ms + RUNNING_POLL_INTERVAL_MS
-        verdicts = [self._judge(states, task_id) for task_id in states.task_ids]
+        verdicts = [self._judge(states, task_id, now_ms) for task_id in states.task_ids]
         if not self._by_target.get(states.target):
             self._next_ask_ms.pop(states.target, None)
         return [verdict for verdict in verdicts if verdict is not None]
 
-    def _judge(self, states: TaskStates, task_id: str) -> Verdict | None:
+    def _judge(self, states: TaskStates, task_id: str, now_ms: int) -> Verdict | None:
         question = self._questions.get(task_id)
         state = states.states.get(task_id)
         if question is None or state is None:
@@ -103,6 +115,8 @@
             self._narrow(question, states.target)
             return None
         if state is TaskState.NEVER_STARTED:
+            if states.memory_ms < now_ms - question.since_ms:
+                question.is_unprovable = True
             return self._exclude(question, states.target)
         self.close(task_id)
         result = states.results.get(task_id)
@@ -121,7 +135,8 @@
         if question.pending:
             return None
         self.close(question.task_id)
-        return Verdict(question.task_id, is_never_started=True)
+        is_proven = not question.is_unprovable
+        return Verdict(question.task_id, is_never_started=is_proven)
 
     def _give_up(self, now_ms: int) -> list[Verdict]:
         overdue = [q for q in self._questions.values() if q.give_up_ms <= now_ms]
--- a/hibiscusstack/dispatch/owner.py
+++ b/hibiscusstack/dispatch/owner.py
@@ -44,6 +44,7 @@
     home: HostName
     targets: tuple[str, ...]
     open_indexes: set[int]
+    placed_ms: int
     is_recovering: bool = False
 
 
@@ -223,7 +224,12 @@
         batch = self._next_batch
         self._next_batch += 1
         placement = _Placement(
-            job.job_id, batch, portion.home, portion.targets, set(portion.indexes)
+            job.job_id,
+            batch,
+            portion.home,
+            portion.targets,
+            set(portion.indexes),
+            now_ms,
         )
         self._placements[batch] = placement
         owned.placements[batch] = placement
@@ -346,7 +352,8 @@
         targets = frozenset(placement.targets)
         for index in placement.open_indexes:
             task_id = task_id_of(placement.job_id, index, placement.batch)
-            self._inquiry.ask(task_id, index, targets, give_up_ms)
+            since_ms = placement.placed_ms
+            self._inquiry.ask(task_id, index, targets, since_ms, give_up_ms)
 
     def _conclude(self, verdicts: list[Verdict], now_ms: int) -> list[Effect]:
         effects: list[Effect] = []
--- a/hibiscusstack/dispatch/tests/fleets.py
+++ b/hibiscusstack/dispatch/tests/fleets.py
@@ -60,9 +60,11 @@
     lose_answers: bool = False
     stopped: set[str] = attrs.field(factory=set)
     running: set[str] = attrs.field(factory=set)
+    requests: list = attrs.field(factory=list)
     finished: dict[str, TaskResult] = attrs.field(factory=dict)
     starts: Counter = attrs.field(factory=Counter)
     most_running: int = 0
+    booted_ms: int = -60_000
 
 
 class Fleet:
@@ -136,6 +138,16 @@
             if self.clock.now_ms() >= end_ms:
                 return
 
+    def restart_target(self, name: str) -> None:
+        """Put an empty target in the place of one; its connections end."""
+        old = self.targets[name]
+        fresh = ScriptedTarget(old.info, starts=old.starts)
+        fresh.booted_ms = self.clock.now_ms()
+        self.targets[name] = fresh
+        lost = TaskSilent("the connection was reset")
+        for host, effect in old.requests:
+            self._later(LATENCY_MS, lambda h=host, e=effect: self._reply(h, e, lost))
+
     def started_twice(self) -> int:
         """Return how many tasks any targets started more than once in all."""
         starts: Counter = Counter()
@@ -211,12 +223,15 @@
         else:
             target.starts[effect.task_id] += 1
             target.running.add(effect.task_id)
+            target.requests.append((name, effect))
             target.most_running = max(target.most_running, len(target.running))
-            self._later(effect.task.payload, lambda: self._end(name, effect))
+            self._later(effect.task.payload, lambda: self._end(target, name, effect))
 
-    def _end(self, name: HostName, effect: StartTask) -> None:
-        target = self.targets[effect.target]
+    def _end(self, target: ScriptedTarget, name: HostName, effect: StartTask) -> None:
+        if self.targets[effect.target] is not target:
+            return
         target.running.discard(effect.task_id)
+        target.requests.remove((name, effect))
         outcome = Outcome.FAILED if target.fails else Outcome.SUCCEEDED
         result = TaskResult(
             effect.task.index, outcome, effect.task_id, run_time_ms=effect.task.payload
@@ -233,7 +248,8 @@
         if not target.is_cut:
             states = {t: self._state_of(target, t) for t in effect.task_ids}
         results = {t: r for t, r in target.finished.items() if t in effect.task_ids}
-        answer = TaskStates(effect.target, effect.task_ids, states, results)
+        memory_ms = self.clock.now_ms() - target.booted_ms
+        answer = TaskStates(effect.target, effect.task_ids, states, results, memory_ms)
         self._later(
             LATENCY_MS,
             lambda: self._do(name, lambda engine: engine.targets_answered(answer)),
--- a/hibiscusstack/dispatch/tests/test_engine.py
+++ b/hibiscusstack/dispatch/tests/test_engine.py
@@ -77,6 +77,29 @@
     assert fleet.total_starts() == 2
 
 
+def test_a_restarted_target_proves_nothing_about_earlier_starts():
+    fleet = kendra_fleet()
+    request = fleet.submit(0, job_of(fleet.mint(0), 500, timeout_ms=2_000))
+    fleet.run(100)
+    for name in list(fleet.targets):
+        fleet.restart_target(name)
+    fleet.run(5_000)
+    assert fleet.total_starts() == 1
+    assert fleet.answers[request].outcome is Outcome.UNKNOWN
+
+
+def test_restarted_targets_prove_nothing_for_a_lost_home():
+    fleet = kendra_fleet()
+    request = fleet.submit(0, job_of(fleet.mint(0), *[300] * 12))
+    fleet.run(100)
+    for name in list(fleet.targets):
+        fleet.restart_target(name)
+    fleet.kill(1)
+    fleet.run(60_000)
+    assert fleet.total_starts() == 12
+    assert fleet.answers[request].outcome is not Outcome.SUCCEEDED
+
+
 def test_silent_target_ends_as_unknown_by_the_deadline():
     fleet = Fleet(hosts=1, targets=1)
     request = fleet.submit(0, job_of(fleet.mint(0), 100, timeout_ms=2_000))
--- a/hibiscusstack/target/decoding.py
+++ b/hibiscusstack/target/decoding.py
@@ -67,7 +67,9 @@
 
     Raises ``DecodeError`` when one is missing or malformed.
     """
-    tasks = _decode_ok(answer).get("tasks")
+    body = _decode_ok(answer)
+    tasks = body.get("tasks")
+    memory_ms = _decode_count("memory_ms", body.get("memory_ms"))
     if not isinstance(tasks, dict):
         raise DecodeError("tasks", "an object", tasks)
     states: dict[str, TaskState] = {}
@@ -77,7 +79,7 @@
         states[task_id] = state = _decode_state(task_id, entry)
         if state is TaskState.FINISHED:
             results[task_id] = _decode_result(_index_of(task_id), entry)
-    return TaskStates(effect.target, effect.task_ids, states, results)
+    return TaskStates(effect.target, effect.task_ids, states, results, memory_ms)
 
 
 def decode_usage(answer: HttpAnswer) -> TargetUsage:
--- /dev/null
+++ b/hibiscusstack/target/tests/test_memory.py
@@ -0,0 +1,23 @@
+"""Tests of what a target says about how far back it remembers."""
+
+import pytest
+
+from hibiscusstack.dispatch.effects import StopTasks, TaskState
+from hibiscusstack.exceptions import DecodeError
+from hibiscusstack.target.connection import HttpAnswer
+from hibiscusstack.target.decoding import decode_states
+
+ASKED = StopTasks("t1", ("j/0/1",))
+TASKS = b'"tasks": {"j/0/1": {"state": "never_started"}}'
+
+
+def test_the_memory_is_part_of_the_word():
+    states = decode_states(ASKED, HttpAnswer(200, b'{"memory_ms": 7, %s}' % TASKS, 1))
+    assert states.memory_ms == 7
+    assert states.states == {"j/0/1": TaskState.NEVER_STARTED}
+
+
+@pytest.mark.parametrize("memory", [b"", b'"memory_ms": -1, ', b'"memory_ms": "7", '])
+def test_a_word_without_memory_is_malformed(memory):
+    with pytest.raises(DecodeError):
+        decode_states(ASKED, HttpAnswer(200, b"{%s%s}" % (memory, TASKS), 1))
--- a/hibiscusstack_standins/targets.py
+++ b/hibiscusstack_standins/targets.py
@@ -101,7 +101,8 @@
         ):
             raise InvalidInputError("task_ids", "a list of strings", task_ids)
         states = self.worker.stop(task_ids, bool(body.get("only_unstarted")))
-        return answer_json(request, 200, {"tasks": states})
+        body = {"memory_ms": self.worker.memory_ms(), "tasks": states}
+        return answer_json(request, 200, body)
 
     def _usage(self, request: Request) -> int:
         return answer_json(request, 200, self.worker.usage())
--- a/hibiscusstack_standins/worker.py
+++ b/hibiscusstack_standins/worker.py
@@ -66,6 +66,7 @@
         self.refused: Counter[str] = Counter()
         self.stops = 0
         self._reactor = reactor
+        self._booted_ms = self._now_ms()
         self._running: list[_Run] = []
         self._finished: dict[str, tuple[float, RunResult]] = {}
         self._stopped: dict[str, str] = {}
@@ -106,6 +107,10 @@
             task_id: self._stop_one(task_id, only_unstarted) for task_id in task_ids
         }
 
+    def memory_ms(self) -> int:
+        """Return for how long back every start, stop and result is remembered."""
+        return int(min(self._now_ms() - self._booted_ms, _RESULT_KEPT_MS))
+
     def usage(self) -> dict[str, int]:
         """Return what the running tasks use, as the protocol's JSON."""
         requests = [run.request for run in self._running]
