--- a/hibiscusstack/target/tests/test_client.py
+++ b/hibiscusstack/target/tests/test_client.py
@@ -203,7 +203,7 @@
     stopped = client.stop(target_of(), effect)
     finished = finished_body() | {"state": "finished"}
     tasks = {"j/0/1": finished, "j/1/1": {"state": "never_started"}}
-    network.far_ends[1].answer(200, {"tasks": tasks})
+    network.far_ends[1].answer(200, {"memory_ms": 60_000, "tasks": tasks})
     states = reply_of(stopped)
     assert states.states["j/1/1"] is TaskState.NEVER_STARTED
     assert states.results["j/0/1"].value == 7
@@ -216,7 +216,7 @@
 )
 def test_a_malformed_word_on_states_is_no_word(client, network, tasks):
     stopped = client.stop(target_of(), StopTasks("t1", ("j/0/1",)))
-    network.far_ends[0].answer(200, {"tasks": tasks})
+    network.far_ends[0].answer(200, {"memory_ms": 60_000, "tasks": tasks})
     assert reply_of(stopped).states is None
 
 
@@ -230,7 +230,7 @@
     started = client.start(target_of(), start_of("j/0/1"))
     stopped = client.stop(target_of(), StopTasks("t1", ("j/0/1",)))
     tasks = {"j/0/1": {"state": "never_started"}}
-    network.far_ends[1].answer(200, {"tasks": tasks})
+    network.far_ends[1].answer(200, {"memory_ms": 60_000, "tasks": tasks})
     assert reply_of(stopped).states["j/0/1"] is TaskState.NEVER_STARTED
     assert reply_of(started) is None
     network.advance(0)
@@ -241,7 +241,8 @@
 def test_a_connection_whose_task_runs_is_kept(client, network):
     started = client.start(target_of(), start_of("j/0/1"))
     client.stop(target_of(), StopTasks("t1", ("j/0/1",)))
-    network.far_ends[1].answer(200, {"tasks": {"j/0/1": {"state": "running"}}})
+    tasks = {"j/0/1": {"state": "running"}}
+    network.far_ends[1].answer(200, {"memory_ms": 60_000, "tasks": tasks})
     network.advance(0)
     assert not network.far_ends[0].is_closed_by_client
     network.far_ends[0].answer(200, finished_body("j/0/1"))
--- a/hibiscusstack/target/tests/test_decoding.py
+++ b/hibiscusstack/target/tests/test_decoding.py
@@ -22,7 +22,7 @@
         st.lists(values, max_size=3)
         | st.dictionaries(
             st.sampled_from(
-                ["task_id", "type", "tasks", "j/0/1", "state", "succeeded"]
+                ["task_id", "type", "tasks", "memory_ms", "j/0/1", "state", "succeeded"]
             ),
             values | st.sampled_from(["j/0/1", "busy", "finished", "running"]),
             max_size=4,
