--- /dev/null
+++ b/hibiscusstack/dispatch/health.py
@@ -0,0 +1,173 @@
+"""How much work each target should get, from its own failures and run times."""
+
+__all__ = ["HealthTable"]
+
+import math
+from collections.abc import Mapping
+
+import attrs
+
+from hibiscusstack.dispatch.policy import PolicyInForce
+from hibiscusstack.dispatch.targets import TargetInfo
+
+LEARNING_PART = 0.05
+LEAST_ENDED = 3
+LEAST_TIMED = 20
+BETTER_PART = 0.5
+EJECT_MS = 2_000
+MAX_EJECT_MS = 60_000
+TRICKLE_SUCCESSES = 3
+TRICKLE_LIMIT = 8
+SLOW_FACTOR = 2.2
+SLOW_PROBE_INTERVAL_MS = 2_000
+TIMED_MEMORY_RUNS = 40
+LEAST_RUN_TIME_MS = 1.0
+
+
+@attrs.define
+class _Record:
+    """What is known of one target.
+
+    ``allowed`` bounds its running tasks while it is readmitted; ``None`` means that
+    it is trusted. ``log_ms`` is the moving mean of the logarithm of its run times,
+    which one very long task hardly moves.
+    """
+
+    ended: int = 0
+    failure_part: float = 0.0
+    consecutive_failures: int = 0
+    timed: int = 0
+    log_ms: float = 0.0
+    allowed: int | None = None
+    successes: int = 0
+    ejected_until_ms: int = 0
+    eject_ms: int = EJECT_MS
+    last_start_ms: int = 0
+
+    def is_ejected(self, now_ms: int) -> bool:
+        return now_ms < self.ejected_until_ms
+
+
+class HealthTable:
+    """The targets of one home, judged against each other.
+
+    A target that fails clearly more than the best of the others is ejected: it gets
+    nothing for a while, then one task at a time, then twice as many after each few
+    successes, until it has all its slots again. A failure on the way ejects it for
+    twice as long. Never more than the published part of the fleet is ejected, and a
+    failure that all targets share ejects none, since then the work is at fault.
+
+    A target that takes much longer than the others gets one task every few seconds,
+    which shows when it has recovered. ``ejected_elsewhere`` and ``fleet_targets``
+    tell what other homes have ejected and how many targets the fleet has.
+
+    Each call costs at most one pass over the targets of this home.
+    """
+
+    def __init__(self, in_force: PolicyInForce) -> None:
+        self.ejected_elsewhere = 0
+        self.fleet_targets = 0
+        self._in_force = in_force
+        self._records: dict[str, _Record] = {}
+
+    def replace_targets(self, targets: Mapping[str, TargetInfo]) -> None:
+        """Forget the targets that are no longer listed."""
+        for name in self._records.keys() - targets.keys():
+            del self._records[name]
+
+    def may_start(self, target: TargetInfo, running: int, now_ms: int) -> bool:
+        """Tell whether a target that runs ``running`` tasks may get one more."""
+        record = self._record_of(target.name)
+        if record.is_ejected(now_ms):
+            return False
+        if record.allowed is not None and running >= record.allowed:
+            return False
+        if self._is_slow(target.name, record):
+            due_ms = record.last_start_ms + SLOW_PROBE_INTERVAL_MS
+            if running or now_ms < due_ms:
+                return False
+        record.last_start_ms = now_ms
+        return True
+
+    def record(
+        self, target: str, is_success: bool, run_time_ms: int, now_ms: int
+    ) -> None:
+        """Account for one start that has ended."""
+        record = self._record_of(target)
+        record.ended += 1
+        part = max(LEARNING_PART, 1.0 / record.ended)
+        record.failure_part += part * ((not is_success) - record.failure_part)
+        if is_success:
+            self._record_success(record, run_time_ms)
+            return
+        record.consecutive_failures += 1
+        if record.allowed is not None:
+            self._eject(record, now_ms)
+        elif self._is_bad(target, record) and self._may_eject(now_ms):
+            self._eject(record, now_ms)
+
+    def ejected(self, now_ms: int) -> int:
+        """Return how many targets are ejected now."""
+        return sum(record.is_ejected(now_ms) for record in self._records.values())
+
+    def _record_of(self, target: str) -> _Record:
+        record = self._records.get(target)
+        if record is None:
+            record = self._records[target] = _Record()
+        return record
+
+    def _record_success(self, record: _Record, run_time_ms: int) -> None:
+        record.consecutive_failures = 0
+        record.timed = min(record.timed + 1, TIMED_MEMORY_RUNS)
+        log_ms = math.log(max(run_time_ms, LEAST_RUN_TIME_MS))
+        record.log_ms += (log_ms - record.log_ms) / record.timed
+        if record.allowed is None:
+            return
+        record.successes += 1
+        if record.successes >= TRICKLE_SUCCESSES:
+            record.successes = 0
+            record.allowed *= 2
+            if record.allowed > TRICKLE_LIMIT:
+                self._trust(record)
+
+    def _trust(self, record: _Record) -> None:
+        record.allowed = None
+        record.eject_ms = EJECT_MS
+        record.failure_part = 0.0
+        record.ended = 0
+
+    def _eject(self, record: _Record, now_ms: int) -> None:
+        record.ejected_until_ms = now_ms + record.eject_ms
+        record.eject_ms = min(2 * record.eject_ms, MAX_EJECT_MS)
+        record.allowed = 1
+        record.successes = 0
+        record.consecutive_failures = 0
+
+    def _is_bad(self, target: str, record: _Record) -> bool:
+        limit = self._in_force.policy.limits.eject_failure_part
+        if record.ended < LEAST_ENDED or record.failure_part < limit:
+            return False
+        others = [
+            other.failure_part
+            for name, other in self._records.items()
+            if name != target and other.ended >= LEAST_ENDED
+        ]
+        return bool(others) and min(others) < BETTER_PART * record.failure_part
+
+    def _may_eject(self, now_ms: int) -> bool:
+        fleet = max(self.fleet_targets, len(self._records))
+        most = max(1, int(self._in_force.policy.limits.max_ejected_part * fleet))
+        return self.ejected(now_ms) + self.ejected_elsewhere < most
+
+    def _is_slow(self, target: str, record: _Record) -> bool:
+        if record.timed < LEAST_TIMED:
+            return False
+        others = [
+            other.log_ms
+            for name, other in self._records.items()
+            if name != target and other.timed >= LEAST_TIMED
+        ]
+        if not others:
+            return False
+        return record.log_ms - min(others) > math.log(SLOW_FACTOR)
+
