--- a/hibiscusstack/dispatch/policy.py
+++ b/hibiscusstack/dispatch/policy.py
@@ -79,7 +79,7 @@
 class _TargetSets:
     """The targets that each combination of placements leaves, found when needed."""
 
-    targets: Sequence[TargetInfo]
+    targets: Mapping[str, TargetInfo]
     labels: dict[str, dict[str, str]]
     by_placements: dict[tuple[int, ...], frozenset[str]] = attrs.field(factory=dict)
 
@@ -112,7 +112,7 @@
         return min(found, key=lambda each: each.urgency, default=DEFAULT_CLASS).name
 
     def matching_targets(
-        self, job: Job, task: Task, targets: Sequence[TargetInfo]
+        self, job: Job, task: Task, targets: Mapping[str, TargetInfo]
     ) -> frozenset[str]:
         """Return what :func:`matching_targets` does for this policy."""
         return matching_targets(self, job, task, targets)
@@ -146,7 +146,7 @@
 
 
 def matching_targets(
-    policy: Policy, job: Job, task: Task, targets: Sequence[TargetInfo]
+    policy: Policy, job: Job, task: Task, targets: Mapping[str, TargetInfo]
 ) -> frozenset[str]:
     """Return the names of the targets that ``task`` of ``job`` may run on.
 
@@ -159,12 +159,12 @@
     >>> target = TargetInfo("w1", "127.0.0.1", 1, "dc1", labels={"gpu": "a"})
     >>> job = Job("j1", "desk", (Task(0, "check"),))
     >>> policy = Policy(placements=(placement,))
-    >>> sorted(matching_targets(policy, job, job.tasks[0], (target,)))
+    >>> sorted(matching_targets(policy, job, job.tasks[0], {"w1": target}))
     ['w1']
 
     The result for one combination of placements is found once for each policy and
-    each sequence of targets: its cost is that of matching all targets, and a later
-    call costs one match for each placement. Pass the same sequence while the targets
+    each mapping of targets: its cost is that of matching all targets, and a later
+    call costs one match for each placement. Pass the same mapping while the targets
     stay the same, since a new one starts the cache anew.
     """
     sets = _sets_for(policy, targets)
@@ -176,12 +176,12 @@
     return _find_cached(policy, key, sets)
 
 
-def _sets_for(policy: Policy, targets: Sequence[TargetInfo]) -> _TargetSets:
+def _sets_for(policy: Policy, targets: Mapping[str, TargetInfo]) -> _TargetSets:
     cached = policy._sets
     if not cached or cached[0].targets is not targets:
         labels = {
-            target.name: labels_of_target(labelled(policy, target))
-            for target in targets
+            name: labels_of_target(labelled(policy, target))
+            for name, target in targets.items()
         }
         cached[:] = [_TargetSets(targets, labels)]
     return cached[0]
@@ -228,7 +228,7 @@
         return self.policy.class_of(job)
 
     def matching_targets(
-        self, job: Job, task: Task, targets: Sequence[TargetInfo]
+        self, job: Job, task: Task, targets: Mapping[str, TargetInfo]
     ) -> frozenset[str]:
         """Return the names of the targets that ``task`` may run on."""
         return matching_targets(self.policy, job, task, targets)
--- a/hibiscusstack/dispatch/tests/test_policy.py
+++ b/hibiscusstack/dispatch/tests/test_policy.py
@@ -70,7 +70,7 @@
 def test_placements_narrow_the_targets():
     policy = read_policy((EXAMPLES / "kendra.ini").read_text()).ok
     listed = [TargetInfo(f"worker-0{n}", "127.0.0.1", n, "dc1") for n in (1, 2)]
-    targets = tuple(listed)
+    targets = {target.name: target for target in listed}
     copies, check = make_job("prepare_cast_copies"), make_job("check_availability")
     for _ in range(2):
         found = matching_targets(policy, copies, copies.tasks[0], targets)
