--- /dev/null
+++ b/hibiscusstack/dispatch/estimates.py
@@ -0,0 +1,70 @@
+"""Estimates of when newly admitted work would start and finish."""
+
+__all__ = ["Backlog", "estimate_wait_ms"]
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from hibiscusstack.dispatch.interfaces import HomeLoad
+from hibiscusstack.dispatch.policy import Policy
+
+
+@attrs.frozen
+class Backlog:
+    """What the homes of a data centre have waiting, and the slots that serve it."""
+
+    slots: int
+    free_slots: int
+    by_class: Mapping[str, float]
+
+    @classmethod
+    def sum_of(cls, loads: Iterable[HomeLoad]) -> "Backlog":
+        """Return the sum of what homes last said."""
+        slots = free_slots = 0
+        by_class: dict[str, float] = {}
+        for load in loads:
+            slots += load.slots
+            free_slots += max(load.free_slots, 0)
+            for name, queued_ms in load.queued_by_class:
+                by_class[name] = by_class.get(name, 0.0) + queued_ms
+        return cls(slots, free_slots, by_class)
+
+
+def estimate_wait_ms(
+    policy: Policy, backlog: Backlog, class_name: str, work_ms: float = 0.0
+) -> float:
+    """Return in how many milliseconds ``work_ms`` more of a class would be through.
+
+    Without ``work_ms`` this is when its first task would start. Two bounds hold and
+    the lesser one counts: the class is served at least at its guaranteed part, and
+    everything of its urgency or more is served at all that the guarantees of less
+    urgent classes leave. With a free slot and nothing waiting the result is that of
+    the work alone. Without any slot it is infinite.
+
+    >>> policy = Policy()
+    >>> estimate_wait_ms(policy, Backlog(10, 0, {"default": 5_000.0}), "default")
+    500.0
+
+    The cost is linear in the number of classes that wait.
+    """
+    if not backlog.slots:
+        return float("inf")
+    own = policy.class_named(class_name)
+    own_ms = backlog.by_class.get(class_name, 0.0) + work_ms
+    ahead_ms = own_ms
+    reserved_part = 0.0
+    for name, queued_ms in backlog.by_class.items():
+        if name == class_name or queued_ms <= 0:
+            continue
+        other = policy.class_named(name)
+        if other.urgency >= own.urgency:
+            ahead_ms += queued_ms
+        else:
+            reserved_part += other.guaranteed_part
+    bounds = [own_ms / (own.guaranteed_part * backlog.slots)] * bool(
+        own.guaranteed_part
+    )
+    if reserved_part < 1.0:
+        bounds.append(ahead_ms / ((1.0 - reserved_part) * backlog.slots))
+    return min(bounds, default=float("inf"))
--- /dev/null
+++ b/hibiscusstack/dispatch/work_counts.py
@@ -0,0 +1,92 @@
+"""Counts of work in progress by caller and team, against their bounds."""
+
+__all__ = ["InProgress", "WorkCounts"]
+
+import attrs
+
+from hibiscusstack.dispatch.jobs import Job
+
+
+@attrs.define
+class InProgress:
+    """Jobs, tasks and expected run time that are admitted and not yet answered."""
+
+    jobs: int = 0
+    tasks: int = 0
+    work_ms: float = 0.0
+
+    def add(self, tasks: int, work_ms: float, sign: int = 1) -> None:
+        """Count one job of so many tasks, or take it off with ``sign`` -1."""
+        self.jobs += sign
+        self.tasks += sign * tasks
+        self.work_ms += sign * work_ms
+
+
+class WorkCounts:
+    """What is in progress in all, by caller, by team, by class and by both.
+
+    A name with nothing in progress takes no memory.
+
+    >>> counts = WorkCounts()
+    >>> job = Job("j1", "desk", (), team="office")
+    >>> counts.add(job, "checks", 250.0)
+    >>> counts.of_team("office").jobs
+    1
+    >>> counts.remove(job, "checks", 250.0)
+    >>> counts.of_team("office").jobs
+    0
+    """
+
+    def __init__(self) -> None:
+        self.total = InProgress()
+        self._counts: dict[tuple[str, ...], InProgress] = {}
+        self._teams: dict[str, int] = {}
+
+    def add(self, job: Job, class_name: str, work_ms: float) -> None:
+        """Count an admitted job."""
+        self.total.add(len(job.tasks), work_ms)
+        if not self.of_class_and_team(class_name, job.team).jobs:
+            self._teams[class_name] = self.teams_in(class_name) + 1
+        for key in _keys_of(job, class_name):
+            counted = self._counts.setdefault(key, InProgress())
+            counted.add(len(job.tasks), work_ms)
+
+    def remove(self, job: Job, class_name: str, work_ms: float) -> None:
+        """Take off a job that :meth:`add` counted with the same figures."""
+        self.total.add(len(job.tasks), work_ms, -1)
+        for key in _keys_of(job, class_name):
+            counted = self._counts[key]
+            counted.add(len(job.tasks), work_ms, -1)
+            if not counted.jobs:
+                del self._counts[key]
+        if not self.of_class_and_team(class_name, job.team).jobs:
+            self._teams[class_name] -= 1
+
+    def of_caller(self, caller: str) -> InProgress:
+        """Return what one caller has in progress."""
+        return self._counts.get(("caller", caller), InProgress())
+
+    def of_team(self, team: str) -> InProgress:
+        """Return what one team has in progress."""
+        return self._counts.get(("team", team), InProgress())
+
+    def of_class(self, class_name: str) -> InProgress:
+        """Return what is in progress in one class."""
+        return self._counts.get(("class", class_name), InProgress())
+
+    def teams_in(self, class_name: str) -> int:
+        """Return how many teams have work in progress in one class."""
+        return self._teams.get(class_name, 0)
+
+    def of_class_and_team(self, class_name: str, team: str) -> InProgress:
+        """Return what one team has in progress in one class."""
+        return self._counts.get(("class", class_name, team), InProgress())
+
+
+def _keys_of(job: Job, class_name: str) -> tuple[tuple[str, ...], ...]:
+    return (
+        ("caller", job.caller),
+        ("team", job.team),
+        ("class", class_name),
+        ("class", class_name, job.team),
+    )
