--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -213,13 +213,16 @@
 
     def heartbeat(self) -> Heartbeat:
         """Return what peers have to know of this host now."""
-        free_slots, queued_ms = self._home.load(self._clock.now_ms())
+        load = self._home.load(self._clock.now_ms())
         return Heartbeat(
             configuration_offset=self.configuration_offset,
             is_draining=self._is_draining,
-            free_slots=free_slots,
-            queued_ms=queued_ms,
-            targets=self._home.own_count,
+            free_slots=load.free_slots,
+            queued_ms=load.queued_ms,
+            targets=load.targets,
+            slots=load.slots,
+            ejected=load.ejected,
+            queued_ms_by_class=load.queued_ms_by_class,
         )
 
     def drain(self) -> list[Effect]:
@@ -255,6 +258,7 @@
                 DRAINING_RETRY_AFTER_MS,
             )
             return self._finish(answer)
+        self._refresh_own_load()
         return self._owner.submit(job, self._clock.now_ms())
 
     def _join(self, waiter: _Waiter, job: Job) -> list[Effect]:
@@ -293,8 +297,11 @@
     ) -> list[Effect]:
         known = self._owner.loads.get(sender)
         if known is not None:
-            self._owner.loads[sender] = HomeLoad(
-                message.free_slots, message.queued_ms, known.targets
+            self._owner.loads[sender] = attrs.evolve(
+                known,
+                free_slots=message.free_slots,
+                queued_ms=message.queued_ms,
+                queued_ms_by_class=message.queued_ms_by_class,
             )
         return self._owner.results(sender, message, now_ms)
 
@@ -306,19 +313,29 @@
     def _hear(self, sender: HostName, message: Heartbeat, now_ms: int) -> list[Effect]:
         previous = self._peers.get(sender)
         self._peers[sender] = message
-        self._owner.loads[sender] = HomeLoad(
-            message.free_slots, message.queued_ms, message.targets
-        )
+        if sender.data_centre == self.name.data_centre:
+            self._owner.loads[sender] = HomeLoad(
+                message.free_slots,
+                message.queued_ms,
+                message.targets,
+                message.slots,
+                message.ejected,
+                message.queued_ms_by_class,
+            )
+            self._note_fleet()
         was_draining = previous is not None and previous.is_draining
         if message.is_draining != was_draining:
             return self._assign_homes()
         return []
 
     def _refresh_own_load(self) -> None:
-        free_slots, queued_ms = self._home.load(self._clock.now_ms())
-        self._owner.loads[self.name] = HomeLoad(
-            free_slots, queued_ms, self._home.own_count
-        )
+        load = self._home.load(self._clock.now_ms())
+        self._owner.loads[self.name] = load
+
+    def _note_fleet(self) -> None:
+        others = [load for home, load in self._owner.loads.items() if home != self.name]
+        ejected = sum(load.ejected for load in others)
+        self._home.note_fleet(ejected, len(self._listed))
 
     def _assign_homes(self) -> list[Effect]:
         staying = [target.name for target in self._listed if not target.is_leaving]
--- a/hibiscusstack/dispatch/estimates.py
+++ b/hibiscusstack/dispatch/estimates.py
@@ -26,7 +26,7 @@
         for load in loads:
             slots += load.slots
             free_slots += max(load.free_slots, 0)
-            for name, queued_ms in load.queued_by_class:
+            for name, queued_ms in load.queued_ms_by_class:
                 by_class[name] = by_class.get(name, 0.0) + queued_ms
         return cls(slots, free_slots, by_class)
 
@@ -62,9 +62,9 @@
             ahead_ms += queued_ms
         else:
             reserved_part += other.guaranteed_part
-    bounds = [own_ms / (own.guaranteed_part * backlog.slots)] * bool(
-        own.guaranteed_part
-    )
+    bounds = []
+    if own.guaranteed_part:
+        bounds.append(own_ms / (own.guaranteed_part * backlog.slots))
     if reserved_part < 1.0:
         bounds.append(ahead_ms / ((1.0 - reserved_part) * backlog.slots))
     return min(bounds, default=float("inf"))
--- a/hibiscusstack/dispatch/health.py
+++ b/hibiscusstack/dispatch/health.py
@@ -3,7 +3,7 @@
 __all__ = ["HealthTable"]
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable
 
 import attrs
 
@@ -12,6 +12,7 @@
 
 LEARNING_PART = 0.05
 LEAST_ENDED = 3
+SURE_FAILURES = 4
 LEAST_TIMED = 20
 BETTER_PART = 0.5
 EJECT_MS = 2_000
@@ -42,7 +43,13 @@
     successes: int = 0
     ejected_until_ms: int = 0
     eject_ms: int = EJECT_MS
-    last_start_ms: int = 0
+    is_slow: bool = False
+    last_ended_ms: int = 0
+
+    def failing_part(self) -> float:
+        if self.consecutive_failures >= SURE_FAILURES:
+            return 1.0
+        return self.failure_part
 
     def is_ejected(self, now_ms: int) -> bool:
         return now_ms < self.ejected_until_ms
@@ -58,36 +65,40 @@
     failure that all targets share ejects none, since then the work is at fault.
 
     A target that takes much longer than the others gets one task every few seconds,
-    which shows when it has recovered. ``ejected_elsewhere`` and ``fleet_targets``
-    tell what other homes have ejected and how many targets the fleet has.
+    which shows when it has recovered.
 
-    Each call costs at most one pass over the targets of this home.
+    Recording costs at most one pass over the targets of this home.
     """
 
     def __init__(self, in_force: PolicyInForce) -> None:
-        self.ejected_elsewhere = 0
-        self.fleet_targets = 0
+        self._ejected_elsewhere = 0
+        self._fleet_targets = 0
         self._in_force = in_force
         self._records: dict[str, _Record] = {}
 
-    def replace_targets(self, targets: Mapping[str, TargetInfo]) -> None:
-        """Forget the targets that are no longer listed."""
-        for name in self._records.keys() - targets.keys():
+    def replace_targets(self, targets: Iterable[TargetInfo]) -> None:
+        """Forget the targets that are no longer homed here."""
+        names = {target.name for target in targets}
+        for name in self._records.keys() - names:
             del self._records[name]
 
-    def may_start(self, target: TargetInfo, running: int, now_ms: int) -> bool:
-        """Tell whether a target that runs ``running`` tasks may get one more."""
-        record = self._record_of(target.name)
+    def note_fleet(self, ejected_elsewhere: int, targets: int) -> None:
+        """Take over what other homes have ejected, and of how many targets."""
+        self._ejected_elsewhere = ejected_elsewhere
+        self._fleet_targets = targets
+
+    def most_running(self, target: TargetInfo, now_ms: int) -> int:
+        """Return how many tasks the target may run at once now."""
+        record = self._records.get(target.name)
+        if record is None:
+            return target.slots
         if record.is_ejected(now_ms):
-            return False
-        if record.allowed is not None and running >= record.allowed:
-            return False
-        if self._is_slow(target.name, record):
-            due_ms = record.last_start_ms + SLOW_PROBE_INTERVAL_MS
-            if running or now_ms < due_ms:
-                return False
-        record.last_start_ms = now_ms
-        return True
+            return 0
+        if record.is_slow:
+            return int(now_ms >= record.last_ended_ms + SLOW_PROBE_INTERVAL_MS)
+        if record.allowed is None:
+            return target.slots
+        return min(record.allowed, target.slots)
 
     def record(
         self, target: str, is_success: bool, run_time_ms: int, now_ms: int
@@ -95,15 +106,17 @@
         """Account for one start that has ended."""
         record = self._record_of(target)
         record.ended += 1
+        record.last_ended_ms = now_ms
         part = max(LEARNING_PART, 1.0 / record.ended)
         record.failure_part += part * ((not is_success) - record.failure_part)
         if is_success:
             self._record_success(record, run_time_ms)
+            record.is_slow = self._is_slow(target, record)
             return
         record.consecutive_failures += 1
-        if record.allowed is not None:
-            self._eject(record, now_ms)
-        elif self._is_bad(target, record) and self._may_eject(now_ms):
+        is_readmitted = record.allowed is not None
+        is_judged_bad = self._is_bad(target, record) and self._may_eject(now_ms)
+        if is_readmitted or is_judged_bad:
             self._eject(record, now_ms)
 
     def ejected(self, now_ms: int) -> int:
@@ -145,19 +158,20 @@
 
     def _is_bad(self, target: str, record: _Record) -> bool:
         limit = self._in_force.policy.limits.eject_failure_part
-        if record.ended < LEAST_ENDED or record.failure_part < limit:
+        failing_part = record.failing_part()
+        if record.ended < LEAST_ENDED or failing_part < limit:
             return False
         others = [
-            other.failure_part
+            other.failing_part()
             for name, other in self._records.items()
             if name != target and other.ended >= LEAST_ENDED
         ]
-        return bool(others) and min(others) < BETTER_PART * record.failure_part
+        return bool(others) and min(others) < BETTER_PART * failing_part
 
     def _may_eject(self, now_ms: int) -> bool:
-        fleet = max(self.fleet_targets, len(self._records))
+        fleet = max(self._fleet_targets, len(self._records))
         most = max(1, int(self._in_force.policy.limits.max_ejected_part * fleet))
-        return self.ejected(now_ms) + self.ejected_elsewhere < most
+        return self.ejected(now_ms) + self._ejected_elsewhere < most
 
     def _is_slow(self, target: str, record: _Record) -> bool:
         if record.timed < LEAST_TIMED:
@@ -170,4 +184,3 @@
         if not others:
             return False
         return record.log_ms - min(others) > math.log(SLOW_FACTOR)
-
--- a/hibiscusstack/dispatch/home.py
+++ b/hibiscusstack/dispatch/home.py
@@ -21,7 +21,7 @@
     TaskStates,
 )
 from hibiscusstack.dispatch.inquiry import Inquiry, Verdict
-from hibiscusstack.dispatch.interfaces import TargetHealth, UnlimitedHealth
+from hibiscusstack.dispatch.interfaces import HomeLoad, TargetHealth, UnlimitedHealth
 from hibiscusstack.dispatch.jobs import task_id_of
 from hibiscusstack.dispatch.messages import (
     BatchResults,
@@ -95,7 +95,9 @@
         self.slots.replace_targets(targets)
         self._own_targets = own
         homed = [t for t in map(self.slots.target, own) if t is not None]
-        self._queue.replace_targets(homed)
+        fleet_slots = sum(target.slots for target in targets)
+        self._queue.replace_targets(homed, fleet_slots)
+        self._health.replace_targets(homed)
         return self._start_on(self.slots.names(), now_ms)
 
     @property
@@ -103,10 +105,22 @@
         """The number of targets homed here."""
         return len(self._own_targets)
 
-    def load(self, now_ms: int) -> tuple[int, int]:
-        """Return the free slots of the targets homed here, and the queued time."""
-        free = self.slots.total_free(self._own_targets, now_ms)
-        return free, self._queue.queued_ms()
+    def load(self, now_ms: int) -> HomeLoad:
+        """Return the state of the targets homed here and of the queue."""
+        by_class = self._queue.queued_ms_by_class()
+        homed = [t for t in map(self.slots.target, self._own_targets) if t is not None]
+        return HomeLoad(
+            free_slots=sum(self._free_on(target, now_ms) for target in homed),
+            queued_ms=self._queue.queued_ms(),
+            targets=len(self._own_targets),
+            slots=sum(target.slots for target in homed),
+            ejected=self._health.ejected(now_ms),
+            queued_ms_by_class=tuple(sorted(by_class.items())),
+        )
+
+    def note_fleet(self, ejected_elsewhere: int, targets: int) -> None:
+        """Take over what other homes have ejected, and of how many targets."""
+        self._health.note_fleet(ejected_elsewhere, targets)
 
     def place(self, owner: HostName, message: PlaceBatch, now_ms: int) -> list[Effect]:
         """Queue a batch and start what can start."""
@@ -196,12 +210,17 @@
             effects += self._fill(name, now_ms)
         return effects
 
+    def _free_on(self, target: TargetInfo, now_ms: int) -> int:
+        free = self.slots.free_on(target.name, now_ms)
+        if not free:
+            return 0
+        most = self._health.most_running(target, now_ms)
+        return max(0, min(free, most - self.slots.running_on(target.name)))
+
     def _fill(self, name: str, now_ms: int) -> list[Effect]:
         effects: list[Effect] = []
         target = self.slots.target(name)
-        while self.slots.free_on(name, now_ms) and self._health.may_start(
-            target, self.slots.running_on(name), now_ms
-        ):
+        while self._free_on(target, now_ms) > 0:
             entry = self._queue.pop(target, now_ms)
             if entry is None:
                 break
@@ -329,8 +348,13 @@
         return [SendPeer(owner, self._with_load(message, now_ms))]
 
     def _with_load(self, message: BatchResults, now_ms: int) -> BatchResults:
-        free_slots, queued_ms = self.load(now_ms)
-        return attrs.evolve(message, free_slots=free_slots, queued_ms=queued_ms)
+        load = self.load(now_ms)
+        return attrs.evolve(
+            message,
+            free_slots=load.free_slots,
+            queued_ms=load.queued_ms,
+            queued_ms_by_class=load.queued_ms_by_class,
+        )
 
 
 def _queued(owner: HostName, message: PlaceBatch, task, now_ms: int) -> QueuedTask:
--- a/hibiscusstack/dispatch/interfaces.py
+++ b/hibiscusstack/dispatch/interfaces.py
@@ -8,7 +8,7 @@
     "UnlimitedHealth",
 ]
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Protocol
 
 import attrs
@@ -26,6 +26,9 @@
     free_slots: int
     queued_ms: int
     targets: int
+    slots: int = 0
+    ejected: int = 0
+    queued_ms_by_class: tuple[tuple[str, int], ...] = ()
 
 
 class Admission(Protocol):
@@ -47,8 +50,17 @@
 class TargetHealth(Protocol):
     """The judgement how much work a target should get."""
 
-    def may_start(self, target: TargetInfo, running: int, now_ms: int) -> bool:
-        """Tell whether a target that runs ``running`` tasks may get one more."""
+    def replace_targets(self, targets: Iterable[TargetInfo]) -> None:
+        """Take over the targets that are judged here."""
+
+    def note_fleet(self, ejected_elsewhere: int, targets: int) -> None:
+        """Take over what other homes have ejected, and of how many targets."""
+
+    def most_running(self, target: TargetInfo, now_ms: int) -> int:
+        """Return how many tasks the target may run at once now."""
+
+    def ejected(self, now_ms: int) -> int:
+        """Return how many targets get nothing now."""
 
     def record(
         self, target: str, is_success: bool, run_time_ms: int, now_ms: int
@@ -76,9 +88,19 @@
 class UnlimitedHealth:
     """A judgement that trusts every target."""
 
-    def may_start(self, target: TargetInfo, running: int, now_ms: int) -> bool:
-        """Allow every start."""
-        return True
+    def replace_targets(self, targets: Iterable[TargetInfo]) -> None:
+        """Do nothing."""
+
+    def note_fleet(self, ejected_elsewhere: int, targets: int) -> None:
+        """Do nothing."""
+
+    def most_running(self, target: TargetInfo, now_ms: int) -> int:
+        """Return all slots of the target."""
+        return target.slots
+
+    def ejected(self, now_ms: int) -> int:
+        """Return none."""
+        return 0
 
     def record(
         self, target: str, is_success: bool, run_time_ms: int, now_ms: int
--- a/hibiscusstack/dispatch/messages.py
+++ b/hibiscusstack/dispatch/messages.py
@@ -52,7 +52,9 @@
 class Heartbeat:
     """Liveness, and the state that peers need, repeated at a fixed interval.
 
-    ``free_slots`` and ``queued_ms`` sum over the targets whose home is the sender.
+    The load sums over the targets whose home is the sender: their number, all their
+    slots and those free, how many are ejected, and the expected run time of what
+    waits, in all and by class.
     """
 
     configuration_offset: int
@@ -60,6 +62,9 @@
     free_slots: int
     queued_ms: int
     targets: int
+    slots: int = 0
+    ejected: int = 0
+    queued_ms_by_class: tuple[tuple[str, int], ...] = ()
 
 
 @attrs.frozen
@@ -111,7 +116,7 @@
 class BatchResults:
     """Results of some tasks of a batch, from its home to its owner.
 
-    ``free_slots`` and ``queued_ms`` are the same figures as in a heartbeat.
+    ``free_slots`` and the queued times are the same figures as in a heartbeat.
     ``returned`` lists the indexes of tasks that the home gives back unstarted.
     ``is_refused`` says that the home never received the batch and never will start
     any of it.
@@ -123,6 +128,7 @@
     is_refused: bool = False
     free_slots: int = 0
     queued_ms: int = 0
+    queued_ms_by_class: tuple[tuple[str, int], ...] = ()
 
 
 @attrs.frozen
--- a/hibiscusstack/dispatch/queueing.py
+++ b/hibiscusstack/dispatch/queueing.py
@@ -3,7 +3,7 @@
 __all__ = ["FifoQueue", "QueuedTask", "TaskQueue"]
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Protocol
 
 import attrs
@@ -57,12 +57,15 @@
     def __len__(self) -> int:
         """Return the number of tasks that wait."""
 
-    def replace_targets(self, targets: Iterable[TargetInfo]) -> None:
+    def replace_targets(self, targets: Iterable[TargetInfo], fleet_slots: int) -> None:
         """Take over the targets whose home this host is."""
 
     def queued_ms(self) -> int:
         """Return the expected run time of all that waits."""
 
+    def queued_ms_by_class(self) -> Mapping[str, int]:
+        """Return the expected run time of what waits in each class."""
+
 
 class FifoQueue:
     """A queue in order of arrival, blind to classes and teams."""
@@ -99,13 +102,21 @@
         """Return the number of tasks that wait."""
         return len(self._entries)
 
-    def replace_targets(self, targets: Iterable[TargetInfo]) -> None:
+    def replace_targets(self, targets: Iterable[TargetInfo], fleet_slots: int) -> None:
         """Do nothing: this queue shares nothing out."""
 
     def queued_ms(self) -> int:
         """Return the declared run time of all that waits."""
         return sum(entry.task.run_time_ms for entry in self._entries)
 
+    def queued_ms_by_class(self) -> Mapping[str, int]:
+        """Return the declared run time of what waits in each class."""
+        totals: dict[str, int] = {}
+        for entry in self._entries:
+            waiting_ms = totals.get(entry.class_name, 0)
+            totals[entry.class_name] = waiting_ms + entry.task.run_time_ms
+        return totals
+
     def _take_out(self, taken: list[QueuedTask]) -> list[QueuedTask]:
         for entry in taken:
             self._entries.remove(entry)
--- a/hibiscusstack/dispatch/shares.py
+++ b/hibiscusstack/dispatch/shares.py
@@ -44,9 +44,8 @@
     task that is expected to run the longest.
 
     A start is charged with the expected run time; the measured one replaces it when
-    the run ends, so declared times give nobody an advantage. ``fleet_part`` is the
-    part of the data centre's slots that are homed here; it scales the teams' bounds
-    on running tasks.
+    the run ends, so declared times give nobody an advantage. A team's bound on
+    running tasks is scaled by the part of the fleet's slots that are homed here.
 
     A push or a pop costs the logarithm of what waits, times the number of different
     sets of targets that hold the target and the number of classes. Removing a batch
@@ -55,7 +54,7 @@
     """
 
     def __init__(self, in_force: PolicyInForce, run_times: RunTimes) -> None:
-        self.fleet_part = 1.0
+        self._fleet_part = 1.0
         self.run_times = run_times
         self._in_force = in_force
         self._credits = ClassCredits(self._part_of)
@@ -76,9 +75,10 @@
         """Return the number of tasks that wait."""
         return self._waiting
 
-    def replace_targets(self, targets: Iterable[TargetInfo]) -> None:
-        """Take over the targets whose slots the guaranteed parts are parts of."""
+    def replace_targets(self, targets: Iterable[TargetInfo], fleet_slots: int) -> None:
+        """Take over the targets homed here, and the slots of the whole fleet."""
         self._credits.slots = sum(each.slots for each in targets)
+        self._fleet_part = self._credits.slots / fleet_slots if fleet_slots else 1.0
 
     def push(self, entry: QueuedTask) -> None:
         """Add one task; one that was started before is no longer charged for."""
@@ -183,7 +183,7 @@
         most = self._in_force.policy.team_named(team).max_running
         if most is None:
             return True
-        return self._running.get(team, 0) < math.ceil(most * self.fleet_part)
+        return self._running.get(team, 0) < math.ceil(most * self._fleet_part)
 
     def _open(self, key: BatchKey, entry: QueuedTask) -> WaitingBatch:
         lines = self._sets.get(entry.targets)
--- a/hibiscusstack/dispatch/tests/builders.py
+++ b/hibiscusstack/dispatch/tests/builders.py
@@ -35,7 +35,7 @@
 def make_queue(text=THREE_CLASSES, targets=(TARGET,)):
     """Return an empty queue whose slots are those of ``targets``."""
     queue = ShareQueue(make_policy(text), RunTimes())
-    queue.replace_targets(targets)
+    queue.replace_targets(targets, sum(each.slots for each in targets))
     return queue
 
 
