--- a/hibiscusstack/dispatch/health.py
+++ b/hibiscusstack/dispatch/health.py
@@ -103,8 +103,14 @@
     def record(
         self, target: str, is_success: bool, run_time_ms: int, now_ms: int
     ) -> None:
-        """Account for one start that has ended."""
+        """Account for one start that has ended.
+
+        What ends while its target is ejected was started before, and tells nothing
+        new.
+        """
         record = self._record_of(target)
+        if record.is_ejected(now_ms):
+            return
         record.ended += 1
         record.last_ended_ms = now_ms
         part = max(LEARNING_PART, 1.0 / record.ended)
