--- a/hibiscusstack/dispatch/owner.py
+++ b/hibiscusstack/dispatch/owner.py
@@ -3,7 +3,7 @@
 __all__ = ["Owner"]
 
 import heapq
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import attrs
 
@@ -13,7 +13,6 @@
     Problem,
     Reason,
     TaskResult,
-    not_run,
 )
 from hibiscusstack.dispatch.conclusion import conclude_job
 from hibiscusstack.dispatch.effects import Effect, SendPeer, TaskStates
@@ -29,12 +28,15 @@
     PlaceBatch,
     QueryBatch,
 )
-from hibiscusstack.dispatch.policy import Policy, matching_targets
+from hibiscusstack.dispatch.policy import PolicyInForce
 from hibiscusstack.dispatch.targets import TargetInfo
 
 MAX_PLACEMENTS_PER_TASK = 5
 CANCEL_TIMEOUT_MS = 250
 RECOVERY_TIMEOUT_MS = 10_000
+MAX_OTHER_DATA_CENTRES = 2
+
+Matches = Mapping[int, frozenset[str]]
 
 
 @attrs.define
@@ -44,6 +46,7 @@
     home: HostName
     targets: tuple[str, ...]
     open_indexes: set[int]
+    placed_ms: int
     is_recovering: bool = False
 
 
@@ -55,6 +58,7 @@
     results: dict[int, TaskResult] = attrs.field(factory=dict)
     placements: dict[int, _Placement] = attrs.field(factory=dict)
     placed_count: dict[int, int] = attrs.field(factory=dict)
+    other_data_centres: set[str] = attrs.field(factory=set)
     stop_problem: Problem | None = None
     stop_deadline_ms: int = 0
 
@@ -67,16 +71,20 @@
     became of each. Finished jobs are returned as answers and leave this table.
     """
 
-    def __init__(self, name: HostName, policy: Policy, admission: Admission) -> None:
-        self.policy = policy
+    def __init__(
+        self, name: HostName, policy: PolicyInForce, admission: Admission
+    ) -> None:
+        self._policy = policy
         self.admission = admission
         self.loads: dict[HostName, HomeLoad] = {}
         self._name = name
         self._jobs: dict[str, _OwnedJob] = {}
         self._placements: dict[int, _Placement] = {}
         self._next_batch = 1
-        self._targets: tuple[TargetInfo, ...] = ()
+        self._targets: Mapping[str, TargetInfo] = {}
         self._home_of: Mapping[str, HostName] = {}
+        self._homed: dict[tuple[frozenset[str], str], frozenset[str]] = {}
+        self._others: list[str] | None = None
         self._alarms: list[tuple[int, str]] = []
         self._inquiry = Inquiry()
         self._answers: list[JobAnswer] = []
@@ -101,24 +109,20 @@
         return len(owned.results), len(owned.job.tasks)
 
     def replace_targets(
-        self, targets: tuple[TargetInfo, ...], home_of: Mapping[str, HostName]
+        self, targets: Mapping[str, TargetInfo], home_of: Mapping[str, HostName]
     ) -> None:
         """Take over a new list of labelled targets and their homes."""
         self._targets = targets
         self._home_of = home_of
+        self._homed = {}
+        self._others = None
 
     def submit(self, job: Job, now_ms: int) -> list[Effect]:
         """Admit a job and place its tasks, or refuse it whole."""
-        class_name = self.policy.class_of(job)
-        matches = self._match(job)
-        unmatched = [index for index, names in matches.items() if not names]
-        if unmatched:
-            detail = f"no target may run task {unmatched[0]}"
-            self._answers.append(not_run(job.job_id, Reason.NO_MATCHING_TARGET, detail))
-            return []
-        problem = self.admission.admit(job, class_name, self.loads, now_ms)
-        if problem is not None:
-            answer = JobAnswer(job.job_id, Outcome.NOT_RUN, problem=problem)
+        class_name = self._policy.class_of(job)
+        plan = self._plan(job, class_name, now_ms)
+        if isinstance(plan, Problem):
+            answer = JobAnswer(job.job_id, Outcome.NOT_RUN, problem=plan)
             self._answers.append(answer)
             return []
         owned = _OwnedJob(job, class_name, now_ms + job.timeout_ms)
@@ -127,7 +131,7 @@
         if not job.tasks:
             self._finish(owned, now_ms)
             return []
-        return self._place(owned, matches, now_ms)
+        return self._place(owned, plan, now_ms)
 
     def cancel(self, job_id: str, caller: str, now_ms: int) -> list[Effect]:
         """Stop a job for its own caller; another caller's wish has no effect."""
@@ -192,16 +196,80 @@
         effects += requests
         return effects + self._conclude(verdicts, now_ms)
 
-    def _match(self, job: Job) -> dict[int, frozenset[str]]:
+    def _plan(self, job: Job, class_name: str, now_ms: int) -> Matches | Problem:
+        """Return the targets of each task in one data centre, or the refusal.
+
+        This data centre comes first. Another one is tried when no target here may
+        run the job, or when this one is overloaded.
+        """
+        refusal = None
+        for data_centre in self._data_centres():
+            matches = self._match(job, (data_centre,))
+            if not all(matches.values()):
+                continue
+            problem = self._admit(job, class_name, {data_centre}, now_ms)
+            if problem is None:
+                return matches
+            refusal = refusal or problem
+            if problem.reason is not Reason.OVERLOADED:
+                break
+        return refusal or self._plan_across(job, class_name, now_ms)
+
+    def _plan_across(self, job: Job, class_name: str, now_ms: int) -> Matches | Problem:
+        """Return the targets of a job that no single data centre can run."""
+        matches = self._match(job, self._data_centres())
+        unmatched = [index for index, names in matches.items() if not names]
+        if unmatched:
+            detail = f"no reachable target may run task {unmatched[0]}"
+            return Problem(Reason.NO_MATCHING_TARGET, detail)
+        every = set(self._data_centres())
+        return self._admit(job, class_name, every, now_ms) or matches
+
+    def _admit(
+        self, job: Job, class_name: str, data_centres: set[str], now_ms: int
+    ) -> Problem | None:
+        loads = {
+            host: load
+            for host, load in self.loads.items()
+            if host.data_centre in data_centres
+        }
+        return self.admission.admit(job, class_name, loads, now_ms)
+
+    def _data_centres(self) -> list[str]:
+        """Return the data centres with reachable homes, this one first."""
+        if self._others is None:
+            found = {home.data_centre for home in self._home_of.values()}
+            self._others = sorted(found - {self._name.data_centre})
+        free = dict.fromkeys(self._others, 0)
+        for host, load in self.loads.items():
+            if host.data_centre in free:
+                free[host.data_centre] += load.free_slots
+        ranked = sorted(self._others, key=lambda name: -free[name])
+        return [self._name.data_centre, *ranked[:MAX_OTHER_DATA_CENTRES]]
+
+    def _match(self, job: Job, data_centres: Sequence[str]) -> Matches:
+        """Return the targets of each task in the first data centre that has any."""
         matches = {}
         for task in job.tasks:
-            names = matching_targets(self.policy, job, task, self._targets)
-            matches[task.index] = frozenset(n for n in names if n in self._home_of)
+            names = self._policy.matching_targets(job, task, self._targets)
+            found = (self._homed_in(names, each) for each in data_centres)
+            matches[task.index] = next(filter(None, found), frozenset())
         return matches
 
-    def _place(
-        self, owned: _OwnedJob, matches: Mapping[int, frozenset[str]], now_ms: int
-    ) -> list[Effect]:
+    def _homed_in(self, names: frozenset[str], data_centre: str) -> frozenset[str]:
+        key = (names, data_centre)
+        found = self._homed.get(key)
+        if found is None:
+            homes = ((name, self._home_of.get(name)) for name in names)
+            found = frozenset(
+                name
+                for name, home in homes
+                if home is not None and home.data_centre == data_centre
+            )
+            self._homed[key] = found
+        return found
+
+    def _place(self, owned: _OwnedJob, matches: Matches, now_ms: int) -> list[Effect]:
         portions = split_over_homes(matches, self._home_of, self.loads, self._name)
         return [self._send_portion(owned, portion, now_ms) for portion in portions]
 
@@ -212,10 +280,17 @@
         batch = self._next_batch
         self._next_batch += 1
         placement = _Placement(
-            job.job_id, batch, portion.home, portion.targets, set(portion.indexes)
+            job.job_id,
+            batch,
+            portion.home,
+            portion.targets,
+            set(portion.indexes),
+            now_ms,
         )
         self._placements[batch] = placement
         owned.placements[batch] = placement
+        if portion.home.data_centre != self._name.data_centre:
+            owned.other_data_centres.add(portion.home.data_centre)
         for index in portion.indexes:
             owned.placed_count[index] = owned.placed_count.get(index, 0) + 1
         self._expect_load(portion)
@@ -283,7 +358,7 @@
         limit = MAX_PLACEMENTS_PER_TASK
         spent = {i for i in indexes if owned.placed_count[i] >= limit}
         self._give_up(owned, spent, Reason.TARGET_LOST)
-        all_matches = self._match(owned.job)
+        all_matches = self._match(owned.job, self._data_centres())
         matches = {index: all_matches[index] for index in sorted(indexes - spent)}
         homeless = {index for index, names in matches.items() if not names}
         self._give_up(owned, homeless, Reason.NO_MATCHING_TARGET)
@@ -335,7 +410,8 @@
         targets = frozenset(placement.targets)
         for index in placement.open_indexes:
             task_id = task_id_of(placement.job_id, index, placement.batch)
-            self._inquiry.ask(task_id, index, targets, give_up_ms)
+            since_ms = placement.placed_ms
+            self._inquiry.ask(task_id, index, targets, since_ms, give_up_ms)
 
     def _conclude(self, verdicts: list[Verdict], now_ms: int) -> list[Effect]:
         effects: list[Effect] = []
@@ -359,7 +435,9 @@
     def _finish(self, owned: _OwnedJob, now_ms: int) -> None:
         del self._jobs[owned.job.job_id]
         self.admission.finished(owned.job, owned.class_name, now_ms)
-        self._answers.append(conclude_job(owned.job, owned.results, owned.stop_problem))
+        answer = conclude_job(owned.job, owned.results, owned.stop_problem)
+        others = tuple(sorted(owned.other_data_centres))
+        self._answers.append(attrs.evolve(answer, other_data_centres=others))
 
 
 def _problem_after(failed: TaskResult) -> Problem:
