Measure the whole path on real processes

make bench-path finds what one host process starts when it always has work, then takes latencies at half of that, over the path and straight to a target in one run, and counts messages with one host and with three.

--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,10 @@
 .PHONY: settings-page
 settings-page: setup
 	$(PYTHON) -c "from hibiscusstack.settings import describe_settings as d; print(d(), end='')" > docs/SETTINGS.md
+
+.PHONY: bench-target-client
+bench-target-client: setup
+	$(PYTHON) -m benches.target_client
+
+bench-path: setup
+	$(PYTHON) -m benches.path
--- a/scripts/processes.py
+++ b/scripts/processes.py
@@ -78,8 +78,9 @@
 class Site:
     """One data centre's processes, all on this machine; ports by the kernel."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, more_settings: str = "") -> None:
         self.folder = folder
+        self.more_settings = more_settings
         self.hosts: dict[str, EntryHost] = {}
         self.platform_url = ""
         self.targets_url = ""
@@ -104,7 +105,7 @@
         text = _SETTINGS.format(
             name=name, platform=self.platform_url, leave_ms=leave_ms
         )
-        settings.write_text(text)
+        settings.write_text(text + self.more_settings)
         log = self.folder / f"{name}.log"
         process = self._start([str(BIN / "hibiscusd"), str(settings)], log)
         host = EntryHost(name, process, log, {})
