Move the choice of targets and data centres out of the owner

Where a job may go and whether it is admitted is now planning.py; what becomes of it stays in owner.py. Behaviour and tests are unchanged.

--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -55,6 +55,7 @@
     QueryBatch,
 )
 from hibiscusstack.dispatch.owner import Owner
+from hibiscusstack.dispatch.planning import Planner
 from hibiscusstack.dispatch.policy import Policy, PolicyInForce, labelled
 from hibiscusstack.dispatch.queueing import TaskQueue
 from hibiscusstack.dispatch.run_times import RunTimes
@@ -96,7 +97,8 @@
         self.configuration_offset = 0
         self._clock = clock
         self._policy = policy or PolicyInForce()
-        self._owner = Owner(name, self._policy, admission or AdmitEverything())
+        self._planner = Planner(name, self._policy, admission or AdmitEverything())
+        self._owner = Owner(name, self._planner)
         if queue is None:
             queue = ShareQueue(self._policy, RunTimes())
         self._home = Home(queue, health)
@@ -317,9 +319,9 @@
     def _take_results(
         self, sender: HostName, message: BatchResults, now_ms: int
     ) -> list[Effect]:
-        known = self._owner.loads.get(sender)
+        known = self._planner.loads.get(sender)
         if known is not None:
-            self._owner.loads[sender] = attrs.evolve(
+            self._planner.loads[sender] = attrs.evolve(
                 known,
                 free_slots=message.free_slots,
                 queued_ms=message.queued_ms,
@@ -336,7 +338,7 @@
         previous = self._peers.get(sender)
         self._peers[sender] = message
         if sender.data_centre == self.name.data_centre:
-            self._owner.loads[sender] = HomeLoad(
+            self._planner.loads[sender] = HomeLoad(
                 message.free_slots,
                 message.queued_ms,
                 message.targets,
@@ -352,10 +354,12 @@
 
     def _refresh_own_load(self) -> None:
         load = self._home.load(self._clock.now_ms())
-        self._owner.loads[self.name] = load
+        self._planner.loads[self.name] = load
 
     def _note_fleet(self) -> None:
-        others = [load for home, load in self._owner.loads.items() if home != self.name]
+        others = [
+            load for home, load in self._planner.loads.items() if home != self.name
+        ]
         ejected = sum(load.ejected for load in others)
         self._home.note_fleet(ejected, len(self._listed))
 
@@ -365,7 +369,9 @@
             home_of |= self._homes_in(data_centre)
         self._home_of = home_of
         own = frozenset(t for t, home in home_of.items() if home == self.name)
-        self._owner.replace_targets({each.name: each for each in self._listed}, home_of)
+        self._planner.replace_targets(
+            {each.name: each for each in self._listed}, home_of
+        )
         here = [t for t in self._listed if t.data_centre == self.name.data_centre]
         effects = self._home.replace_targets(here, own, self._clock.now_ms())
         self._refresh_own_load()
--- a/hibiscusstack/dispatch/owner.py
+++ b/hibiscusstack/dispatch/owner.py
@@ -3,7 +3,6 @@
 __all__ = ["Owner"]
 
 import heapq
-from collections.abc import Mapping, Sequence
 
 import attrs
 
@@ -16,9 +15,8 @@
 )
 from hibiscusstack.dispatch.conclusion import conclude_job
 from hibiscusstack.dispatch.effects import Effect, SendPeer, TaskStates
-from hibiscusstack.dispatch.homes import Portion, split_over_homes
+from hibiscusstack.dispatch.homes import Portion
 from hibiscusstack.dispatch.inquiry import Inquiry, Verdict
-from hibiscusstack.dispatch.interfaces import Admission, HomeLoad
 from hibiscusstack.dispatch.jobs import Job, task_id_of
 from hibiscusstack.dispatch.messages import (
     BatchResults,
@@ -28,15 +26,11 @@
     PlaceBatch,
     QueryBatch,
 )
-from hibiscusstack.dispatch.policy import PolicyInForce
-from hibiscusstack.dispatch.targets import TargetInfo
+from hibiscusstack.dispatch.planning import Matches, Planner
 
 MAX_PLACEMENTS_PER_TASK = 5
 CANCEL_TIMEOUT_MS = 250
 RECOVERY_TIMEOUT_MS = 10_000
-MAX_OTHER_DATA_CENTRES = 2
-
-Matches = Mapping[int, frozenset[str]]
 
 
 @attrs.define
@@ -71,20 +65,12 @@
     became of each. Finished jobs are returned as answers and leave this table.
     """
 
-    def __init__(
-        self, name: HostName, policy: PolicyInForce, admission: Admission
-    ) -> None:
-        self._policy = policy
-        self.admission = admission
-        self.loads: dict[HostName, HomeLoad] = {}
+    def __init__(self, name: HostName, planner: Planner) -> None:
+        self._planner = planner
         self._name = name
         self._jobs: dict[str, _OwnedJob] = {}
         self._placements: dict[int, _Placement] = {}
         self._next_batch = 1
-        self._targets: Mapping[str, TargetInfo] = {}
-        self._home_of: Mapping[str, HostName] = {}
-        self._homed: dict[tuple[frozenset[str], str], frozenset[str]] = {}
-        self._others: list[str] | None = None
         self._alarms: list[tuple[int, str]] = []
         self._inquiry = Inquiry()
         self._answers: list[JobAnswer] = []
@@ -108,19 +94,10 @@
         owned = self._jobs[job_id]
         return len(owned.results), len(owned.job.tasks)
 
-    def replace_targets(
-        self, targets: Mapping[str, TargetInfo], home_of: Mapping[str, HostName]
-    ) -> None:
-        """Take over a new list of labelled targets and their homes."""
-        self._targets = targets
-        self._home_of = home_of
-        self._homed = {}
-        self._others = None
-
     def submit(self, job: Job, now_ms: int) -> list[Effect]:
         """Admit a job and place its tasks, or refuse it whole."""
-        class_name = self._policy.class_of(job)
-        plan = self._plan(job, class_name, now_ms)
+        class_name = self._planner.policy.class_of(job)
+        plan = self._planner.plan(job, class_name, now_ms)
         if isinstance(plan, Problem):
             answer = JobAnswer(job.job_id, Outcome.NOT_RUN, problem=plan)
             self._answers.append(answer)
@@ -174,7 +151,7 @@
 
     def home_lost(self, home: HostName, now_ms: int) -> list[Effect]:
         """Ask the targets about every task that was placed with a lost home."""
-        self.loads.pop(home, None)
+        self._planner.loads.pop(home, None)
         for placement in self._placements.values():
             if placement.home == home and not placement.is_recovering:
                 self._recover(placement, now_ms)
@@ -196,82 +173,11 @@
         effects += requests
         return effects + self._conclude(verdicts, now_ms)
 
-    def _plan(self, job: Job, class_name: str, now_ms: int) -> Matches | Problem:
-        """Return the targets of each task in one data centre, or the refusal.
-
-        This data centre comes first. Another one is tried when no target here may
-        run the job, or when this one is overloaded.
-        """
-        refusal = None
-        for data_centre in self._data_centres():
-            matches = self._match(job, (data_centre,))
-            if not all(matches.values()):
-                continue
-            problem = self._admit(job, class_name, {data_centre}, now_ms)
-            if problem is None:
-                return matches
-            refusal = refusal or problem
-            if problem.reason is not Reason.OVERLOADED:
-                break
-        return refusal or self._plan_across(job, class_name, now_ms)
-
-    def _plan_across(self, job: Job, class_name: str, now_ms: int) -> Matches | Problem:
-        """Return the targets of a job that no single data centre can run."""
-        matches = self._match(job, self._data_centres())
-        unmatched = [index for index, names in matches.items() if not names]
-        if unmatched:
-            detail = f"no reachable target may run task {unmatched[0]}"
-            return Problem(Reason.NO_MATCHING_TARGET, detail)
-        every = set(self._data_centres())
-        return self._admit(job, class_name, every, now_ms) or matches
-
-    def _admit(
-        self, job: Job, class_name: str, data_centres: set[str], now_ms: int
-    ) -> Problem | None:
-        loads = {
-            host: load
-            for host, load in self.loads.items()
-            if host.data_centre in data_centres
-        }
-        return self.admission.admit(job, class_name, loads, now_ms)
-
-    def _data_centres(self) -> list[str]:
-        """Return the data centres with reachable homes, this one first."""
-        if self._others is None:
-            found = {home.data_centre for home in self._home_of.values()}
-            self._others = sorted(found - {self._name.data_centre})
-        free = dict.fromkeys(self._others, 0)
-        for host, load in self.loads.items():
-            if host.data_centre in free:
-                free[host.data_centre] += load.free_slots
-        ranked = sorted(self._others, key=lambda name: -free[name])
-        return [self._name.data_centre, *ranked[:MAX_OTHER_DATA_CENTRES]]
-
-    def _match(self, job: Job, data_centres: Sequence[str]) -> Matches:
-        """Return the targets of each task in the first data centre that has any."""
-        matches = {}
-        for task in job.tasks:
-            names = self._policy.matching_targets(job, task, self._targets)
-            found = (self._homed_in(names, each) for each in data_centres)
-            matches[task.index] = next(filter(None, found), frozenset())
-        return matches
-
-    def _homed_in(self, names: frozenset[str], data_centre: str) -> frozenset[str]:
-        key = (names, data_centre)
-        found = self._homed.get(key)
-        if found is None:
-            homes = ((name, self._home_of.get(name)) for name in names)
-            found = frozenset(
-                name
-                for name, home in homes
-                if home is not None and home.data_centre == data_centre
-            )
-            self._homed[key] = found
-        return found
-
     def _place(self, owned: _OwnedJob, matches: Matches, now_ms: int) -> list[Effect]:
-        portions = split_over_homes(matches, self._home_of, self.loads, self._name)
-        return [self._send_portion(owned, portion, now_ms) for portion in portions]
+        return [
+            self._send_portion(owned, portion, now_ms)
+            for portion in self._planner.split(matches)
+        ]
 
     def _send_portion(
         self, owned: _OwnedJob, portion: Portion, now_ms: int
@@ -293,7 +199,6 @@
             owned.other_data_centres.add(portion.home.data_centre)
         for index in portion.indexes:
             owned.placed_count[index] = owned.placed_count.get(index, 0) + 1
-        self._expect_load(portion)
         message = PlaceBatch(
             batch=batch,
             job_id=job.job_id,
@@ -308,12 +213,6 @@
         )
         return SendPeer(portion.home, message)
 
-    def _expect_load(self, portion: Portion) -> None:
-        load = self.loads.get(portion.home)
-        if load is not None:
-            free_slots = load.free_slots - len(portion.indexes)
-            self.loads[portion.home] = attrs.evolve(load, free_slots=free_slots)
-
     def _settle(
         self, owned: _OwnedJob, placement: _Placement, result: TaskResult
     ) -> None:
@@ -358,7 +257,7 @@
         limit = MAX_PLACEMENTS_PER_TASK
         spent = {i for i in indexes if owned.placed_count[i] >= limit}
         self._give_up(owned, spent, Reason.TARGET_LOST)
-        all_matches = self._match(owned.job, self._data_centres())
+        all_matches = self._planner.match_anywhere(owned.job)
         matches = {index: all_matches[index] for index in sorted(indexes - spent)}
         homeless = {index for index, names in matches.items() if not names}
         self._give_up(owned, homeless, Reason.NO_MATCHING_TARGET)
@@ -434,7 +333,7 @@
 
     def _finish(self, owned: _OwnedJob, now_ms: int) -> None:
         del self._jobs[owned.job.job_id]
-        self.admission.finished(owned.job, owned.class_name, now_ms)
+        self._planner.admission.finished(owned.job, owned.class_name, now_ms)
         answer = conclude_job(owned.job, owned.results, owned.stop_problem)
         others = tuple(sorted(owned.other_data_centres))
         self._answers.append(attrs.evolve(answer, other_data_centres=others))
--- /dev/null
+++ b/hibiscusstack/dispatch/planning.py
@@ -0,0 +1,135 @@
+"""Where the tasks of a job may be placed, and whether the job is admitted."""
+
+__all__ = ["Matches", "Planner"]
+
+from collections.abc import Mapping, Sequence
+
+import attrs
+
+from hibiscusstack.dispatch.answers import Problem, Reason
+from hibiscusstack.dispatch.homes import Portion, split_over_homes
+from hibiscusstack.dispatch.interfaces import Admission, HomeLoad
+from hibiscusstack.dispatch.jobs import Job
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.dispatch.policy import PolicyInForce
+from hibiscusstack.dispatch.targets import TargetInfo
+
+MAX_OTHER_DATA_CENTRES = 2
+
+Matches = Mapping[int, frozenset[str]]
+
+
+class Planner:
+    """The targets, their homes and the loads, as the owner of jobs sees them.
+
+    ``loads`` is kept up to date by the engine from what homes report.
+    """
+
+    def __init__(
+        self, name: HostName, policy: PolicyInForce, admission: Admission
+    ) -> None:
+        self.loads: dict[HostName, HomeLoad] = {}
+        self.policy = policy
+        self.admission = admission
+        self._name = name
+        self._targets: Mapping[str, TargetInfo] = {}
+        self._home_of: Mapping[str, HostName] = {}
+        self._homed: dict[tuple[frozenset[str], str], frozenset[str]] = {}
+        self._others: list[str] = []
+
+    def replace_targets(
+        self, targets: Mapping[str, TargetInfo], home_of: Mapping[str, HostName]
+    ) -> None:
+        """Take over a new list of targets and their homes."""
+        self._targets = targets
+        self._home_of = home_of
+        self._homed = {}
+        found = {home.data_centre for home in home_of.values()}
+        self._others = sorted(found - {self._name.data_centre})
+
+    def match_anywhere(self, job: Job) -> Matches:
+        """Return the targets of each task, in the nearest data centre with any."""
+        return self._match(job, self._data_centres())
+
+    def split(self, matches: Matches) -> list[Portion]:
+        """Return the portions for each home, and expect their load from now on."""
+        portions = split_over_homes(matches, self._home_of, self.loads, self._name)
+        for portion in portions:
+            self._expect_load(portion)
+        return portions
+
+    def plan(self, job: Job, class_name: str, now_ms: int) -> Matches | Problem:
+        """Return the targets of each task in one data centre, or the refusal.
+
+        This data centre comes first. Another one is tried when no target here may
+        run the job, or when this one is overloaded.
+        """
+        refusal = None
+        for data_centre in self._data_centres():
+            matches = self._match(job, (data_centre,))
+            if not all(matches.values()):
+                continue
+            problem = self._admit(job, class_name, {data_centre}, now_ms)
+            if problem is None:
+                return matches
+            refusal = refusal or problem
+            if problem.reason is not Reason.OVERLOADED:
+                break
+        return refusal or self._plan_across(job, class_name, now_ms)
+
+    def _plan_across(self, job: Job, class_name: str, now_ms: int) -> Matches | Problem:
+        """Return the targets of a job that no single data centre can run."""
+        matches = self.match_anywhere(job)
+        unmatched = [index for index, names in matches.items() if not names]
+        if unmatched:
+            detail = f"no reachable target may run task {unmatched[0]}"
+            return Problem(Reason.NO_MATCHING_TARGET, detail)
+        every = set(self._data_centres())
+        return self._admit(job, class_name, every, now_ms) or matches
+
+    def _admit(
+        self, job: Job, class_name: str, data_centres: set[str], now_ms: int
+    ) -> Problem | None:
+        loads = {
+            host: load
+            for host, load in self.loads.items()
+            if host.data_centre in data_centres
+        }
+        return self.admission.admit(job, class_name, loads, now_ms)
+
+    def _data_centres(self) -> list[str]:
+        """Return the data centres with reachable homes, this one first."""
+        free = dict.fromkeys(self._others, 0)
+        for host, load in self.loads.items():
+            if host.data_centre in free:
+                free[host.data_centre] += load.free_slots
+        ranked = sorted(self._others, key=lambda name: -free[name])
+        return [self._name.data_centre, *ranked[:MAX_OTHER_DATA_CENTRES]]
+
+    def _match(self, job: Job, data_centres: Sequence[str]) -> Matches:
+        """Return the targets of each task in the first data centre that has any."""
+        matches = {}
+        for task in job.tasks:
+            names = self.policy.matching_targets(job, task, self._targets)
+            found = (self._homed_in(names, each) for each in data_centres)
+            matches[task.index] = next(filter(None, found), frozenset())
+        return matches
+
+    def _homed_in(self, names: frozenset[str], data_centre: str) -> frozenset[str]:
+        key = (names, data_centre)
+        found = self._homed.get(key)
+        if found is None:
+            homes = ((name, self._home_of.get(name)) for name in names)
+            found = frozenset(
+                name
+                for name, home in homes
+                if home is not None and home.data_centre == data_centre
+            )
+            self._homed[key] = found
+        return found
+
+    def _expect_load(self, portion: Portion) -> None:
+        load = self.loads.get(portion.home)
+        if load is not None:
+            free_slots = load.free_slots - len(portion.indexes)
+            self.loads[portion.home] = attrs.evolve(load, free_slots=free_slots)
