--- /dev/null
+++ b/hibiscusstack/daemon/tests/test_lifecycle.py
@@ -0,0 +1,68 @@
+"""The life of the daemon."""
+
+import attrs
+import pytest
+
+from hibiscusstack.daemon.lifecycle import Phase, StopCause, build_lifecycle
+
+
+@attrs.define
+class Actions:
+    """Records what the machine asks for."""
+
+    calls: list = attrs.field(factory=list)
+
+    def enter(self, phase):
+        """Record it."""
+        self.calls.append(phase)
+
+    def leave_balancer(self):
+        """Record it."""
+        self.calls.append("leave")
+
+    def refuse_new_work(self):
+        """Record it."""
+        self.calls.append("refuse")
+
+    def stop(self, cause):
+        """Record it."""
+        self.calls.append(cause)
+
+
+LEAVE = [Phase.LEAVING, "leave"]
+DRAIN = [Phase.DRAINING, "refuse"]
+
+
+@pytest.mark.parametrize(
+    ("events", "expected"),
+    [
+        (["configured", "configured"], [Phase.READY]),
+        (["became_idle", "left_balancer", "timed_out"], []),
+        (["configured", "stop_requested"], [Phase.READY, *LEAVE]),
+        (["stop_requested", "configured", "became_idle"], LEAVE),
+        (["stop_requested", "left_balancer"], LEAVE + DRAIN),
+        (["drain_requested", "drain_requested"], LEAVE),
+        (
+            ["drain_requested", "left_balancer", "became_idle", "stop_requested"],
+            [*LEAVE, *DRAIN, Phase.STOPPED, StopCause.DRAINED],
+        ),
+        (
+            ["stop_requested", "stop_requested", "became_idle"],
+            [*LEAVE, Phase.STOPPED, StopCause.SECOND_SIGNAL],
+        ),
+        (
+            ["drain_requested", "left_balancer", "stop_requested", "timed_out"],
+            [*LEAVE, *DRAIN, Phase.STOPPED, StopCause.SECOND_SIGNAL],
+        ),
+        (
+            ["stop_requested", "left_balancer", "timed_out", "became_idle"],
+            [*LEAVE, *DRAIN, Phase.STOPPED, StopCause.DRAIN_TIMEOUT],
+        ),
+    ],
+)
+def test_events_lead_to_actions(events, expected):
+    actions = Actions()
+    lifecycle = build_lifecycle(actions)
+    for event in events:
+        getattr(lifecycle, event)()
+    assert actions.calls == expected
--- a/hibiscusstack/host/mesh.py
+++ b/hibiscusstack/host/mesh.py
@@ -193,7 +193,7 @@
         if link.dialled is not None:
             self._book.note_closed(link.dialled, now_ms)
         if peer is not None:
-            log_message("host:connection_closed", peer=str(peer), cause=cause)
+            log_message("host:connection_closed", **_describe(peer), cause=cause)
             self._events.peer_disconnected(peer)
 
     def _listening(self, port: IListeningPort) -> IListeningPort:
@@ -213,7 +213,7 @@
             greeting.replaced.abort("replaced by a newer connection")
         if greeting.lost is not None:
             self._report_lost(greeting.lost)
-        log_message("host:peer_connected", peer=str(hello.sender))
+        log_message("host:peer_connected", **_describe(hello.sender))
         self._events.peer_connected(hello.sender)
         self.send(hello.sender, self._events.heartbeat())
 
@@ -224,7 +224,7 @@
         connection.close(refusal.value)
 
     def _report_lost(self, peer: HostName) -> None:
-        log_message("host:peer_lost", peer=str(peer))
+        log_message("host:peer_lost", **_describe(peer))
         self._events.peer_lost(peer)
 
     def _build_accepted(self) -> Connection:
@@ -300,3 +300,12 @@
 
 def _address_of(hello: Hello) -> PeerAddress:
     return PeerAddress(hello.address, hello.port)
+
+
+def _describe(peer: HostName) -> dict[str, str | int]:
+    """Return the fields that name a peer in an event."""
+    return {
+        "peer": peer.name,
+        "peer_data_centre": peer.data_centre,
+        "peer_incarnation": peer.incarnation,
+    }
--- a/scripts/submitting.py
+++ b/scripts/submitting.py
@@ -93,8 +93,8 @@
             "id": submission.job_id,
             "is_first_attempt": submission.sends_of_id == 0,
         }
-        submission.sends_of_id += 1
         status, answer = _post_json(f"{url}/v1/jobs", body)
+        submission.sends_of_id += status is not None
         if status == 200:
             return answer
         return answer.get("answer")
@@ -110,12 +110,19 @@
     return answer["outcome"] == "not_run" and reason in ATTEMPT_REASONS
 
 
-def _post_json(url: str, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
-    """Return status and body of an answer; status 0 when none came."""
+def _post_json(url: str, body: dict[str, Any]) -> tuple[int | None, dict[str, Any]]:
+    """Return status and body of an answer.
+
+    The status is 0 when no answer came, and ``None`` when nothing was sent.
+    """
     parts = urlsplit(url)
     connection = http.client.HTTPConnection(
         parts.hostname, parts.port, timeout=ANSWER_TIMEOUT_S
     )
+    try:
+        connection.connect()
+    except OSError:
+        return None, {}
     try:
         headers = {"Content-Type": "application/json"}
         connection.request("POST", parts.path, json.dumps(body), headers)
