--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -203,7 +203,7 @@
         return self._run(effects + self._assign_homes())
 
     def targets_listed(self, targets: Iterable[TargetInfo]) -> list[Effect]:
-        """Take over the platform's list of the targets of this data centre."""
+        """Take over the platform's list of the targets of all data centres."""
         self._listed = tuple(targets)
         return self._run(self._assign_homes())
 
@@ -215,13 +215,16 @@
 
     def heartbeat(self) -> Heartbeat:
         """Return what peers have to know of this host now."""
-        free_slots, queued_ms = self._home.load(self._clock.now_ms())
+        load = self._home.load(self._clock.now_ms())
         return Heartbeat(
             configuration_offset=self.configuration_offset,
             is_draining=self._is_draining,
-            free_slots=free_slots,
-            queued_ms=queued_ms,
-            targets=self._home.own_count,
+            free_slots=load.free_slots,
+            queued_ms=load.queued_ms,
+            targets=load.targets,
+            slots=load.slots,
+            ejected=load.ejected,
+            queued_ms_by_class=load.queued_ms_by_class,
         )
 
     def view_targets(self) -> list[TargetSnapshot]:
@@ -277,6 +280,7 @@
                 DRAINING_RETRY_AFTER_MS,
             )
             return self._finish(answer)
+        self._refresh_own_load()
         return self._owner.submit(job, self._clock.now_ms())
 
     def _join(self, waiter: _Waiter, job: Job) -> list[Effect]:
@@ -315,8 +319,11 @@
     ) -> list[Effect]:
         known = self._owner.loads.get(sender)
         if known is not None:
-            self._owner.loads[sender] = HomeLoad(
-                message.free_slots, message.queued_ms, known.targets
+            self._owner.loads[sender] = attrs.evolve(
+                known,
+                free_slots=message.free_slots,
+                queued_ms=message.queued_ms,
+                queued_ms_by_class=message.queued_ms_by_class,
             )
         return self._owner.results(sender, message, now_ms)
 
@@ -328,43 +335,59 @@
     def _hear(self, sender: HostName, message: Heartbeat, now_ms: int) -> list[Effect]:
         previous = self._peers.get(sender)
         self._peers[sender] = message
-        self._owner.loads[sender] = HomeLoad(
-            message.free_slots, message.queued_ms, message.targets
-        )
+        if sender.data_centre == self.name.data_centre:
+            self._owner.loads[sender] = HomeLoad(
+                message.free_slots,
+                message.queued_ms,
+                message.targets,
+                message.slots,
+                message.ejected,
+                message.queued_ms_by_class,
+            )
+            self._note_fleet()
         was_draining = previous is not None and previous.is_draining
         if message.is_draining != was_draining:
             return self._assign_homes()
         return []
 
     def _refresh_own_load(self) -> None:
-        free_slots, queued_ms = self._home.load(self._clock.now_ms())
-        self._owner.loads[self.name] = HomeLoad(
-            free_slots, queued_ms, self._home.own_count
-        )
+        load = self._home.load(self._clock.now_ms())
+        self._owner.loads[self.name] = load
+
+    def _note_fleet(self) -> None:
+        others = [load for home, load in self._owner.loads.items() if home != self.name]
+        ejected = sum(load.ejected for load in others)
+        self._home.note_fleet(ejected, len(self._listed))
 
     def _assign_homes(self) -> list[Effect]:
-        staying = [target.name for target in self._listed if not target.is_leaving]
-        home_of = assign_homes(staying, self._home_candidates())
+        home_of: dict[str, HostName] = {}
+        for data_centre in {each.data_centre for each in self._listed}:
+            home_of |= self._homes_in(data_centre)
         self._home_of = home_of
         own = frozenset(t for t, home in home_of.items() if home == self.name)
-        targets = {each.name: each for each in self._listed}
-        self._owner.replace_targets(targets, home_of)
-        effects = self._home.replace_targets(
-            targets.values(), own, self._clock.now_ms()
-        )
+        self._owner.replace_targets({each.name: each for each in self._listed}, home_of)
+        here = [t for t in self._listed if t.data_centre == self.name.data_centre]
+        effects = self._home.replace_targets(here, own, self._clock.now_ms())
         self._refresh_own_load()
         return effects
 
-    def _home_candidates(self) -> list[HostName]:
-        peers = [
+    def _homes_in(self, data_centre: str) -> dict[str, HostName]:
+        staying = [
+            target.name
+            for target in self._listed
+            if target.data_centre == data_centre and not target.is_leaving
+        ]
+        return assign_homes(staying, self._home_candidates(data_centre))
+
+    def _home_candidates(self, data_centre: str) -> list[HostName]:
+        candidates = [
             peer
             for peer, heartbeat in self._peers.items()
-            if peer.data_centre == self.name.data_centre
-            and not (heartbeat is not None and heartbeat.is_draining)
+            if not (heartbeat is not None and heartbeat.is_draining)
         ]
-        if self._is_draining:
-            return sorted(peers)
-        return sorted([*peers, self.name])
+        if not self._is_draining:
+            candidates.append(self.name)
+        return sorted(each for each in candidates if each.data_centre == data_centre)
 
     def _run(self, effects: list[Effect]) -> list[Effect]:
         """Deliver messages to this host and answers; return what is left to do."""
