--- a/hibiscusstack/daemon/live_list.py
+++ b/hibiscusstack/daemon/live_list.py
@@ -48,7 +48,7 @@
         self._mesh.replace_listed(
             PeerAddress(host.address, host.port) for host in live_list.dispatchers
         )
-        self._dispatcher.replace_targets(own)
+        self._dispatcher.replace_targets(live_list.targets)
         log_message(
             "platform:live_list",
             version=live_list.version,
