Place nothing new on a disconnected peer, and wait for busy targets

Cause: a peer whose connection ended stayed a home until it was given up for lost, so fresh jobs waited for it; and a task that four targets in a row called busy went back to its owner, five times, and then failed although its deadline was far. Both tests failed before: the first job had no answer after 500 ms, the second was answered 'failed' within 2 s.

--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -109,6 +109,7 @@
         self._listed: tuple[TargetInfo, ...] = ()
         self._home_of: dict[str, HostName] = {}
         self._peers: dict[HostName, Heartbeat | None] = {}
+        self._disconnected: set[HostName] = set()
         self._is_draining = False
         self._handlers = {
             PlaceBatch: self._home.place,
@@ -186,6 +187,7 @@
     def peer_connected(self, peer: HostName) -> list[Effect]:
         """Act on a new connection to a peer, the first one or a later one."""
         self._peers.setdefault(peer, None)
+        self._disconnected.discard(peer)
         effects = self._forwarding.connected(peer)
         effects += self._owner.home_connected(peer)
         return self._run(effects + self._assign_homes())
@@ -193,11 +195,13 @@
     def peer_disconnected(self, peer: HostName) -> list[Effect]:
         """Act on the end of a connection to a peer that may come back."""
         self._forwarding.disconnected(peer)
-        return []
+        self._disconnected.add(peer)
+        return self._run(self._assign_homes())
 
     def peer_lost(self, peer: HostName) -> list[Effect]:
         """Act on the loss of a peer that has not come back in time."""
         self._peers.pop(peer, None)
+        self._disconnected.discard(peer)
         now_ms = self._clock.now_ms()
         effects = self._forwarding.lost(peer)
         effects += self._home.owner_lost(peer, now_ms)
@@ -390,6 +394,7 @@
             peer
             for peer, heartbeat in self._peers.items()
             if not (heartbeat is not None and heartbeat.is_draining)
+            and peer not in self._disconnected
         ]
         if not self._is_draining:
             candidates.append(self.name)
--- a/hibiscusstack/dispatch/home.py
+++ b/hibiscusstack/dispatch/home.py
@@ -298,7 +298,8 @@
         self._remove(running)
         entry = running.entry
         must_return = not self._pause_after(running.target, reply, now_ms)
-        attempts = self._attempts.pop(entry.task_id, 1) + 1
+        is_counted = not _is_busy(reply)
+        attempts = self._attempts.pop(entry.task_id, 1) + is_counted
         is_open = self._batches.is_open(entry.owner, entry.batch, entry.task.index)
         if must_return or not is_open or attempts > MAX_START_ATTEMPTS:
             self._queue.record_run(entry, 0)
@@ -316,7 +317,7 @@
             self._health.record(target, False, 0, now_ms)
             self.slots.pause(target, now_ms + UNREACHABLE_PAUSE_MS)
             return True
-        if reply.reason == BUSY_REASON:
+        if _is_busy(reply):
             self.slots.pause(target, now_ms + BUSY_PAUSE_MS)
             return True
         if reply.reason == LEAVING_REASON:
@@ -364,6 +365,10 @@
         )
 
 
+def _is_busy(reply: TaskRefused | TaskNotSent) -> bool:
+    return isinstance(reply, TaskRefused) and reply.reason == BUSY_REASON
+
+
 def _queued(owner: HostName, message: PlaceBatch, task, now_ms: int) -> QueuedTask:
     return QueuedTask(
         owner=owner,
--- a/hibiscusstack/dispatch/tests/test_engine.py
+++ b/hibiscusstack/dispatch/tests/test_engine.py
@@ -225,3 +225,23 @@
         fleet.submit(0, job_of(fleet.mint(0), *[10] * 20))
         fleet.run(100)
     assert sum(fleet.peer_messages.values()) / 200 <= 0.05
+
+
+def test_fresh_job_does_not_wait_for_a_disconnected_peer():
+    fleet = Fleet(hosts=2, targets=8, slots=2)
+    fleet.run(5)
+    fleet.cut_link(0, 1)
+    fleet.call(0, "peer_disconnected", fleet.names[1])
+    request = fleet.submit(0, job_of(fleet.mint(0), *[50] * 30))
+    fleet.run(500)
+    assert fleet.answers[request].outcome is Outcome.SUCCEEDED
+
+
+def test_busy_targets_are_waited_for_until_the_deadline():
+    fleet = Fleet(hosts=1, targets=1)
+    fleet.targets["t0"].refuses = "busy"
+    request = fleet.submit(0, job_of(fleet.mint(0), 10, 10))
+    fleet.run(2_000)
+    fleet.targets["t0"].refuses = ""
+    fleet.run(200)
+    assert fleet.answers[request].outcome is Outcome.SUCCEEDED
