--- a/hibiscusstack/caller/answers.py
+++ b/hibiscusstack/caller/answers.py
@@ -82,7 +82,7 @@
     reader = FieldReader(value, "answer")
     items = reader.read_list("tasks", 0, MAX_TASKS_PER_JOB)
     return JobAnswer(
-        job_id=reader.read_name("id"),
+        job_id=reader.read_job_id("id"),
         outcome=_read_outcome(reader, "answer"),
         results=tuple(_decode_result(item, i) for i, item in enumerate(items)),
         problem=_decode_problem(reader.read_any("problem")),
@@ -100,7 +100,7 @@
     if phase not in PHASES:
         raise InvalidInputError("phase", "a known phase", phase)
     return JobState(
-        job_id=reader.read_name("id"),
+        job_id=reader.read_job_id("id"),
         phase=PHASES[phase],
         tasks=reader.read_integer("tasks", 0, MAX_TASKS_PER_JOB),
         tasks_ended=reader.read_integer("tasks_ended", 0, MAX_TASKS_PER_JOB),
--- a/hibiscusstack/caller/api.py
+++ b/hibiscusstack/caller/api.py
@@ -12,7 +12,7 @@
 
 from hibiscusstack.caller.answers import encode_answer, encode_job_state
 from hibiscusstack.caller.error_handlers import add_error_handlers
-from hibiscusstack.caller.fields import FieldReader, check_name
+from hibiscusstack.caller.fields import FieldReader, check_job_id, check_name
 from hibiscusstack.caller.json_body import parse_json_body
 from hibiscusstack.caller.limits import ApiLimits
 from hibiscusstack.caller.problems import InputFault, problem_of_answer, refusal_of
@@ -91,7 +91,7 @@
     def get_job(self, request: IRequest, job_id: str) -> bytes:
         """Answer with the state of a job of this caller."""
         caller = _read_caller(request)
-        state = self._service.status(check_name("id", job_id), caller)
+        state = self._service.status(check_job_id("id", job_id), caller)
         if state is None:
             raise refusal_of(InputFault.JOB_NOT_FOUND, "no such job on this host")
         return write_json(request, encode_job_state(state))
@@ -100,7 +100,7 @@
     def delete_job(self, request: IRequest, job_id: str) -> bytes:
         """Cancel a job of this caller."""
         caller = _read_caller(request)
-        if not self._service.cancel(check_name("id", job_id), caller):
+        if not self._service.cancel(check_job_id("id", job_id), caller):
             raise refusal_of(InputFault.JOB_NOT_FOUND, "no such job")
         return write_json(request, {"id": job_id, "cancelling": True}, 202)
 
@@ -113,7 +113,8 @@
             return self._service.submit(job)
         ids = self._service.issue_ids(1).ids
         if ids:
-            return self._service.submit(attrs.evolve(job, job_id=ids[0]))
+            first = attrs.evolve(job, job_id=ids[0], is_first_attempt=True)
+            return self._service.submit(first)
         reason = self._service.refusal_reason() or Reason.NOT_READY
         retry_after_ms = RETRY_MS_OF_REFUSAL[reason]
         return succeed(not_run(NO_JOB_ID, reason, retry_after_ms=retry_after_ms))
--- a/hibiscusstack/caller/attempts.py
+++ b/hibiscusstack/caller/attempts.py
@@ -30,6 +30,7 @@
 from hibiscusstack.dispatch.answers import JobAnswer
 from hibiscusstack.exceptions import (
     InvalidInputError,
+    NotSentError,
     RequestRefusedError,
     UnavailableError,
 )
@@ -113,11 +114,11 @@
             )
             return _read_attempt_result(status, value, attempt.fields.get("id"))
         except PROOFS_OF_NOT_SENT as error:
-            return NotSent(f"{self.url}: {type(error).__name__}: {error}")
+            return NotSent(f"{self.url}: {_describe(error)}")
         except DeferredTimeoutError:
             return Lost(f"{self.url}: silent for {attempt.timeout_ms} ms", True)
         except Exception as error:
-            return Lost(f"{self.url}: {type(error).__name__}: {error}")
+            return Lost(f"{self.url}: {_describe(error)}")
 
     async def fetch_ids(self, count: int, timeout_ms: int) -> IssuedIds:
         """Return fresh ids.
@@ -147,9 +148,10 @@
             status, value = await self._exchange(
                 method, path, timeout_ms, headers or {}, fields
             )
+        except PROOFS_OF_NOT_SENT as error:
+            raise NotSentError(self.url, _describe(error)) from error
         except Exception as error:
-            cause = f"{type(error).__name__}: {error}"
-            raise UnavailableError(self.url, cause) from error
+            raise UnavailableError(self.url, _describe(error)) from error
         if status // 100 != 2:
             raise _read_refusal(status, value)
         return value
@@ -179,6 +181,10 @@
         return response.code, json.loads(content)
 
 
+def _describe(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}"
+
+
 def _raise_timeout(_result: object, timeout_s: float) -> None:
     """Raise a timeout, whatever the cancelled exchange itself ended with."""
     raise DeferredTimeoutError(timeout_s)
@@ -209,7 +215,7 @@
         retry_after_ms = None
     type_name = type_of_problem(reader.read_any("type"))
     detail = reader.read_text("detail", MAX_DETAIL_CHARACTERS, "")
-    return RequestRefusedError(type_name, status, detail, retry_after_ms)
+    return RequestRefusedError(type_name, status, detail, retry_after_ms, members=value)
 
 
 def _read_ids(value: Any, name: str, valid_name: str) -> IssuedIds:
--- a/hibiscusstack/caller/client.py
+++ b/hibiscusstack/caller/client.py
@@ -1,6 +1,6 @@
 """The client library for callers."""
 
-__all__ = ["CallerClient", "ClientSettings", "connect_client", "result_of_answer"]
+__all__ = ["CallerClient", "result_of_answer"]
 
 import random
 from collections.abc import Mapping, Sequence
@@ -9,10 +9,8 @@
 
 import attrs
 from expression import Error, Ok, Result
-from treq.client import HTTPClient
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
-from twisted.web.client import Agent, HTTPConnectionPool
 
 from hibiscusstack.caller.answers import decode_job_state
 from hibiscusstack.caller.attempts import (
@@ -24,7 +22,7 @@
 )
 from hibiscusstack.caller.client_settings import ClientSettings
 from hibiscusstack.caller.entries import EntryRotation
-from hibiscusstack.caller.fields import check_name
+from hibiscusstack.caller.fields import check_job_id, check_name
 from hibiscusstack.caller.id_source import IdSource
 from hibiscusstack.caller.resubmission import (
     Finish,
@@ -45,26 +43,6 @@
 NO_JOB_ID = "none"
 
 
-def connect_client(
-    reactor: IReactorTime,
-    entries: Sequence[str],
-    caller: str,
-    settings: ClientSettings | None = None,
-) -> "CallerClient":
-    """Return a client on TCP connections that are kept open between requests.
-
-    ``entries`` are addresses such as ``http://127.0.0.1:8080``.
-    """
-    settings = settings or ClientSettings()
-    pool = HTTPConnectionPool(reactor)
-    pool.maxPersistentPerHost = settings.max_connections
-    connect_timeout = settings.connect_timeout_ms / MS_PER_SECOND
-    http = HTTPClient(Agent(reactor, connectTimeout=connect_timeout, pool=pool))
-    return CallerClient(
-        reactor, http, entries=entries, caller=caller, settings=settings
-    )
-
-
 def result_of_answer(answer: JobAnswer) -> Result[JobAnswer, JobAnswer]:
     """Return ``Ok`` of a success and ``Error`` of every other answer.
 
@@ -163,7 +141,7 @@
         await self._ask_each_entry("DELETE", job_id)
 
     async def _ask_each_entry(self, method: str, job_id: str) -> Any:
-        path = f"/v1/jobs/{check_name('id', job_id)}?caller={quote(self._caller)}"
+        path = f"/v1/jobs/{check_job_id('id', job_id)}?caller={quote(self._caller)}"
         error: Exception = UnavailableError("entry hosts", "none answered")
         for entry in self._entries.choose_all():
             try:
@@ -207,7 +185,12 @@
     ) -> AttemptResult:
         remaining_ms = max(1, deadline_ms - self._clock.now_ms())
         job_id = submitting.job_id if submission.key is None else ""
-        job = attrs.evolve(submission.job, job_id=job_id, timeout_ms=remaining_ms)
+        job = attrs.evolve(
+            submission.job,
+            job_id=job_id,
+            timeout_ms=remaining_ms,
+            is_first_attempt=submitting.is_first_attempt,
+        )
         fields = encode_submission(Submission(job, submission.key))
         longest_ms = remaining_ms + self._settings.answer_grace_ms
         timeout_ms = min(self._settings.attempt_timeout_ms, longest_ms)
--- a/hibiscusstack/caller/fields.py
+++ b/hibiscusstack/caller/fields.py
@@ -1,21 +1,25 @@
 """Reading of the fields of a JSON object, each with its type and bounds."""
 
-__all__ = ["FieldReader", "check_name"]
+__all__ = ["FieldReader", "check_job_id", "check_name"]
 
 import re
 from typing import Any
 
 from hibiscusstack.exceptions import InvalidInputError
 
-NAME = re.compile(r"[A-Za-z0-9._:@+~=-]{1,128}", re.ASCII)
-NAME_RULE = "1 to 128 of the characters A-Z a-z 0-9 . _ : @ + ~ = -"
+NAME = re.compile(r"[A-Za-z0-9._:@+~=-]+", re.ASCII)
+NAME_CHARACTERS = "A-Z a-z 0-9 . _ : @ + ~ = -"
+MAX_NAME_CHARACTERS = 128
+MAX_JOB_ID_CHARACTERS = 400
 MAX_LABELS = 32
 MAX_LABEL_CHARACTERS = 256
 MAX_SHOWN_CHARACTERS = 40
 REQUIRED = object()
 
 
-def check_name(where: str, value: Any) -> str:
+def check_name(
+    where: str, value: Any, max_characters: int = MAX_NAME_CHARACTERS
+) -> str:
     """Return ``value`` if it is a name, else raise ``InvalidInputError``.
 
     Names are caller, team, kind, id and key; they can stand in a path as they are.
@@ -23,9 +27,20 @@
     >>> check_name("team", "bookings")
     'bookings'
     """
-    if isinstance(value, str) and NAME.fullmatch(value):
+    is_short = isinstance(value, str) and len(value) <= max_characters
+    if is_short and NAME.fullmatch(value):
         return value
-    raise InvalidInputError(where, NAME_RULE, _describe(value))
+    expected = f"1 to {max_characters} of the characters {NAME_CHARACTERS}"
+    raise InvalidInputError(where, expected, _describe(value))
+
+
+def check_job_id(where: str, value: Any) -> str:
+    """Return ``value`` if it can be a job's id, which may be longer than a name.
+
+    >>> check_job_id("id", "dc1~h1~5~9")
+    'dc1~h1~5~9'
+    """
+    return check_name(where, value, MAX_JOB_ID_CHARACTERS)
 
 
 class FieldReader:
@@ -55,6 +70,13 @@
             return default
         return check_name(self._where(name), value)
 
+    def read_job_id(self, name: str, default: Any = REQUIRED) -> Any:
+        """Return a job's id, see :func:`check_job_id`."""
+        value = self._fields.pop(name, default)
+        if value is default and value is not REQUIRED:
+            return default
+        return check_job_id(self._where(name), value)
+
     def read_text(self, name: str, max_characters: int, default: Any = REQUIRED) -> str:
         """Return a string of up to ``max_characters``."""
         value = self._fields.pop(name, default)
--- a/hibiscusstack/caller/resubmission.py
+++ b/hibiscusstack/caller/resubmission.py
@@ -98,6 +98,11 @@
     is_pinned: bool = False
     is_unaccounted: bool = False
 
+    @property
+    def is_first_attempt(self) -> bool:
+        """Whether no earlier attempt under this id can have reached its owner."""
+        return not (self.is_pinned or self.is_unaccounted)
+
     def decide(self, result: AttemptResult) -> NextStep:
         """Return what to do after an attempt.
 
--- a/hibiscusstack/caller/submissions.py
+++ b/hibiscusstack/caller/submissions.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from hibiscusstack.caller.fields import FieldReader, check_name
+from hibiscusstack.caller.fields import FieldReader, check_job_id, check_name
 from hibiscusstack.caller.json_body import parse_json_body
 from hibiscusstack.dispatch.jobs import MAX_TASKS_PER_JOB, Job, Task
 from hibiscusstack.exceptions import InvalidInputError
@@ -57,7 +57,7 @@
     Raises as :func:`decode_submission` does.
     """
     reader = FieldReader(value)
-    job_id = reader.read_name("id", default="")
+    job_id = reader.read_job_id("id", default="")
     key = reader.read_name("key", default=None)
     if job_id and key is not None:
         raise InvalidInputError("key", "an id or a key, not both", key)
@@ -69,6 +69,7 @@
         labels=reader.read_labels("labels"),
         timeout_ms=reader.read_integer("timeout_ms", 1, MAX_TIMEOUT_MS, 30_000),
         traceparent=traceparent,
+        is_first_attempt=reader.read_boolean("is_first_attempt", default=False),
     )
     reader.refuse_unread_fields()
     return Submission(job, key)
@@ -87,12 +88,13 @@
         "team": job.team,
         "labels": dict(job.labels),
         "timeout_ms": job.timeout_ms,
+        "is_first_attempt": job.is_first_attempt,
         "tasks": [_encode_task(task) for task in job.tasks],
     }
     if submission.key is not None:
         fields["key"] = check_name("key", submission.key)
     elif job.job_id:
-        fields["id"] = check_name("id", job.job_id)
+        fields["id"] = check_job_id("id", job.job_id)
     return fields
 
 
--- a/hibiscusstack/caller/tests/test_client.py
+++ b/hibiscusstack/caller/tests/test_client.py
@@ -107,6 +107,8 @@
     bench.run_for(2_000)
     job_id = started_ids(bench)[-1]
     assert len(started_ids(bench)) == 2
+    was_delivered = fault is Fault.LOSE_ANSWER
+    assert bench.service.jobs[job_id].is_first_attempt is was_delivered
     bench.service.succeed(job_id)
     bench.run_for(2_000)
     assert result_of(answer).outcome is Outcome.SUCCEEDED
--- a/hibiscusstack/exceptions.py
+++ b/hibiscusstack/exceptions.py
@@ -8,11 +8,15 @@
     "DecodeError",
     "HibiscusError",
     "InvalidInputError",
+    "NotSentError",
     "RequestRefusedError",
     "SettingsError",
     "UnavailableError",
 ]
 
+from collections.abc import Mapping
+from typing import Any
+
 
 class HibiscusError(Exception):
     """The base of every exception that this project raises."""
@@ -35,7 +39,8 @@
 class RequestRefusedError(HibiscusError):
     """A request was refused before it became a job.
 
-    ``type_name`` is the stable type of the problem, ``status`` the HTTP status.
+    ``type_name`` is the stable type of the problem, ``status`` the HTTP status and
+    ``members`` all members of the problem details.
     """
 
     def __init__(
@@ -44,11 +49,14 @@
         status: int,
         detail: str = "",
         retry_after_ms: int | None = None,
+        *,
+        members: Mapping[str, Any] | None = None,
     ) -> None:
         self.type_name = type_name
         self.status = status
         self.detail = detail
         self.retry_after_ms = retry_after_ms
+        self.members = members or {}
         super().__init__(f"{type_name} ({status}): {detail}")
 
 
@@ -67,3 +75,7 @@
         self.peer = peer
         self.cause = cause
         super().__init__(f"{peer} is unavailable: {cause}")
+
+
+class NotSentError(UnavailableError):
+    """A peer could not be reached, and it is proven that nothing was sent to it."""
--- a/hibiscusstack/operator/api.py
+++ b/hibiscusstack/operator/api.py
@@ -11,7 +11,7 @@
 from twisted.web.iweb import IRequest
 
 from hibiscusstack.caller.error_handlers import add_error_handlers
-from hibiscusstack.caller.fields import FieldReader, check_name
+from hibiscusstack.caller.fields import FieldReader, check_job_id
 from hibiscusstack.caller.json_body import parse_json_body
 from hibiscusstack.caller.problems import (
     InputFault,
@@ -89,7 +89,7 @@
     @app.route("/v1/admin/traces/<job_id>", methods=["GET"])
     def get_trace(self, request: IRequest, job_id: str) -> bytes:
         """Answer with the hops of one job."""
-        spans = self._service.trace(check_name("id", job_id))
+        spans = self._service.trace(check_job_id("id", job_id))
         if not spans:
             raise refusal_of(InputFault.TRACE_NOT_FOUND, "no trace on this host")
         return _write_list(request, "spans", spans)
--- /dev/null
+++ b/hibiscusstack/operator/tests/fakes.py
@@ -0,0 +1,136 @@
+"""An operator service in memory, and a console that runs the tool on it."""
+
+import io
+from typing import Any
+
+import attrs
+from treq.testing import StubTreq
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.task import Clock
+
+from hibiscusstack.caller.api import CallerApi
+from hibiscusstack.caller.site import ApiRouter
+from hibiscusstack.caller.tests.fakes import FakeJobService
+from hibiscusstack.exceptions import InvalidInputError, SettingsError
+from hibiscusstack.operator.api import OperatorApi
+from hibiscusstack.operator.arguments import build_parser
+from hibiscusstack.operator.context import ToolContext
+from hibiscusstack.operator.exit_codes import ExitCode
+from hibiscusstack.operator.service import (
+    ConfigurationVersion,
+    HostView,
+    PublishAccepted,
+    PublishLost,
+    PublishOutcome,
+    PublishUnknown,
+    QueueView,
+    SpanView,
+    TargetView,
+)
+from hibiscusstack.operator.tool import run_command
+
+
+@attrs.define
+class FakeOperatorService:
+    """Accepts a version when its parent is the newest one."""
+
+    versions: list[ConfigurationVersion] = attrs.field(factory=list)
+    log_is_down: bool = False
+    is_draining: bool = False
+
+    def configuration(self) -> ConfigurationVersion | None:
+        """Return the newest version."""
+        return self.versions[-1] if self.versions else None
+
+    def configuration_history(self) -> tuple[ConfigurationVersion, ...]:
+        """Return all versions."""
+        return tuple(self.versions)
+
+    def publish_configuration(
+        self, text: str, parent_offset: int
+    ) -> Deferred[PublishOutcome]:
+        """Accept the version, unless its parent is replaced or the log is down."""
+        if "fault" in text:
+            fault = InvalidInputError("[limits] max_queue_ms", "an integer", "x")
+            raise SettingsError([fault])
+        if self.log_is_down:
+            return succeed(PublishUnknown("the log gave no answer"))
+        in_force = self.versions[-1].offset if self.versions else 0
+        if parent_offset != in_force:
+            return succeed(PublishLost(in_force))
+        self.versions.append(ConfigurationVersion(in_force + 1, in_force, text))
+        return succeed(PublishAccepted(in_force + 1))
+
+    def targets(self) -> tuple[TargetView, ...]:
+        """Return one target."""
+        labels = {"stage": "proofs"}
+        return (TargetView("w1", "dc1", "r1", "h1", "live", 8, 3, labels),)
+
+    def hosts(self) -> tuple[HostView, ...]:
+        """Return one host."""
+        return (HostView("h1", "dc1", 5, "live", 2, 40),)
+
+    def queue(self) -> tuple[QueueView, ...]:
+        """Return one class."""
+        return (QueueView("checks", "clubs", 12, 2400),)
+
+    def drain(self) -> None:
+        """Note the drain."""
+        self.is_draining = True
+
+    def trace(self, job_id: str) -> tuple[SpanView, ...]:
+        """Return two hops of the job ``j1``."""
+        if job_id != "j1":
+            return ()
+        return (
+            SpanView("submit", "a", "", 0.0, 12.5),
+            SpanView("start", "b", "a", 1.0, 10.0, {"target": "w1"}),
+        )
+
+
+@attrs.define
+class Console:
+    """Runs commands of the tool against an API in memory."""
+
+    jobs: FakeJobService = attrs.field(factory=FakeJobService)
+    operator: FakeOperatorService = attrs.field(factory=FakeOperatorService)
+    clock: Clock = attrs.field(factory=Clock)
+    out: io.StringIO = attrs.field(factory=io.StringIO)
+    err: io.StringIO = attrs.field(factory=io.StringIO)
+    http: StubTreq = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        callers = CallerApi(self.jobs).app.resource()
+        operators = OperatorApi(self.operator).app.resource()
+        self.http = StubTreq(ApiRouter(callers, operators))
+
+    def start(self, *arguments: str) -> Deferred[ExitCode]:
+        """Start a command and return its exit code, once it has ended."""
+        options = build_parser().parse_args(arguments)
+        context = ToolContext(options, self.clock, self.http, self.out, self.err)
+        running = Deferred.fromCoroutine(run_command(context))
+        self.run()
+        return running
+
+    def run(self) -> None:
+        """Let all bytes arrive and a little time pass."""
+        for _ in range(20):
+            self.http.flush()
+            self.clock.advance(0.01)
+
+    def call(self, *arguments: str) -> tuple[ExitCode, str, str]:
+        """Return exit code, output and errors of a command that ends at once."""
+        self.out.seek(0)
+        self.out.truncate()
+        self.err.seek(0)
+        self.err.truncate()
+        running = self.start(*arguments)
+        return result_of(running), self.out.getvalue(), self.err.getvalue()
+
+
+def result_of(running: Deferred[Any]) -> Any:
+    """Return the result of a deferred that has fired."""
+    results: list[Any] = []
+    running.addBoth(results.append)
+    assert results, "still running"
+    return results[0]
