Keep a lone host at work while it drains, and fit large results into frames

A host that drained with no peer in its data centre gave back what waited and lost its targets, so jobs in progress failed with no-matching-target. Results too large for one frame are spread over several, and an answer that cannot be spread becomes a failure with each outcome kept.

--- a/hibiscusstack/daemon/daemon.py
+++ b/hibiscusstack/daemon/daemon.py
@@ -80,6 +80,7 @@
         self._name = HostName(
             settings.host.data_centre, settings.host.name, choose_incarnation()
         )
+        self._reported_ms = 0
         self._timers: list = []
         self._calls: list[LoopingCall] = []
         self._ports: list[IListeningPort] = []
@@ -271,6 +272,7 @@
         self._ports.append(self._reactor.listenTCP(port, site, interface=address))
 
     def _begin(self, _: None) -> None:
+        self._reported_ms = self._clock.now_ms()
         self._mesh.start()
         self._call_every(TICK_INTERVAL_MS, self._tick)
         self._call_every(CONFIGURATION_INTERVAL_MS, self._tick_configuration)
@@ -295,6 +297,10 @@
         self._keeper.tick(self._mesh.peers())
 
     def _report(self) -> None:
+        now_ms = self._clock.now_ms()
+        late_ms = max(0, now_ms - self._reported_ms - REPORT_INTERVAL_MS)
+        self._reported_ms = now_ms
+        self._metrics.time(Metric.LOOP_DELAY_MS, late_ms)
         heartbeat = self.heartbeat()
         self._metrics.gauge(Metric.FREE_SLOTS, heartbeat.free_slots)
         self._metrics.gauge(Metric.QUEUED_MS, heartbeat.queued_ms)
--- a/hibiscusstack/daemon/dispatcher.py
+++ b/hibiscusstack/daemon/dispatcher.py
@@ -8,6 +8,7 @@
 from eliot import log_message
 from twisted.internet.defer import Deferred
 
+from hibiscusstack.daemon.framing import fit_to_frames
 from hibiscusstack.daemon.hops import PeerHops
 from hibiscusstack.daemon.targets import TargetCaller
 from hibiscusstack.dispatch.answers import JobAnswer
@@ -25,7 +26,6 @@
 from hibiscusstack.dispatch.messages import Heartbeat, HostName, Message
 from hibiscusstack.dispatch.policy import Policy
 from hibiscusstack.dispatch.targets import TargetInfo
-from hibiscusstack.exceptions import InvalidInputError
 from hibiscusstack.telemetry import Metric, Metrics
 
 Send = Callable[[HostName, Message], bool]
@@ -143,18 +143,18 @@
             waiting.callback(effect.answer)
 
     def _send(self, effect: SendPeer) -> None:
-        name = type(effect.message).__name__
-        try:
-            is_sent = self.send(effect.to, effect.message)
-        except InvalidInputError as fault:
-            log_message("daemon:message_refused", level="error", cause=str(fault))
-            is_sent = False
-        if is_sent:
-            self._metrics.count(Metric.PEER_MESSAGES)
-            self._hops.sent(effect.to, effect.message)
-            return
-        self._metrics.count(Metric.PEER_FAILURES)
-        log_message("daemon:not_sent", level="debug", to=effect.to.name, message=name)
+        self._hops.sent(effect.to, effect.message)
+        for part in fit_to_frames(effect.message):
+            is_sent = self.send(effect.to, part)
+            self._metrics.count(
+                Metric.PEER_MESSAGES if is_sent else Metric.PEER_FAILURES
+            )
+            if not is_sent:
+                self._log_failure(effect.to, part)
+
+    def _log_failure(self, to: HostName, message: Message) -> None:
+        name = type(message).__name__
+        log_message("daemon:not_sent", level="debug", to=to.name, message=name)
 
     def _target_replied(self, started: StartTask, reply: TargetReply) -> None:
         self.carry_out(self.engine.target_replied(started, reply))
--- /dev/null
+++ b/hibiscusstack/daemon/framing.py
@@ -0,0 +1,109 @@
+"""Messages that would be too large for one frame between hosts."""
+
+__all__ = ["fit_to_frames"]
+
+import attrs
+
+from hibiscusstack.dispatch.answers import (
+    JobAnswer,
+    Outcome,
+    Problem,
+    Reason,
+    TaskResult,
+)
+from hibiscusstack.dispatch.messages import BatchResults, ForwardAnswer, Message
+from hibiscusstack.host import MAX_FRAME_BYTES
+
+FIXED_BYTES = 4_096
+BYTES_PER_CHARACTER = 4
+BYTES_PER_ITEM = 9
+FIXED_RESULT_BYTES = 64
+
+
+def fit_to_frames(message: Message) -> list[Message]:
+    """Return the messages that together say what ``message`` says.
+
+    Results of a batch are spread over several messages. An answer cannot be, so one
+    that is too large becomes a failure that keeps each task's outcome and loses the
+    values. Only large values can make a message too large: the limit on the body of
+    a request keeps jobs small. The cost is linear in the size of the values.
+
+    >>> message = BatchResults(1, (TaskResult(0, Outcome.SUCCEEDED, "x"),))
+    >>> fit_to_frames(message) == [message]
+    True
+    """
+    if isinstance(message, BatchResults):
+        return _spread(message)
+    if isinstance(message, ForwardAnswer):
+        return [_shorten(message)]
+    return [message]
+
+
+def _spread(message: BatchResults) -> list[Message]:
+    groups = _group(message.results)
+    if len(groups) <= 1:
+        return [message]
+    parts = [attrs.evolve(message, results=group, returned=()) for group in groups[:-1]]
+    return [*parts, attrs.evolve(message, results=groups[-1])]
+
+
+def _group(results: tuple[TaskResult, ...]) -> list[tuple[TaskResult, ...]]:
+    """Return the results in groups of which each fits in a frame."""
+    groups: list[tuple[TaskResult, ...]] = []
+    group: list[TaskResult] = []
+    group_bytes = FIXED_BYTES
+    for result in results:
+        result_bytes = _bound_bytes(result)
+        if group and group_bytes + result_bytes > MAX_FRAME_BYTES:
+            groups.append(tuple(group))
+            group, group_bytes = [], FIXED_BYTES
+        group.append(result)
+        group_bytes += result_bytes
+    return [*groups, tuple(group)]
+
+
+def _shorten(message: ForwardAnswer) -> ForwardAnswer:
+    answer = message.answer
+    size_bytes = FIXED_BYTES + sum(_bound_bytes(result) for result in answer.results)
+    if size_bytes <= MAX_FRAME_BYTES:
+        return message
+    return attrs.evolve(message, answer=_without_values(answer))
+
+
+def _without_values(answer: JobAnswer) -> JobAnswer:
+    detail = "the values are too large to pass on between hosts"
+    problem = Problem(Reason.TOO_LARGE, detail)
+    results = tuple(
+        attrs.evolve(result, value=None, problem=result.problem or problem)
+        for result in answer.results
+    )
+    if answer.outcome is Outcome.SUCCEEDED:
+        return JobAnswer(answer.job_id, Outcome.FAILED, results, problem)
+    return attrs.evolve(answer, results=results)
+
+
+def _bound_bytes(result: TaskResult) -> int:
+    """Return a bound on the encoded size of a result."""
+    detail = result.problem.detail if result.problem else ""
+    return (
+        FIXED_RESULT_BYTES
+        + _bound_text_bytes(detail)
+        + _bound_value_bytes(result.value)
+    )
+
+
+def _bound_value_bytes(value: object) -> int:
+    if isinstance(value, str):
+        return BYTES_PER_ITEM + _bound_text_bytes(value)
+    if isinstance(value, list):
+        return BYTES_PER_ITEM + sum(map(_bound_value_bytes, value))
+    if isinstance(value, dict):
+        return BYTES_PER_ITEM + sum(
+            _bound_value_bytes(key) + _bound_value_bytes(item)
+            for key, item in value.items()
+        )
+    return BYTES_PER_ITEM
+
+
+def _bound_text_bytes(text: str) -> int:
+    return len(text) if text.isascii() else BYTES_PER_CHARACTER * len(text)
--- a/hibiscusstack/daemon/targets.py
+++ b/hibiscusstack/daemon/targets.py
@@ -7,6 +7,7 @@
 import attrs
 from eliot import log_message
 from opentelemetry.trace import Span
+from twisted.internet.defer import maybeDeferred
 from twisted.python.failure import Failure
 
 from hibiscusstack.clock import Clock
@@ -74,7 +75,7 @@
             traceparent=traceparent_of(span),
         )
         started_ms = self._clock.now_ms()
-        reply = self._client.start(target, sent)
+        reply = maybeDeferred(self._client.start, target, sent)
         reply.addErrback(_silent_after_error)
         reply.addCallback(self._finish, span, started_ms)
         reply.addCallback(lambda result: replied(effect, result))
@@ -86,7 +87,7 @@
             answered(TaskStates(effect.target, effect.task_ids, None))
             return
         self._metrics.count(Metric.STOPS_SENT)
-        states = self._client.stop(target, effect)
+        states = maybeDeferred(self._client.stop, target, effect)
         states.addErrback(_no_states_after_error, effect)
         states.addCallback(answered)
 
--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -253,7 +253,8 @@
         """Refuse new work and return what waits here to its owners."""
         self._is_draining = True
         effects = self._assign_homes()
-        effects += self._home.give_back_queued(self._clock.now_ms())
+        if self.name not in self._home_candidates(self.name.data_centre):
+            effects += self._home.give_back_queued(self._clock.now_ms())
         return self._run(effects)
 
     def tick(self) -> list[Effect]:
@@ -386,14 +387,17 @@
         return assign_homes(staying, self._home_candidates(data_centre))
 
     def _home_candidates(self, data_centre: str) -> list[HostName]:
-        candidates = [
+        """Return who may be a home, this host also while it drains alone."""
+        peers = [
             peer
             for peer, heartbeat in self._peers.items()
-            if not (heartbeat is not None and heartbeat.is_draining)
+            if peer.data_centre == data_centre
+            and not (heartbeat is not None and heartbeat.is_draining)
         ]
-        if not self._is_draining:
-            candidates.append(self.name)
-        return sorted(each for each in candidates if each.data_centre == data_centre)
+        is_needed = not (self._is_draining and peers)
+        if is_needed and self.name.data_centre == data_centre:
+            peers.append(self.name)
+        return sorted(peers)
 
     def _run(self, effects: list[Effect]) -> list[Effect]:
         """Deliver messages to this host and answers; return what is left to do."""
--- a/hibiscusstack/dispatch/tests/test_engine.py
+++ b/hibiscusstack/dispatch/tests/test_engine.py
@@ -203,6 +203,16 @@
     assert sum(fleet.targets["t0"].starts.values()) == 0
 
 
+def test_a_host_that_drains_alone_finishes_what_it_took():
+    fleet = Fleet(hosts=1, targets=1, slots=1)
+    request = fleet.submit(0, job_of(fleet.mint(0), *[100] * 5))
+    fleet.run(50)
+    fleet.call(0, "drain")
+    fleet.run(2_000)
+    assert fleet.answers[request].outcome is Outcome.SUCCEEDED
+    assert fleet.engines[fleet.names[0]].is_idle
+
+
 def test_drain_gives_queued_work_back_and_answers_everyone():
     fleet = Fleet(hosts=2, targets=4, slots=1)
     remote = fleet.submit(0, job_of(fleet.mint(0), *[100] * 12))
--- a/hibiscusstack/host/__init__.py
+++ b/hibiscusstack/host/__init__.py
@@ -1,12 +1,13 @@
 """Connections between dispatcher hosts."""
 
-from hibiscusstack.host.codec import decode_message, encode_message
+from hibiscusstack.host.codec import MAX_FRAME_BYTES, decode_message, encode_message
 from hibiscusstack.host.connection import NotConnected, SendBufferFull, SendFailure
 from hibiscusstack.host.dialing import PeerAddress
 from hibiscusstack.host.mesh import Mesh, MeshEvents, MeshTiming
 from hibiscusstack.host.network import Network, TcpNetwork
 
 __all__ = [
+    "MAX_FRAME_BYTES",
     "Mesh",
     "MeshEvents",
     "MeshTiming",
--- a/hibiscusstack/settings/sections.py
+++ b/hibiscusstack/settings/sections.py
@@ -32,6 +32,9 @@
 MAX_DURATION_MS = 3_600_000
 MAX_BYTES = 1 << 30
 MAX_COUNT = 10_000_000
+# A job must fit in one frame between hosts, and CBOR writes some numbers longer
+# than JSON does.
+MAX_BODY_BYTES = 1_572_864
 
 _DURATION = Number(1, MAX_DURATION_MS)
 _PORT = Number(0, MAX_PORT)
@@ -75,7 +78,9 @@
 
     address: str = _key(Address(), "The IP number to listen at.", "127.0.0.1")
     port: int = _key(_PORT, "The port; 0 lets the kernel choose.", 7401)
-    max_body_bytes: int = _key(_BYTES, "The largest body of a request.", 1_048_576)
+    max_body_bytes: int = _key(
+        Number(1024, MAX_BODY_BYTES), "The largest body of a request.", 1_048_576
+    )
     receive_timeout_ms: int = _key(
         _DURATION, "How long a caller may take to send a whole request.", 10_000
     )
