--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,10 @@
 .PHONY: bench-engine
 bench-engine: setup
 	$(PYTHON) -m benches.engine
+
+.PHONY: model model-deep
+model: setup
+	$(PYTHON) -m specs
+
+model-deep: setup
+	$(PYTHON) -m specs --deep
--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -1,12 +1,17 @@
 """Checks every specification and prints what the searches found."""
 
-__all__ = ["main"]
+__all__ = ["SPECIFICATIONS", "main"]
 
 import argparse
 import sys
 import time
 
-from specs import issued_ids, target_starts
+from specs import (
+    configuration_order,
+    issued_ids,
+    keyed_ownership,
+    target_starts,
+)
 from specs.specification import (
     MAX_STATES,
     Specification,
@@ -14,7 +19,12 @@
     find_counterexample,
 )
 
-SPECIFICATIONS = (issued_ids.SPECIFICATION, target_starts.SPECIFICATION)
+SPECIFICATIONS = (
+    issued_ids.SPECIFICATION,
+    target_starts.SPECIFICATION,
+    configuration_order.SPECIFICATION,
+    keyed_ownership.SPECIFICATION,
+)
 
 
 def main() -> int:
