--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,10 @@
 
 model-deep: setup
 	$(PYTHON) -m specs --deep
+
+demo: setup
+	$(PYTHON) -m scripts.demo
+
+.PHONY: settings-page
+settings-page: setup
+	$(PYTHON) -c "from hibiscusstack.settings import describe_settings as d; print(d(), end='')" > docs/SETTINGS.md
