--- /dev/null
+++ b/benches/policy/__init__.py
@@ -0,0 +1,1 @@
+"""The policy under load and faults, measured in virtual time."""
