--- a/hibiscusstack/settings/sections.py
+++ b/hibiscusstack/settings/sections.py
@@ -77,7 +77,7 @@
     """The HTTP interface for callers."""
 
     address: str = _key(Address(), "The IP number to listen at.", "127.0.0.1")
-    port: int = _key(_PORT, "The port; 0 lets the kernel choose.", 7401)
+    port: int = _key(_PORT, "The port; 0 lets the kernel choose.", 8080)
     max_body_bytes: int = _key(
         Number(1024, MAX_BODY_BYTES), "The largest body of a request.", 1_048_576
     )
@@ -91,7 +91,7 @@
     """The HTTP interface for operators."""
 
     address: str = _key(Address(), "The IP number to listen at.", "127.0.0.1")
-    port: int = _key(_PORT, "The port; 0 lets the kernel choose.", 7402)
+    port: int = _key(_PORT, "The port; 0 lets the kernel choose.", 8081)
 
 
 @attrs.frozen
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -76,7 +76,7 @@
 
 def _publish(site: Site, host: EntryHost) -> None:
     path = str(EXAMPLES / "demo.ini")
-    print(site.run_tool("--host", host.operator_url, "config", "publish", path))
+    print(site.run_tool("--admin", host.operator_url, "config", "publish", path))
 
 
 def _submit_all(
@@ -96,7 +96,7 @@
         _wait_for_part(futures, DRAIN_AFTER_PART)
         print(f"draining {hosts[2].name}", flush=True)
         site.list_as_leaving(hosts[2])
-        print(site.run_tool("--host", hosts[2].operator_url, "drain"), flush=True)
+        print(site.run_tool("drain", hosts[2].operator_url), flush=True)
         submissions = [future.result() for future in futures]
     return submissions, hosts[2].wait()
 
