--- a/hibiscusstack/operator/arguments.py
+++ b/hibiscusstack/operator/arguments.py
@@ -57,6 +57,8 @@
     )
     parser.add_argument(
         "--admin",
+        "--host",
+        dest="admin",
         action="append",
         default=default,
         metavar="URL",
@@ -72,7 +74,7 @@
         commands,
         "submit",
         "submit jobs from JSON files and wait for their answers",
-        "hibiscus submit --caller club-7 examples/kendra/booking.json",
+        "hibiscus submit --caller club-7 examples/jobs/kendra-issue-licence.json",
         "hibiscus --json submit --caller club-7 - < job.json",
     )
     submit.add_argument(
@@ -150,7 +152,12 @@
         "stop a host gracefully",
         "hibiscus drain http://10.0.0.7:8080",
     )
-    drain.add_argument("address", metavar="URL", help="the host's operators' interface")
+    drain.add_argument(
+        "address",
+        nargs="?",
+        metavar="URL",
+        help="the host's operators' interface (default: the one of --admin)",
+    )
     trace = _add_command(
         commands, "trace", "show the hops of a job", "hibiscus trace dc1~h1~5~9"
     )
--- a/hibiscusstack/operator/host_commands.py
+++ b/hibiscusstack/operator/host_commands.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from hibiscusstack.exceptions import InvalidInputError
 from hibiscusstack.operator.context import ToolContext
 from hibiscusstack.operator.exit_codes import ExitCode
 from hibiscusstack.operator.output import format_trace, write_views
@@ -34,9 +35,10 @@
 
 
 async def drain_host(context: ToolContext) -> ExitCode:
-    """Start the graceful stop of one host."""
-    await context.admin_client(context.options.address).drain()
-    context.write_line(f"{context.options.address} draining")
+    """Start the graceful stop of one host, which must be named."""
+    address = context.options.address or _only_admin(context)
+    await context.admin_client(address).drain()
+    context.write_line(f"{address} draining")
     return ExitCode.SUCCESS
 
 
@@ -49,3 +51,10 @@
     else:
         context.write_line(format_trace(spans))
     return ExitCode.SUCCESS
+
+
+def _only_admin(context: ToolContext) -> str:
+    named = context.options.admin or []
+    if len(named) != 1:
+        raise InvalidInputError("URL", "the one host to stop", named)
+    return named[0]
--- a/hibiscusstack/operator/tests/test_tool.py
+++ b/hibiscusstack/operator/tests/test_tool.py
@@ -181,6 +181,16 @@
     assert console.operator.is_draining
 
 
+def test_drain_stops_no_host_that_was_not_named() -> None:
+    console = Console()
+    assert console.call("drain")[0] is ExitCode.USAGE
+    arguments = ("--admin", "http://a:1", "--admin", "http://b:1", "drain")
+    assert console.call(*arguments)[0] is ExitCode.USAGE
+    assert not console.operator.is_draining
+    assert console.call("--admin", "http://a:1", "drain")[0] is ExitCode.SUCCESS
+    assert console.operator.is_draining
+
+
 def test_every_command_has_help_with_an_example(
     capsys: pytest.CaptureFixture[str],
 ) -> None:
