Split jobs by when homes can start them, and let short batches overtake

Overflow of a job went to one home, where large jobs missed their deadline. The split now uses as few homes as start the job early enough, homes have equal counts of targets, and batches take turns by arrival plus a multiple of their remaining time.

--- a/benches/policy/engines.py
+++ b/benches/policy/engines.py
@@ -131,6 +131,7 @@
             queue=parts.queue,
             admission=parts.admission,
             health=parts.health,
+            run_times=parts.run_times,
         )
 
     def _connect(self) -> None:
--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -90,15 +90,19 @@
         policy: PolicyInForce | None = None,
         admission: Admission | None = None,
         health: TargetHealth | None = None,
+        run_times: RunTimes | None = None,
     ) -> None:
         self.name = name
         self.ids = ids
         self.configuration_offset = 0
         self._clock = clock
         self._policy = policy or PolicyInForce()
-        self._owner = Owner(name, self._policy, admission or AdmitEverything())
+        run_times = run_times or RunTimes()
+        self._owner = Owner(
+            name, self._policy, admission or AdmitEverything(), run_times
+        )
         if queue is None:
-            queue = ShareQueue(self._policy, RunTimes())
+            queue = ShareQueue(self._policy, run_times)
         self._home = Home(queue, health)
         self._forwarding = Forwarding()
         self._finished = FinishedJobs()
@@ -335,16 +339,15 @@
     def _hear(self, sender: HostName, message: Heartbeat, now_ms: int) -> list[Effect]:
         previous = self._peers.get(sender)
         self._peers[sender] = message
-        if sender.data_centre == self.name.data_centre:
-            self._owner.loads[sender] = HomeLoad(
-                message.free_slots,
-                message.queued_ms,
-                message.targets,
-                message.slots,
-                message.ejected,
-                message.queued_ms_by_class,
-            )
-            self._note_fleet()
+        self._owner.loads[sender] = HomeLoad(
+            message.free_slots,
+            message.queued_ms,
+            message.targets,
+            message.slots,
+            message.ejected,
+            message.queued_ms_by_class,
+        )
+        self._note_fleet()
         was_draining = previous is not None and previous.is_draining
         if message.is_draining != was_draining:
             return self._assign_homes()
@@ -355,9 +358,15 @@
         self._owner.loads[self.name] = load
 
     def _note_fleet(self) -> None:
-        others = [load for home, load in self._owner.loads.items() if home != self.name]
+        here = self.name.data_centre
+        others = [
+            load
+            for home, load in self._owner.loads.items()
+            if home != self.name and home.data_centre == here
+        ]
         ejected = sum(load.ejected for load in others)
-        self._home.note_fleet(ejected, len(self._listed))
+        targets = sum(load.targets for load in others) + self._home.own_count
+        self._home.note_fleet(ejected, targets)
 
     def _assign_homes(self) -> list[Effect]:
         home_of: dict[str, HostName] = {}
--- a/hibiscusstack/dispatch/owner.py
+++ b/hibiscusstack/dispatch/owner.py
@@ -16,7 +16,7 @@
 )
 from hibiscusstack.dispatch.conclusion import conclude_job
 from hibiscusstack.dispatch.effects import Effect, SendPeer, TaskStates
-from hibiscusstack.dispatch.homes import Portion, split_over_homes
+from hibiscusstack.dispatch.estimates import Backlog, estimate_wait_ms
 from hibiscusstack.dispatch.inquiry import Inquiry, Verdict
 from hibiscusstack.dispatch.interfaces import Admission, HomeLoad
 from hibiscusstack.dispatch.jobs import Job, task_id_of
@@ -28,7 +28,9 @@
     PlaceBatch,
     QueryBatch,
 )
+from hibiscusstack.dispatch.placement import Portion, split_over_homes
 from hibiscusstack.dispatch.policy import PolicyInForce
+from hibiscusstack.dispatch.run_times import RunTimes
 from hibiscusstack.dispatch.targets import TargetInfo
 
 MAX_PLACEMENTS_PER_TASK = 5
@@ -72,9 +74,14 @@
     """
 
     def __init__(
-        self, name: HostName, policy: PolicyInForce, admission: Admission
+        self,
+        name: HostName,
+        policy: PolicyInForce,
+        admission: Admission,
+        run_times: RunTimes,
     ) -> None:
         self._policy = policy
+        self._run_times = run_times
         self.admission = admission
         self.loads: dict[HostName, HomeLoad] = {}
         self._name = name
@@ -270,7 +277,24 @@
         return found
 
     def _place(self, owned: _OwnedJob, matches: Matches, now_ms: int) -> list[Effect]:
-        portions = split_over_homes(matches, self._home_of, self.loads, self._name)
+        class_name = owned.class_name
+        policy = self._policy.policy
+        expected_ms = {
+            index: self._run_times.expected_ms(owned.job.tasks[index])
+            for index in matches
+        }
+        portions = split_over_homes(
+            matches,
+            self._home_of,
+            self.loads,
+            preferred=self._name,
+            expected_ms=expected_ms,
+            wait_ms=lambda load: estimate_wait_ms(
+                policy, Backlog.sum_of([load]), class_name
+            ),
+        )
+        for portion in portions:
+            self._expect_load(owned, portion, expected_ms)
         return [self._send_portion(owned, portion, now_ms) for portion in portions]
 
     def _send_portion(
@@ -293,7 +317,6 @@
             owned.other_data_centres.add(portion.home.data_centre)
         for index in portion.indexes:
             owned.placed_count[index] = owned.placed_count.get(index, 0) + 1
-        self._expect_load(portion)
         message = PlaceBatch(
             batch=batch,
             job_id=job.job_id,
@@ -308,11 +331,15 @@
         )
         return SendPeer(portion.home, message)
 
-    def _expect_load(self, portion: Portion) -> None:
+    def _expect_load(
+        self, owned: _OwnedJob, portion: Portion, expected_ms: Mapping[int, float]
+    ) -> None:
         load = self.loads.get(portion.home)
-        if load is not None:
-            free_slots = load.free_slots - len(portion.indexes)
-            self.loads[portion.home] = attrs.evolve(load, free_slots=free_slots)
+        if load is None:
+            return
+        work_ms = sum(expected_ms[index] for index in portion.indexes)
+        expected = load.with_batch(owned.class_name, len(portion.indexes), work_ms)
+        self.loads[portion.home] = expected
 
     def _settle(
         self, owned: _OwnedJob, placement: _Placement, result: TaskResult
--- /dev/null
+++ b/hibiscusstack/dispatch/placement.py
@@ -0,0 +1,204 @@
+"""How a job is split over the homes of its targets."""
+
+__all__ = ["Portion", "split_over_homes"]
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+
+import attrs
+
+from hibiscusstack.dispatch.interfaces import HomeLoad
+from hibiscusstack.dispatch.messages import HostName
+
+EXTRA_HOME_PART = 0.03
+LEAST_EXPECTED_MS = 1.0
+ASSUMED_SLOTS = 8
+
+
+@attrs.frozen
+class Portion:
+    """The part of a job that goes to one home, and the targets it may use there."""
+
+    home: HostName
+    indexes: tuple[int, ...]
+    targets: tuple[str, ...]
+
+
+@attrs.frozen
+class _Home:
+    """What one home can take of a job, by what it last said."""
+
+    name: HostName
+    slots: int
+    free_slots: int
+    queued_ms: float
+
+    def with_taken(self, tasks: int) -> "_Home":
+        """Return what is left when this job has already taken free slots."""
+        return attrs.evolve(self, free_slots=self.free_slots - tasks)
+
+    def count_within(self, wait_ms: float, mean_ms: float) -> float:
+        """Return how many tasks would have started within ``wait_ms``."""
+        served_ms = wait_ms * self.slots - self.queued_ms
+        return max(self.free_slots, 0) + max(served_ms, 0.0) / mean_ms
+
+
+def split_over_homes(
+    matches: Mapping[int, frozenset[str]],
+    home_of: Mapping[str, HostName],
+    loads: Mapping[HostName, HomeLoad],
+    *,
+    preferred: HostName,
+    expected_ms: Mapping[int, float],
+    wait_ms: Callable[[HomeLoad], float],
+) -> list[Portion]:
+    """Return portions that cover every index of ``matches``, on few homes.
+
+    Tasks with the same targets are split together. The homes of those targets are
+    ranked: ``preferred`` first, as it costs no message, then by free slots and
+    queue. As many of them are used, in that order, as make the last start early
+    enough to be worth another home, which counts as much as ``EXTRA_HOME_PART`` of
+    the longest task. Each gets what it can start by then. Each index needs at least
+    one matching target that has a home. ``wait_ms`` tells from a home's load when
+    its next slot comes to work of this class.
+
+    >>> a = HostName("dc1", "a", 1)
+    >>> split_over_homes(
+    ...     {0: frozenset({"t1"})},
+    ...     {"t1": a},
+    ...     {},
+    ...     preferred=a,
+    ...     expected_ms={0: 100.0},
+    ...     wait_ms=lambda load: 0.0,
+    ... )[0].indexes
+    (0,)
+
+    The cost grows with the tasks and with the number of homes times the logarithm
+    of the time searched.
+    """
+    by_targets: dict[frozenset[str], list[int]] = {}
+    for index, names in matches.items():
+        by_targets.setdefault(names, []).append(index)
+    taken: dict[HostName, int] = {}
+    portions: list[Portion] = []
+    for names, indexes in by_targets.items():
+        targets_of = _group_by_home(names, home_of)
+        homes = [
+            _describe(name, len(targets), loads.get(name), wait_ms)
+            for name, targets in targets_of.items()
+        ]
+        homes = [home.with_taken(taken.get(home.name, 0)) for home in homes]
+        homes.sort(key=lambda home: _rank(home, preferred))
+        counts = _count_tasks(homes, [expected_ms[index] for index in indexes])
+        portions += _deal_out(indexes, counts, targets_of, expected_ms)
+        for name, count in counts.items():
+            taken[name] = taken.get(name, 0) + count
+    return portions
+
+
+def _describe(
+    name: HostName,
+    targets: int,
+    load: HomeLoad | None,
+    wait_ms: Callable[[HomeLoad], float],
+) -> _Home:
+    if load is None:
+        return _Home(name, ASSUMED_SLOTS * targets, 0, 0.0)
+    slots = load.slots or ASSUMED_SLOTS * max(load.targets, 1)
+    if load.free_slots > 0:
+        return _Home(name, slots, load.free_slots, 0.0)
+    known = attrs.evolve(load, slots=slots)
+    return _Home(name, slots, load.free_slots, wait_ms(known) * slots)
+
+
+def _rank(home: _Home, preferred: HostName) -> tuple[bool, int, float, HostName]:
+    wait_ms = home.queued_ms / home.slots
+    return home.name != preferred, -max(home.free_slots, 0), wait_ms, home.name
+
+
+def _count_tasks(
+    homes: Sequence[_Home], expected_ms: Sequence[float]
+) -> dict[HostName, int]:
+    """Return how many of the tasks each home gets."""
+    mean_ms = max(sum(expected_ms) / len(expected_ms), LEAST_EXPECTED_MS)
+    charge_ms = EXTRA_HOME_PART * max(expected_ms)
+    total = len(expected_ms)
+    best_ms, best_count = _last_start_ms(homes[:1], total, mean_ms), 1
+    for count in range(2, len(homes) + 1):
+        if best_ms <= charge_ms * (count - best_count):
+            break
+        wait_ms = _last_start_ms(homes[:count], total, mean_ms)
+        if wait_ms + charge_ms * (count - best_count) < best_ms:
+            best_ms, best_count = wait_ms, count
+    return _share_out(homes[:best_count], total, best_ms, mean_ms)
+
+
+def _last_start_ms(homes: Sequence[_Home], total: int, mean_ms: float) -> float:
+    """Return the least wait within which the homes can start all tasks.
+
+    What homes can start grows piecewise linearly with the wait, so the answer lies
+    on the piece between two queues' ends.
+    """
+    started = sum(max(home.free_slots, 0) for home in homes)
+    if started >= total:
+        return 0.0
+    ends = sorted((home.queued_ms / home.slots, home.slots) for home in homes)
+    slots = 0
+    wait_ms = 0.0
+    for end_ms, end_slots in ends:
+        gained = (end_ms - wait_ms) * slots / mean_ms
+        if slots and started + gained >= total:
+            break
+        started += gained
+        wait_ms = end_ms
+        slots += end_slots
+    return wait_ms + (total - started) * mean_ms / slots
+
+
+def _share_out(
+    homes: Sequence[_Home], total: int, wait_ms: float, mean_ms: float
+) -> dict[HostName, int]:
+    counts: dict[HostName, int] = {}
+    remaining = total
+    for home in homes:
+        count = min(int(home.count_within(wait_ms, mean_ms)), remaining)
+        if count > 0:
+            counts[home.name] = count
+            remaining -= count
+    if remaining:
+        soonest = min(homes, key=lambda home: home.queued_ms / home.slots)
+        counts[soonest.name] = counts.get(soonest.name, 0) + remaining
+    return counts
+
+
+def _deal_out(
+    indexes: Sequence[int],
+    counts: Mapping[HostName, int],
+    targets_of: Mapping[HostName, Sequence[str]],
+    expected_ms: Mapping[int, float],
+) -> list[Portion]:
+    """Return the portions, with long and short tasks spread over all of them."""
+    ordered = sorted(indexes, key=expected_ms.__getitem__, reverse=True)
+    dealt: dict[HostName, list[int]] = {name: [] for name in counts}
+    total = len(ordered)
+    ranked = sorted(
+        ((place + 0.5) * total / count, number, name)
+        for number, (name, count) in enumerate(counts.items())
+        for place in range(count)
+    )
+    for index, (_, _, name) in zip(ordered, ranked, strict=True):
+        dealt[name].append(index)
+    return [
+        Portion(name, tuple(sorted(chosen)), tuple(sorted(targets_of[name])))
+        for name, chosen in dealt.items()
+    ]
+
+
+def _group_by_home(
+    names: Iterable[str], home_of: Mapping[str, HostName]
+) -> dict[HostName, list[str]]:
+    grouped: dict[HostName, list[str]] = {}
+    for name in names:
+        home = home_of.get(name)
+        if home is not None:
+            grouped.setdefault(home, []).append(name)
+    return grouped
--- a/hibiscusstack/dispatch/policy_parts.py
+++ b/hibiscusstack/dispatch/policy_parts.py
@@ -18,6 +18,7 @@
     queue: ShareQueue
     admission: AdmissionControl
     health: HealthTable
+    run_times: RunTimes
 
 
 def make_policy_parts(in_force: PolicyInForce) -> PolicyParts:
@@ -31,4 +32,5 @@
         ShareQueue(in_force, run_times),
         AdmissionControl(in_force, run_times),
         HealthTable(in_force),
+        run_times,
     )
--- a/hibiscusstack/dispatch/shares.py
+++ b/hibiscusstack/dispatch/shares.py
@@ -17,12 +17,14 @@
 from hibiscusstack.dispatch.waiting import (
     BatchKey,
     ClassLine,
+    Rank,
     TeamLine,
     TeamState,
     WaitingBatch,
 )
 
 HOPELESS_PART = 0.5
+FAIRNESS_STEP_MS = 10_000
 MAX_TEAM_STATES = 4_096
 
 
@@ -39,9 +41,10 @@
 
     A free slot goes to the most urgent class that has not used up its guaranteed
     part, and once no such class waits, to the most urgent class of all. Within a
-    class the team goes first that has had the least for its weight. Within a team
-    the batches that have begun go first, in order of arrival, and of a batch the
-    task that is expected to run the longest.
+    class the team goes first that has had the least for its weight, in steps of
+    ``FAIRNESS_STEP_MS``. Among equals the batch goes first whose arrival plus a
+    multiple of its remaining time is the earliest, and of a batch the task that is
+    expected to run the longest.
 
     A start is charged with the expected run time; the measured one replaces it when
     the run ends, so declared times give nobody an advantage. A team's bound on
@@ -82,7 +85,7 @@
 
     def push(self, entry: QueuedTask) -> None:
         """Add one task; one that was started before is no longer charged for."""
-        was_started = self._refund(entry) is not None
+        self._refund(entry)
         expected_ms = self.run_times.expected_ms(entry.task)
         key = (entry.owner, entry.batch)
         batch = self._batches.get(key)
@@ -93,9 +96,8 @@
         batch.push(entry, expected_ms, self._pushed)
         if _alarm_ms(batch) < earlier_alarm_ms:
             self._arm(batch)
-        if was_started:
-            batch.line.mark_begun(batch)
         self._count(batch, expected_ms, 1)
+        self._set_turn(batch)
 
     def pop(self, target: TargetInfo, now_ms: int) -> QueuedTask | None:
         """Take the task that should start on ``target`` next, if any may."""
@@ -174,10 +176,18 @@
         return level <= 0, -urgency, -level
 
     def _next_line(self, candidate: ClassLine) -> TeamLine | None:
-        class_name = candidate.class_name
-        return candidate.next_line(
-            lambda team: self._teams[class_name, team].virtual_ms, self._may_run
-        )
+        return candidate.next_line(self._rank_of_line, self._may_run)
+
+    def _rank_of_line(self, line: TeamLine) -> Rank:
+        virtual_ms = self._teams[line.owner.class_name, line.team].virtual_ms
+        return math.floor(virtual_ms / FAIRNESS_STEP_MS), line.first().turn_ms
+
+    def _set_turn(self, batch: WaitingBatch) -> None:
+        batch.set_turn(self._credits.slots)
+        self._enter(batch.line)
+
+    def _enter(self, line: TeamLine) -> None:
+        line.owner.enter(line.team, self._rank_of_line(line))
 
     def _may_run(self, team: str) -> bool:
         most = self._in_force.policy.team_named(team).max_running
@@ -198,10 +208,10 @@
         state = self._join(entry.class_name, entry.team)
         line = class_line.lines.get(entry.team)
         if line is None:
-            line = class_line.add_line(entry.team, state.virtual_ms)
+            line = class_line.add_line(entry.team)
             state.lines.append(line)
-        batch = WaitingBatch(key, line)
-        self._batches[key] = line.fresh[key] = batch
+        batch = WaitingBatch(key, line, self._pushed, entry.enqueued_ms)
+        self._batches[key] = batch
         return batch
 
     def _join(self, class_name: str, team: str) -> TeamState:
@@ -221,16 +231,16 @@
         self._teams = {key: each for key, each in self._teams.items() if each.waiting}
 
     def _take(self, batch: WaitingBatch, now_ms: int) -> QueuedTask:
-        negative_ms, _, entry = heapq.heappop(batch.entries)
-        expected_ms = -negative_ms
+        expected_ms, entry = batch.pop()
         self._count(batch, expected_ms, -1)
         class_name, team = entry.class_name, entry.team
         state = self._teams[class_name, team]
         self._class_virtual_ms[class_name] = state.virtual_ms
         self._charges[entry.task_id] = _Charge(class_name, team, expected_ms, now_ms)
         self._running[team] = self._running.get(team, 0) + 1
-        batch.line.mark_begun(batch)
-        if not batch.entries:
+        if batch.entries:
+            self._set_turn(batch)
+        else:
             self._close(batch)
         self._charge(class_name, team, expected_ms, now_ms)
         return entry
@@ -255,7 +265,7 @@
         weight = self._in_force.policy.team_named(team).quota_part
         state.virtual_ms += slot_ms / weight
         for line in state.lines:
-            line.owner.enter(team, state.virtual_ms)
+            self._enter(line)
 
     def _count(self, batch: WaitingBatch, expected_ms: float, sign: int) -> None:
         class_name, team = batch.line.owner.class_name, batch.line.team
@@ -272,6 +282,7 @@
         line = batch.line
         line.remove(batch)
         if not line.is_empty():
+            self._enter(line)
             return
         class_line = line.owner
         del class_line.lines[line.team]
--- a/hibiscusstack/dispatch/tests/test_shares.py
+++ b/hibiscusstack/dispatch/tests/test_shares.py
@@ -94,7 +94,7 @@
     assert queue.pop(TARGET, 0).team == "other"
 
 
-def test_begun_batches_go_first_and_longest_task_first():
+def test_batches_go_in_turn_and_of_each_the_longest_task_first():
     queue = make_queue()
     for batch in (1, 2):
         queue.push(make_entry(batch, 0, run_time_ms=50))
--- a/hibiscusstack/dispatch/waiting.py
+++ b/hibiscusstack/dispatch/waiting.py
@@ -12,6 +12,9 @@
 from hibiscusstack.dispatch.queueing import QueuedTask
 
 BatchKey = tuple[HostName, int]
+Rank = tuple[int, float]
+
+PATIENCE_FACTOR = 10.0
 
 
 @attrs.define
@@ -25,93 +28,125 @@
 
 @attrs.define(eq=False)
 class WaitingBatch:
-    """The tasks of one batch that wait, the longest expected first."""
+    """The tasks of one batch that wait, the longest expected first.
+
+    ``turn_ms`` orders batches: the lowest is next.
+    """
 
     key: BatchKey
     line: "TeamLine"
+    number: int
+    enqueued_ms: int
     entries: list[tuple[float, int, QueuedTask]] = attrs.field(factory=list)
     deadline_ms: float = math.inf
+    remaining_ms: float = 0.0
+    turn_ms: float = math.inf
 
     def push(self, entry: QueuedTask, expected_ms: float, number: int) -> None:
         """Add one task; ``number`` breaks ties."""
         heapq.heappush(self.entries, (-expected_ms, number, entry))
+        self.remaining_ms += expected_ms
         self.deadline_ms = min(self.deadline_ms, entry.deadline_ms)
 
+    def pop(self) -> tuple[float, QueuedTask]:
+        """Take out the longest task, with what it is expected to take."""
+        negative_ms, _, entry = heapq.heappop(self.entries)
+        self.remaining_ms += negative_ms
+        return -negative_ms, entry
+
     def longest_ms(self) -> float:
         """Return what the longest of the waiting tasks is expected to take."""
         return -self.entries[0][0] if self.entries else 0.0
 
+    def set_turn(self, slots: int) -> None:
+        """Work out the turn anew and enter it in the line.
+
+        The turn is the arrival plus a multiple of the time that ``slots`` slots need
+        for the rest. A short batch thus overtakes a long one that came a little
+        earlier, and no batch is overtaken for ever.
+        """
+        rest_ms = self.remaining_ms / max(slots, 1)
+        self.turn_ms = self.enqueued_ms + PATIENCE_FACTOR * rest_ms
+        self.line.enter(self)
+
 
 @attrs.define(eq=False)
 class TeamLine:
     """The batches of one team in one class that may use the same targets.
 
-    Batches of which something was started go before the others, since a job that
-    is given up halfway is waste.
+    The heap holds (turn, number, batch); an entry whose turn is no longer the
+    batch's is out of date.
     """
 
     owner: "ClassLine"
     team: str
-    begun: dict[BatchKey, WaitingBatch] = attrs.field(factory=dict)
-    fresh: dict[BatchKey, WaitingBatch] = attrs.field(factory=dict)
+    batches: dict[BatchKey, WaitingBatch] = attrs.field(factory=dict)
+    heap: list[tuple[float, int, WaitingBatch]] = attrs.field(factory=list)
+
+    def enter(self, batch: WaitingBatch) -> None:
+        """Enter a batch's new turn."""
+        self.batches[batch.key] = batch
+        heapq.heappush(self.heap, (batch.turn_ms, batch.number, batch))
+        if len(self.heap) > 4 * len(self.batches) + 64:
+            self.heap = [(b.turn_ms, b.number, b) for b in self.batches.values()]
+            heapq.heapify(self.heap)
 
     def first(self) -> WaitingBatch:
-        """Return the batch whose turn it is."""
-        return next(iter((self.begun or self.fresh).values()))
-
-    def mark_begun(self, batch: WaitingBatch) -> None:
-        """Let a batch go before those of which nothing was started."""
-        if self.fresh.pop(batch.key, None) is not None:
-            self.begun[batch.key] = batch
+        """Return the batch whose turn it is; the line must not be empty."""
+        while True:
+            turn_ms, _, batch = self.heap[0]
+            if batch.turn_ms == turn_ms and batch.key in self.batches:
+                return batch
+            heapq.heappop(self.heap)
 
     def remove(self, batch: WaitingBatch) -> None:
         """Take out a batch."""
-        self.begun.pop(batch.key, None)
-        self.fresh.pop(batch.key, None)
+        self.batches.pop(batch.key, None)
+        batch.turn_ms = math.nan
 
     def is_empty(self) -> bool:
         """Tell whether no batch waits here."""
-        return not self.begun and not self.fresh
+        return not self.batches
 
 
 @attrs.define(eq=False)
 class ClassLine:
     """The teams of one class whose waiting work may use the same targets.
 
-    The heap holds (virtual time, team) pairs. A pair whose virtual time is no
-    longer the team's is out of date and is dropped when it comes to the top, which
-    keeps every change of a team at a logarithmic cost.
+    The heap holds the rank of each team: its virtual time in whole steps, then the
+    turn of its first batch. An entry whose rank is no longer the team's is out of
+    date and is dropped when it comes to the top, which keeps every change at a
+    logarithmic cost.
     """
 
     class_name: str
     targets: frozenset[str]
     lines: dict[str, TeamLine] = attrs.field(factory=dict)
-    heap: list[tuple[float, str]] = attrs.field(factory=list)
+    heap: list[tuple[Rank, str]] = attrs.field(factory=list)
 
-    def add_line(self, team: str, virtual_ms: float) -> TeamLine:
+    def add_line(self, team: str) -> TeamLine:
         """Return a new line for a team that has none here."""
         line = TeamLine(self, team)
         self.lines[team] = line
-        self.enter(team, virtual_ms)
         return line
 
-    def enter(self, team: str, virtual_ms: float) -> None:
-        """Enter a team's new virtual time."""
-        heapq.heappush(self.heap, (virtual_ms, team))
+    def enter(self, team: str, rank: Rank) -> None:
+        """Enter a team's new rank."""
+        heapq.heappush(self.heap, (rank, team))
         if len(self.heap) > 4 * len(self.lines) + 64:
             self.heap = [each for each in set(self.heap) if each[1] in self.lines]
             heapq.heapify(self.heap)
 
     def next_line(
-        self, virtual_of: Callable[[str], float], is_allowed: Callable[[str], bool]
+        self, rank_of: Callable[[TeamLine], Rank], is_allowed: Callable[[str], bool]
     ) -> TeamLine | None:
-        """Return the line of the allowed team with the least virtual time."""
+        """Return the line of the allowed team with the lowest rank."""
         skipped = []
         found = None
         while self.heap:
-            virtual_ms, team = self.heap[0]
+            rank, team = self.heap[0]
             line = self.lines.get(team)
-            if line is None or virtual_ms != virtual_of(team):
+            if line is None or rank != rank_of(line):
                 heapq.heappop(self.heap)
                 continue
             if is_allowed(team):
