--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,13 @@
 bench-engine: setup
 	$(PYTHON) -m benches.engine
 
+.PHONY: model model-deep
+model: setup
+	$(PYTHON) -m specs
+
+model-deep: setup
+	$(PYTHON) -m specs --deep
+
 demo: setup
 	$(PYTHON) -m scripts.demo
 
--- a/hibiscusstack/daemon/daemon.py
+++ b/hibiscusstack/daemon/daemon.py
@@ -37,6 +37,8 @@
 from hibiscusstack.dispatch.engine import Engine
 from hibiscusstack.dispatch.ids import IdIssuer
 from hibiscusstack.dispatch.messages import Heartbeat, Hello, HostName, Message
+from hibiscusstack.dispatch.policy import PolicyInForce
+from hibiscusstack.dispatch.policy_parts import make_policy_parts
 from hibiscusstack.host import Mesh, MeshTiming, TcpNetwork
 from hibiscusstack.operator.api import OperatorApi
 from hibiscusstack.platform import LiveListClient, LogClient, PlatformHttp
@@ -78,6 +80,7 @@
         self._name = HostName(
             settings.host.data_centre, settings.host.name, choose_incarnation()
         )
+        self._reported_ms = 0
         self._timers: list = []
         self._calls: list[LoopingCall] = []
         self._ports: list[IListeningPort] = []
@@ -163,7 +166,17 @@
             self._metrics,
             settings.targets.timeout_ms,
         )
-        engine = Engine(self._name, self._clock, ids)
+        in_force = PolicyInForce()
+        parts = make_policy_parts(in_force)
+        engine = Engine(
+            self._name,
+            self._clock,
+            ids,
+            policy=in_force,
+            queue=parts.queue,
+            admission=parts.admission,
+            health=parts.health,
+        )
         hops = PeerHops(self._tracer)
         self._dispatcher = Dispatcher(engine, targets, hops, self._metrics)
 
@@ -259,6 +272,7 @@
         self._ports.append(self._reactor.listenTCP(port, site, interface=address))
 
     def _begin(self, _: None) -> None:
+        self._reported_ms = self._clock.now_ms()
         self._mesh.start()
         self._call_every(TICK_INTERVAL_MS, self._tick)
         self._call_every(CONFIGURATION_INTERVAL_MS, self._tick_configuration)
@@ -283,6 +297,10 @@
         self._keeper.tick(self._mesh.peers())
 
     def _report(self) -> None:
+        now_ms = self._clock.now_ms()
+        late_ms = max(0, now_ms - self._reported_ms - REPORT_INTERVAL_MS)
+        self._reported_ms = now_ms
+        self._metrics.time(Metric.LOOP_DELAY_MS, late_ms)
         heartbeat = self.heartbeat()
         self._metrics.gauge(Metric.FREE_SLOTS, heartbeat.free_slots)
         self._metrics.gauge(Metric.QUEUED_MS, heartbeat.queued_ms)
