Check the target client's claims against targets that misbehave

300 starts a seed go to a stand-in target in memory whose faults come and go: every claim of not started, finished or never started must agree with the target's own record. A doubled answer now comes 10 ms late, so it can hit the next request, and refusals can be doubled too.

--- /dev/null
+++ b/hibiscusstack/target/tests/test_truth.py
@@ -0,0 +1,126 @@
+"""Tests that what the client claims is true of stand-in targets that misbehave."""
+
+import random
+
+import pytest
+from twisted.internet.address import IPv4Address
+from twisted.internet.testing import MemoryReactorClock
+from twisted.test.iosim import FakeTransport, connect
+from twisted.web.server import Site
+
+from hibiscusstack.dispatch.effects import (
+    StopTasks,
+    TaskFinished,
+    TaskNotSent,
+    TaskRefused,
+    TaskState,
+)
+from hibiscusstack.dispatch.jobs import task_id_of
+from hibiscusstack.target import TargetClient
+from hibiscusstack.target.tests.network import start_of, target_of
+from hibiscusstack_standins.faults import TargetFaults
+from hibiscusstack_standins.serving import SilenceableFactory
+from hibiscusstack_standins.targets import TargetResource
+from hibiscusstack_standins.worker import TargetWorker
+
+TASKS = 300
+STEP_S = 0.005
+FAULTS = [
+    {},
+    {"hang": True},
+    {"mute": True},
+    {"lose_answer": True},
+    {"answer_twice": True},
+    {"answer_other": True},
+    {"answer_delay_ms": 150},
+    {"answer_delay_ms": 1_500},
+    {"fail_every_task": True},
+    {"refuse": "busy"},
+    {"refuse": "busy", "answer_twice": True},
+    {"leaving": True},
+    {"straggle_factor": 3.0},
+]
+
+
+class FaultyNetwork(MemoryReactorClock):
+    """A reactor whose connections lead to one stand-in target."""
+
+    def __init__(self, seed: int) -> None:
+        super().__init__()
+        self.chance = random.Random(seed)
+        self.worker = TargetWorker("t1", 8, self)
+        self.resource = TargetResource(self.worker, self, seed)
+        self.factory = SilenceableFactory(Site(self.resource, reactor=self))
+        self._pumps = []
+
+    def connectTCP(self, host, port, factory, timeout=30, **others):  # noqa: N802
+        """Connect to the target."""
+        connector = super().connectTCP(host, port, factory, timeout, **others)
+        client = factory.buildProtocol(None)
+        server = self.factory.buildProtocol(IPv4Address("TCP", "10.0.0.2", 9))
+        ends = FakeTransport(server, True), FakeTransport(client, False)
+        self._pumps.append(connect(server, ends[0], client, ends[1]))
+        return connector
+
+    def step(self) -> None:
+        """Let time pass, bytes move, and faults come and go."""
+        self.advance(STEP_S)
+        while sum(bool(pump.pump()) for pump in self._pumps):
+            pass
+        if self.chance.random() < 0.05:
+            faults = self.chance.choice(FAULTS)
+            self.resource.faults = TargetFaults(**faults, share=0.5)
+        if self.chance.random() < 0.01:
+            self.factory.silence_open_connections()
+
+
+def run_tasks(network: FaultyNetwork, client: TargetClient) -> list[tuple]:
+    """Return many starts with the reply to each, made a few at a time."""
+    replies = []
+    for number in range(TASKS):
+        effect = start_of(task_id_of("j", number, 1), 1_000, payload={"value": number})
+        started = client.start(target_of(), effect)
+        started.addCallback(lambda reply, e=effect: replies.append((e, reply)))
+        for _ in range(network.chance.randrange(8)):
+            network.step()
+    for _ in range(600):
+        network.step()
+    return replies
+
+
+def assert_true(network: FaultyNetwork, effect, reply) -> None:
+    """Check one reply against what the target did, then and later."""
+    starts = network.worker.starts[effect.task_id]
+    assert starts <= 1
+    if isinstance(reply, TaskFinished):
+        assert starts == 1
+        assert reply.result.index == effect.task.index
+        assert reply.result.value in (effect.task.index, {"error": "task failed"})
+    if isinstance(reply, TaskRefused | TaskNotSent):
+        assert starts == 0
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_every_claim_is_true_under_faults(seed):
+    network = FaultyNetwork(seed)
+    client = TargetClient(network)
+    replies = run_tasks(network, client)
+    assert len(replies) == TASKS
+    for effect, reply in replies:
+        assert_true(network, effect, reply)
+    assert len({type(reply) for _, reply in replies}) >= 3
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_the_word_on_silent_tasks_is_true(seed):
+    network = FaultyNetwork(seed)
+    client = TargetClient(network)
+    task_ids = tuple(effect.task_id for effect, _ in run_tasks(network, client))
+    network.resource.faults = TargetFaults()
+    answers = []
+    client.stop(target_of(), StopTasks("t1", task_ids)).addCallback(answers.append)
+    for _ in range(10):
+        network.step()
+    for task_id, state in answers[0].states.items():
+        has_started = network.worker.starts[task_id] == 1
+        assert (state is TaskState.NEVER_STARTED) is not has_started
--- a/hibiscusstack_standins/targets.py
+++ b/hibiscusstack_standins/targets.py
@@ -27,6 +27,7 @@
     TaskRequest,
 )
 
+_SECOND_ANSWER_DELAY_S = 0.01
 _NO_FAULTS = TargetFaults()
 
 
@@ -74,9 +75,17 @@
                 straggle_factor=faults.straggle_factor,
             )
         if refusal is not None:
-            return answer_problem(request, 409, refusal.reason)
+            return self._answer_refusal(request, refusal, faults)
         return NOT_DONE_YET
 
+    def _answer_refusal(
+        self, request: Request, refusal: Refusal, faults: TargetFaults
+    ) -> int:
+        if faults.answer_twice:
+            body = {"type": refusal.reason}
+            _answer_again_later(self._reactor, request, 409, body)
+        return answer_problem(request, 409, refusal.reason)
+
     def _drawn_faults(self) -> TargetFaults:
         if self.faults.share < 1 and self._random.random() >= self.faults.share:
             return attrs.evolve(_NO_FAULTS, leaving=self.faults.leaving)
@@ -133,15 +142,18 @@
         body = attrs.asdict(result)
         if self._faults.answer_other:
             body["task_id"] = f"{result.task_id}0"
-        transport = self._request.transport
-        answer_json(self._request, 200, body)
         if self._faults.answer_twice:
-            transport.write(_raw_answer(body))
+            _answer_again_later(self._reactor, self._request, 200, body)
+        answer_json(self._request, 200, body)
 
 
-def _raw_answer(body: dict) -> bytes:
+def _answer_again_later(
+    reactor: IReactorTime, request: Request, status: int, body: dict
+) -> None:
     data = json.dumps(body).encode()
-    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(data), data)
+    head = f"HTTP/1.1 {status} Again\r\nContent-Length: {len(data)}\r\n\r\n"
+    connection = request.channel.transport
+    reactor.callLater(_SECOND_ANSWER_DELAY_S, connection.write, head.encode() + data)
 
 
 def _task_from_json(body: Any) -> TaskRequest:
--- a/hibiscusstack_standins/tests/test_targets.py
+++ b/hibiscusstack_standins/tests/test_targets.py
@@ -67,6 +67,7 @@
     ("faults", "started", "answered"),
     [
         ({"refuse": "busy"}, 0, [409]),
+        ({"refuse": "busy", "answer_twice": True}, 0, [409, 409]),
         ({"leaving": True}, 0, [409]),
         ({"hang": True}, 0, []),
         ({"mute": True}, 1, []),
@@ -82,6 +83,7 @@
     rig.resource.faults = TargetFaults(**faults)
     rig.start()
     rig.clock.advance(0.05)
+    rig.clock.advance(0.02)
     assert rig.worker.starts.total() == started
     assert [status for status, _ in rig.answers()] == answered
 
