--- a/benches/path.py
+++ b/benches/path.py
@@ -39,11 +39,12 @@
 _TARGET_PROCESSES = 3
 _TARGETS_PER_PROCESS = 8
 _TASKS_PER_JOB = 20
-_LIMIT_RUN_MS = 20
-_PROBE_RUN_MS = 50
+_RUN_MS = 50
 _PROBES_PER_S = 25
+_JOBS_OF_MOST_SLOTS = 7
+_JOBS_BEYOND_SLOTS = 20
 _DIRECT_TIMEOUT_MS = 10_000
-_SETTLE_S = 1.0
+_SETTLE_S = 3.0
 _STATSD = """
 [telemetry]
 statsd_address = 127.0.0.1
@@ -105,15 +106,19 @@
 async def _measure_all(bench: _Bench, host: EntryHost) -> int:
     await deferLater(reactor, _SETTLE_S)
     sender = JobSender(reactor, host.caller_url)
-    await run_closed(reactor, lambda: sender.submit(1, 1), 100, 8)
+    await run_closed(reactor, lambda: sender.submit(1, _RUN_MS), 400, 16)
     starts_per_s, failures = await _measure_limit(bench, host, sender)
     failures += await _measure_latency(bench, host, sender, starts_per_s / 2)
-    failures += await _measure_messages(bench, [host], "1_host")
+    failures += await _measure_messages(bench, [host], "1_host", _JOBS_OF_MOST_SLOTS)
     others = [bench.site.start_host(f"entry-{number}") for number in (2, 3)]
     for other in others:
         bench.site.wait_until_ready(other)
     await deferLater(reactor, _SETTLE_S)
-    failures += await _measure_messages(bench, [host, *others], "3_hosts")
+    hosts = [host, *others]
+    failures += await _measure_messages(bench, hosts, "3_hosts", _JOBS_OF_MOST_SLOTS)
+    failures += await _measure_messages(
+        bench, hosts, "3_hosts_full", _JOBS_BEYOND_SLOTS
+    )
     _print("failures", failures, "calls")
     return failures
 
@@ -126,7 +131,7 @@
     own_s = time.process_time()
     sample = await run_closed(
         reactor,
-        lambda: sender.submit(_TASKS_PER_JOB, _LIMIT_RUN_MS),
+        lambda: sender.submit(_TASKS_PER_JOB, _RUN_MS),
         arguments.jobs,
         arguments.in_progress,
     )
@@ -149,7 +154,7 @@
     numbers = iter(range(sys.maxsize))
 
     async def call_direct() -> bool:
-        task = Task(0, "check", {"run_ms": _PROBE_RUN_MS, "value": 1})
+        task = Task(0, "check", {"run_ms": _RUN_MS, "value": 1})
         task_id = f"direct/0/{next(numbers)}"
         effect = StartTask(bench.direct.name, task_id, task, _DIRECT_TIMEOUT_MS)
         return isinstance(await client.start(bench.direct, effect), TaskFinished)
@@ -163,12 +168,12 @@
     jobs, path, direct = await gatherResults(
         [
             load(
-                lambda: sender.submit(_TASKS_PER_JOB, _PROBE_RUN_MS),
+                lambda: sender.submit(_TASKS_PER_JOB, _RUN_MS),
                 jobs_per_s,
                 arguments.seed,
             ),
             load(
-                lambda: sender.submit(1, _PROBE_RUN_MS),
+                lambda: sender.submit(1, _RUN_MS),
                 _PROBES_PER_S,
                 arguments.seed + 1,
             ),
@@ -207,16 +212,18 @@
         _print(f"path_jobs_of_{_TASKS_PER_JOB}_{name}", job_ms, "ms")
 
 
-async def _measure_messages(bench: _Bench, hosts: list[EntryHost], suffix: str) -> int:
+async def _measure_messages(
+    bench: _Bench, hosts: list[EntryHost], suffix: str, in_progress: int
+) -> int:
     senders = [JobSender(reactor, host.caller_url) for host in hosts]
     turns = iter(range(sys.maxsize))
 
     async def submit() -> bool:
         sender = senders[next(turns) % len(senders)]
-        return await sender.submit(_TASKS_PER_JOB, _PROBE_RUN_MS)
+        return await sender.submit(_TASKS_PER_JOB, _RUN_MS)
 
     before = bench.counters.totals.copy()
-    sample = await run_closed(reactor, submit, bench.arguments.jobs // 4, 4)
+    sample = await run_closed(reactor, submit, bench.arguments.jobs // 2, in_progress)
     await deferLater(reactor, _SETTLE_S)
     counted = bench.counters.totals - before
     tasks = _require_successes(sample) * _TASKS_PER_JOB
