--- a/hibiscusstack/operator/arguments.py
+++ b/hibiscusstack/operator/arguments.py
@@ -133,9 +133,11 @@
         "hibiscus config diff new.ini",
         "hibiscus config diff 40 41",
     )
-    diff.add_argument("new", metavar="NEW", help="an offset or a file")
     diff.add_argument(
-        "old", nargs="?", metavar="OLD", help="an offset or a file (default: in force)"
+        "sides",
+        nargs="+",
+        metavar="VERSION",
+        help="the old and the new one; the old one may be left out",
     )
 
 
--- a/hibiscusstack/operator/configuration_commands.py
+++ b/hibiscusstack/operator/configuration_commands.py
@@ -26,6 +26,8 @@
     PublishUnknown,
 )
 
+MAX_SIDES = 2
+
 
 async def publish_configuration(context: ToolContext) -> ExitCode:
     """Publish a file, unless another version came first."""
@@ -82,9 +84,13 @@
 
 async def diff_configurations(context: ToolContext) -> ExitCode:
     """Write what changes from the old version to the new one."""
+    sides = context.options.sides
+    if len(sides) > MAX_SIDES:
+        raise InvalidInputError("NEW", "one or two versions", sides)
     client = context.admin_client()
-    old_name, old = await _read_side(client, context.options.old)
-    new_name, new = await _read_side(client, context.options.new)
+    old_side = sides[0] if len(sides) == MAX_SIDES else None
+    old_name, old = await _read_side(client, old_side)
+    new_name, new = await _read_side(client, sides[-1])
     lines = difflib.unified_diff(
         old.splitlines(keepends=True), new.splitlines(keepends=True), old_name, new_name
     )
