--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -250,8 +250,8 @@
 
     def view_queue(self) -> QueueSnapshot:
         """Return what waits on this host."""
-        _, queued_ms = self._home.load(self._clock.now_ms())
-        return QueueSnapshot(self._home.waiting_count, queued_ms)
+        load = self._home.load(self._clock.now_ms())
+        return QueueSnapshot(self._home.waiting_count, load.queued_ms)
 
     def drain(self) -> list[Effect]:
         """Refuse new work and return what waits here to its owners."""
--- a/hibiscusstack/dispatch/tests/test_engine.py
+++ b/hibiscusstack/dispatch/tests/test_engine.py
@@ -28,6 +28,15 @@
     assert max(t.most_running for t in fleet.targets.values()) == 4
 
 
+def test_the_queue_of_a_host_is_shown():
+    fleet = Fleet(hosts=1, targets=1, slots=1)
+    fleet.submit(0, job_of(fleet.mint(0), 50, 50, 50))
+    fleet.run(20)
+    (engine,) = fleet.engines.values()
+    queue = engine.view_queue()
+    assert (queue.tasks, queue.queued_ms) == (2, 100)
+
+
 def test_resubmission_elsewhere_joins_the_first():
     fleet = kendra_fleet()
     job = job_of(fleet.mint(0), 100, 100)
