--- a/hibiscusstack/dispatch/planning.py
+++ b/hibiscusstack/dispatch/planning.py
@@ -4,14 +4,14 @@
 
 from collections.abc import Mapping, Sequence
 
-import attrs
-
 from hibiscusstack.dispatch.answers import Problem, Reason
-from hibiscusstack.dispatch.homes import Portion, split_over_homes
+from hibiscusstack.dispatch.estimates import Backlog, estimate_wait_ms
 from hibiscusstack.dispatch.interfaces import Admission, HomeLoad
 from hibiscusstack.dispatch.jobs import Job
 from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.dispatch.placement import Portion, split_over_homes
 from hibiscusstack.dispatch.policy import PolicyInForce
+from hibiscusstack.dispatch.run_times import RunTimes
 from hibiscusstack.dispatch.targets import TargetInfo
 
 MAX_OTHER_DATA_CENTRES = 2
@@ -26,11 +26,16 @@
     """
 
     def __init__(
-        self, name: HostName, policy: PolicyInForce, admission: Admission
+        self,
+        name: HostName,
+        policy: PolicyInForce,
+        admission: Admission,
+        run_times: RunTimes,
     ) -> None:
         self.loads: dict[HostName, HomeLoad] = {}
         self.policy = policy
         self.admission = admission
+        self._run_times = run_times
         self._name = name
         self._targets: Mapping[str, TargetInfo] = {}
         self._home_of: Mapping[str, HostName] = {}
@@ -51,11 +56,23 @@
         """Return the targets of each task, in the nearest data centre with any."""
         return self._match(job, self._data_centres())
 
-    def split(self, matches: Matches) -> list[Portion]:
+    def split(self, job: Job, class_name: str, matches: Matches) -> list[Portion]:
         """Return the portions for each home, and expect their load from now on."""
-        portions = split_over_homes(matches, self._home_of, self.loads, self._name)
+        expected_ms = {
+            index: self._run_times.expected_ms(job.tasks[index]) for index in matches
+        }
+        portions = split_over_homes(
+            matches,
+            self._home_of,
+            self.loads,
+            preferred=self._name,
+            expected_ms=expected_ms,
+            wait_ms=lambda load: estimate_wait_ms(
+                self.policy.policy, Backlog.sum_of([load]), class_name
+            ),
+        )
         for portion in portions:
-            self._expect_load(portion)
+            self._expect_load(class_name, portion, expected_ms)
         return portions
 
     def plan(self, job: Job, class_name: str, now_ms: int) -> Matches | Problem:
@@ -128,8 +145,12 @@
             self._homed[key] = found
         return found
 
-    def _expect_load(self, portion: Portion) -> None:
+    def _expect_load(
+        self, class_name: str, portion: Portion, expected_ms: Mapping[int, float]
+    ) -> None:
         load = self.loads.get(portion.home)
-        if load is not None:
-            free_slots = load.free_slots - len(portion.indexes)
-            self.loads[portion.home] = attrs.evolve(load, free_slots=free_slots)
+        if load is None:
+            return
+        work_ms = sum(expected_ms[index] for index in portion.indexes)
+        expected = load.with_batch(class_name, len(portion.indexes), work_ms)
+        self.loads[portion.home] = expected
