--- a/hibiscusstack/caller/tests/test_channel.py
+++ b/hibiscusstack/caller/tests/test_channel.py
@@ -5,6 +5,9 @@
 
 import attrs
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from twisted.internet.error import ConnectionDone
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
@@ -119,6 +122,32 @@
     assert server.service.jobs == {}
 
 
+pieces = st.one_of(
+    st.binary(max_size=30),
+    st.sampled_from([POST, b"GET /v1/jobs/j?caller=c HTTP/1.1\r\n", b"\r\n"]),
+    st.sampled_from([b"Content-Length: 9\r\n", b"Transfer-Encoding: chunked\r\n"]),
+    st.sampled_from([b"Host: h\r\n", b"0\r\n\r\n", b"A: b\r\n c\r\n", b"{" * 9]),
+)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.lists(pieces, max_size=12))
+def test_any_bytes_get_problems_only_and_leave_nothing_behind(
+    sent: list[bytes],
+) -> None:
+    server = make_server()
+    channel, transport = server.connect()
+    for data in sent:
+        channel.dataReceived(data)
+    server.clock.advance(LIMITS.receive_timeout_ms / 1000)
+    for response in transport.value().split(b"HTTP/1.1 ")[1:]:
+        assert response[:1] == b"4" or response.startswith(b"100 ")
+    channel.connectionLost(ConnectionDone())
+    assert server.service.jobs == {}
+    assert server.site.body_budget.taken_bytes == 0
+    assert server.site.connections == 0
+
+
 def test_bytes_after_a_refusal_are_thrown_away_and_the_connection_ends() -> None:
     server = make_server()
     channel, transport = server.connect()
--- a/hibiscusstack/target/decoding.py
+++ b/hibiscusstack/target/decoding.py
@@ -12,6 +12,7 @@
 ]
 
 import json
+import math
 from typing import Any
 
 import attrs
@@ -108,7 +109,9 @@
 
 def _decode_object(data: bytes) -> dict[str, Any]:
     try:
-        body = json.loads(data, parse_constant=_reject_constant)
+        body = json.loads(
+            data, parse_constant=_reject_constant, parse_float=_parse_finite_float
+        )
     except (ValueError, RecursionError) as fault:
         raise DecodeError("body", "JSON", data[:80]) from fault
     if not isinstance(body, dict):
@@ -120,6 +123,13 @@
     raise ValueError(f"{name} is no JSON value")
 
 
+def _parse_finite_float(text: str) -> float:
+    number = float(text)
+    if not math.isfinite(number):
+        raise ValueError(f"{text} is too large for a number")
+    return number
+
+
 def _decode_result(index: int, body: dict[str, Any]) -> TaskResult:
     succeeded = body.get("succeeded")
     if not isinstance(succeeded, bool):
--- a/hibiscusstack/target/tests/test_decoding.py
+++ b/hibiscusstack/target/tests/test_decoding.py
@@ -51,6 +51,13 @@
         decode_start_answer(start_of(), HttpAnswer(200, body, True))
 
 
+@pytest.mark.parametrize("value", [b"NaN", b"-Infinity", b"1e999"])
+def test_a_number_that_is_not_finite_proves_nothing(value):
+    body = json.dumps(finished_body(value="V")).encode().replace(b'"V"', value)
+    with pytest.raises(DecodeError):
+        decode_start_answer(start_of(), HttpAnswer(200, body, True))
+
+
 @pytest.mark.parametrize(
     ("status", "body"),
     [
