--- a/hibiscusstack/caller/entries.py
+++ b/hibiscusstack/caller/entries.py
@@ -18,6 +18,13 @@
     """Entry hosts in turn, those that failed lately last.
 
     The first one is drawn, so that many clients don't start at the same host.
+
+    >>> from hibiscusstack.clock import ManualClock
+    >>> hosts = [EntryClient(url, None, None) for url in ("a", "b", "c")]
+    >>> rotation = EntryRotation(hosts, ManualClock(), random.Random(0))
+    >>> rotation.suspect(hosts[0])
+    >>> [rotation.choose().url for _ in range(4)]
+    ['b', 'c', 'b', 'b']
     """
 
     entries: Sequence[EntryClient]
--- a/hibiscusstack/caller/tests/test_api.py
+++ b/hibiscusstack/caller/tests/test_api.py
@@ -97,6 +97,7 @@
     api.http.flush()
     assert api.api.waiting == 0
     assert api.service.cancelled == []
+    assert not api.service.waiters["j1"][0].called
     api.service.succeed("j1")
     assert read(api, post_job(api, id="j1"))[1]["outcome"] == "succeeded"
 
--- a/hibiscusstack/caller/tests/test_client.py
+++ b/hibiscusstack/caller/tests/test_client.py
@@ -83,6 +83,30 @@
     assert result_of(first).results[0].value == {"play": 7}
 
 
+def test_an_answer_to_another_job_is_not_taken() -> None:
+    bench = make_bench()
+    answer = bench.submit(timeout_ms=3_000)
+    (job_id,) = started_ids(bench)
+    other = JobAnswer("j-other", Outcome.SUCCEEDED)
+    bench.service.answers[job_id] = other
+    for waiter in bench.service.waiters[job_id]:
+        waiter.callback(other)
+    bench.run_for(6_000)
+    assert result_of(answer).job_id == job_id
+    assert result_of(answer).outcome is Outcome.UNKNOWN
+
+
+def test_ids_are_not_used_near_their_expiry() -> None:
+    bench = make_bench()
+    warm_up(bench)
+    held_id = f"dc1.h1.1.{bench.service.issued}"
+    bench.clock.advance(56)
+    bench.submit()
+    assert held_id not in started_ids(bench)
+    paths = [path for _, path in bench.network.requests]
+    assert paths.count("/v1/ids") == 2
+
+
 def test_ids_come_ahead_and_with_answers() -> None:
     bench = make_bench()
     for _ in range(20):
