--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,7 @@
 .PHONY: settings-page
 settings-page: setup
 	$(PYTHON) -c "from hibiscusstack.settings import describe_settings as d; print(d(), end='')" > docs/SETTINGS.md
+
+.PHONY: bench-codec
+bench-codec: setup
+	$(PYTHON) -m benches.codec
--- a/hibiscusstack/host/structuring.py
+++ b/hibiscusstack/host/structuring.py
@@ -23,6 +23,7 @@
 Converter = Callable[[Any], Any]
 
 _JSON_TYPES = (str, int, float, bool, NoneType, list, dict)
+_PLAIN_TYPES = frozenset((str, int, bool, NoneType))
 _SCALARS = (str, int, float, bool)
 
 
@@ -141,13 +142,13 @@
         field = _value_reader(inner, where)
         return _Field((*field.wire_types, NoneType), _skip_none(field.convert))
     if hint is Any:
-        return _Field(_JSON_TYPES, lambda value: _check_json(value, where))
+        return _Field(_JSON_TYPES, _json_reader(where))
     if isinstance(hint, type):
         return _class_reader(hint, where)
     if get_origin(hint) is tuple:
         return _Field((list,), _tuple_reader(get_args(hint), where))
     if get_origin(hint) is Mapping:
-        return _Field((dict,), lambda value: _check_labels(value, where))
+        return _Field((dict,), _labels_reader(where))
     raise TypeError(f"no wire form for {hint}")
 
 
@@ -200,30 +201,39 @@
     return read
 
 
-def _check_labels(labels: dict[Any, Any], where: str) -> dict[str, str]:
-    for key, value in labels.items():
-        if type(key) is not str or type(value) is not str:
-            raise DecodeError(where, "strings by strings", (key, value))
-    return labels
-
-
-def _check_json(value: Any, where: str) -> Any:
-    """Return ``value`` if JSON can carry it; its depth is bounded by the decoder."""
-    kind = type(value)
-    if kind is list:
-        for item in value:
-            _check_json(item, where)
-    elif kind is dict:
-        for key, item in value.items():
-            if type(key) is not str:
-                raise DecodeError(where, "a string as key", key)
-            _check_json(item, where)
-    elif kind is float:
-        if not math.isfinite(value):
-            raise DecodeError(where, "a finite number", value)
-    elif kind not in _JSON_TYPES:
-        raise DecodeError(where, "a value that JSON can carry", kind.__name__)
-    return value
+def _labels_reader(where: str) -> Converter:
+    def check(labels: dict[Any, Any]) -> dict[str, str]:
+        for key, value in labels.items():
+            if type(key) is not str or type(value) is not str:
+                raise DecodeError(where, "strings by strings", (key, value))
+        return labels
+
+    return check
+
+
+def _json_reader(where: str) -> Converter:
+    """Return a check that JSON can carry a value, whose depth the decoder bounds."""
+
+    def check(value: Any) -> Any:
+        kind = type(value)
+        if kind is dict:
+            for key, item in value.items():
+                if type(key) is not str:
+                    raise DecodeError(where, "a string as key", key)
+                if type(item) not in _PLAIN_TYPES:
+                    check(item)
+        elif kind is list:
+            for item in value:
+                if type(item) not in _PLAIN_TYPES:
+                    check(item)
+        elif kind is float:
+            if not math.isfinite(value):
+                raise DecodeError(where, "a finite number", value)
+        elif kind not in _PLAIN_TYPES:
+            raise DecodeError(where, "a value that JSON can carry", kind.__name__)
+        return value
+
+    return check
 
 
 def _skip_none(convert: Converter | None) -> Converter | None:
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -86,8 +86,8 @@
     urls = [host.caller_url for host in hosts]
     with ThreadPoolExecutor(CALLERS) as pool:
         futures = [
-            pool.submit(Caller(body.pop("caller"), urls).submit, body, resubmits)
-            for body, resubmits in bodies
+            pool.submit(Caller(body.pop("caller"), urls, turn).submit, body, resubmits)
+            for turn, (body, resubmits) in enumerate(bodies)
         ]
         _wait_for_part(futures, KILL_AFTER_PART)
         print(f"killing {hosts[1].name}", flush=True)
--- a/scripts/submitting.py
+++ b/scripts/submitting.py
@@ -5,7 +5,6 @@
 import http.client
 import json
 import time
-import zlib
 from collections.abc import Sequence
 from typing import Any
 from urllib.parse import urlsplit
@@ -43,10 +42,10 @@
     fresh id only after a *not run* of its first attempt.
     """
 
-    def __init__(self, name: str, urls: Sequence[str]) -> None:
+    def __init__(self, name: str, urls: Sequence[str], turn: int = 0) -> None:
         self._name = name
         self._urls = list(urls)
-        self._turn = zlib.crc32(name.encode())
+        self._turn = turn
 
     def submit(self, body: dict[str, Any], resubmits: bool) -> Submission:
         """Return the submission with its final answer, or without any."""
