--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,13 @@
 bench-engine: setup
 	$(PYTHON) -m benches.engine
 
+.PHONY: model model-deep
+model: setup
+	$(PYTHON) -m specs
+
+model-deep: setup
+	$(PYTHON) -m specs --deep
+
 demo: setup
 	$(PYTHON) -m scripts.demo
 
@@ -38,3 +45,9 @@
 .PHONY: bench-codec
 bench-codec: setup
 	$(PYTHON) -m benches.codec
+.PHONY: bench-target-client
+bench-target-client: setup
+	$(PYTHON) -m benches.target_client
+
+bench-path: setup
+	$(PYTHON) -m benches.path
