Spend less on each span

The tracer is built once, the parent is read without the propagator, and records are made when they are asked for.

--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 .PHONY: bench-codec
 bench-codec: setup
 	$(PYTHON) -m benches.codec
+
 .PHONY: bench-target-client
 bench-target-client: setup
 	$(PYTHON) -m benches.target_client
--- a/hibiscusstack/telemetry/traces.py
+++ b/hibiscusstack/telemetry/traces.py
@@ -2,6 +2,7 @@
 
 __all__ = ["SpanRecord", "SpanRing", "Tracer", "build_tracer", "traceparent_of"]
 
+import re
 from collections import deque
 from collections.abc import Mapping
 
@@ -11,13 +12,21 @@
 from opentelemetry.sdk.trace import ReadableSpan, SpanProcessor, TracerProvider
 from opentelemetry.sdk.trace.export import ConsoleSpanExporter, SimpleSpanProcessor
 from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
-from opentelemetry.trace import Span, format_span_id, format_trace_id
-from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
+from opentelemetry.trace import (
+    NonRecordingSpan,
+    Span,
+    SpanContext,
+    TraceFlags,
+    format_span_id,
+    format_trace_id,
+    set_span_in_context,
+)
+from opentelemetry.trace import Tracer as ApiTracer
 
 JOB_ATTRIBUTE = "job_id"
 NANOSECONDS_PER_MS = 1_000_000
 
-_PROPAGATOR = TraceContextTextMapPropagator()
+_TRACEPARENT = re.compile(r"00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})")
 
 
 @attrs.frozen
@@ -40,7 +49,7 @@
     def __init__(self, max_spans: int) -> None:
         self._max_spans = max_spans
         self._order: deque[str] = deque()
-        self._by_job: dict[str, deque[SpanRecord]] = {}
+        self._by_job: dict[str, deque[ReadableSpan]] = {}
 
     def on_start(self, span: Span, parent_context: Context | None = None) -> None:
         """Do nothing: a span is kept once it has ended."""
@@ -50,7 +59,7 @@
         job_id = str((span.attributes or {}).get(JOB_ATTRIBUTE, ""))
         if not job_id:
             return
-        self._by_job.setdefault(job_id, deque()).append(_record_of(job_id, span))
+        self._by_job.setdefault(job_id, deque()).append(span)
         self._order.append(job_id)
         if len(self._order) > self._max_spans:
             self._drop_oldest()
@@ -58,7 +67,8 @@
     def spans_of(self, job_id: str) -> tuple[SpanRecord, ...]:
         """Return the kept spans of one job in the order of their starts."""
         spans = self._by_job.get(job_id, ())
-        return tuple(sorted(spans, key=lambda span: span.start_ms))
+        records = [_record_of(job_id, span) for span in spans]
+        return tuple(sorted(records, key=lambda record: record.start_ms))
 
     def _drop_oldest(self) -> None:
         job_id = self._order.popleft()
@@ -74,6 +84,7 @@
 
     provider: TracerProvider
     ring: SpanRing
+    spans: ApiTracer
 
     def start_span(
         self, name: str, job_id: str, traceparent: str, **attributes: str | int
@@ -82,11 +93,10 @@
 
         An empty or malformed ``traceparent`` makes it the root of a new trace.
         """
-        carrier = {"traceparent": traceparent} if traceparent else {}
-        context = _PROPAGATOR.extract(carrier, context=Context())
-        tracer = self.provider.get_tracer("hibiscusstack")
-        return tracer.start_span(
-            name, context=context, attributes={JOB_ATTRIBUTE: job_id, **attributes}
+        return self.spans.start_span(
+            name,
+            context=_context_of(traceparent),
+            attributes={JOB_ATTRIBUTE: job_id, **attributes},
         )
 
     def close(self) -> None:
@@ -119,7 +129,7 @@
     provider.add_span_processor(ring)
     if exporter == "console":
         provider.add_span_processor(SimpleSpanProcessor(ConsoleSpanExporter()))
-    return Tracer(provider, ring)
+    return Tracer(provider, ring, provider.get_tracer("hibiscusstack"))
 
 
 def traceparent_of(span: Span) -> str:
@@ -130,6 +140,20 @@
     return f"00-{trace_id}-{span_id}-{int(context.trace_flags):02x}"
 
 
+def _context_of(traceparent: str) -> Context:
+    """Return a context with the remote parent, or an empty one."""
+    match = _TRACEPARENT.fullmatch(traceparent)
+    if match is None:
+        return Context()
+    trace_id, span_id, flags = (int(part, 16) for part in match.groups())
+    parent = SpanContext(
+        trace_id, span_id, is_remote=True, trace_flags=TraceFlags(flags)
+    )
+    if not parent.is_valid:
+        return Context()
+    return set_span_in_context(NonRecordingSpan(parent), Context())
+
+
 def _record_of(job_id: str, span: ReadableSpan) -> SpanRecord:
     context = span.get_span_context()
     parent = span.parent
