--- a/Makefile
+++ b/Makefile
@@ -52,3 +52,7 @@
 
 bench-path: setup
 	$(PYTHON) -m benches.path
+
+.PHONY: check-daemon
+check-daemon: setup
+	$(PYTHON) -m scripts.check_daemon
--- a/scripts/processes.py
+++ b/scripts/processes.py
@@ -24,8 +24,7 @@
 name = {name}
 data_centre = dc1
 address = 127.0.0.1
-peer_port = 0
-leave_ms = {leave_ms}
+{host_keys}
 
 [caller]
 address = 127.0.0.1
@@ -99,21 +98,32 @@
         ready = self._start_standin("targets", arguments)
         self.targets_url = f"http://127.0.0.1:{ready['port']}"
 
-    def start_host(self, name: str, leave_ms: int = 1_000) -> EntryHost:
-        """Start a dispatcher host and register it at the platform."""
-        settings = self.folder / f"{name}.ini"
-        text = _SETTINGS.format(
-            name=name, platform=self.platform_url, leave_ms=leave_ms
-        )
-        settings.write_text(text + self.more_settings)
-        log = self.folder / f"{name}.log"
-        process = self._start([str(BIN / "hibiscusd"), str(settings)], log)
-        host = EntryHost(name, process, log, {})
-        self._wait_for(process, log, lambda: len(_read_ports(host)) == 3)
+    def start_host(self, name: str, **host_keys: int) -> EntryHost:
+        """Start a dispatcher host and register it at the platform.
+
+        ``host_keys`` are further settings of the section of the host.
+        """
+        host = self.launch_host(name, **host_keys)
+        self._wait_for(host.process, host.log, lambda: len(_read_ports(host)) == 3)
         self.hosts[name] = host
         self._list_host(host, "live")
         return host
 
+    def launch_host(self, name: str, **host_keys: int) -> EntryHost:
+        """Start a dispatcher host and wait for nothing."""
+        settings = self.folder / f"{name}.ini"
+        keys = {"peer_port": 0, "leave_ms": 500, **host_keys}
+        lines = "\n".join(f"{key} = {value}" for key, value in keys.items())
+        text = _SETTINGS.format(name=name, platform=self.platform_url, host_keys=lines)
+        settings.write_text(text)
+        log = self.folder / f"{name}.log"
+        process = self._start([str(BIN / "hibiscusd"), str(settings)], log)
+        return EntryHost(name, process, log, {})
+
+    def set_platform_faults(self, **faults: object) -> None:
+        """Let the stand-in of the platform fail in these ways, and no others."""
+        request_json("POST", f"{self.platform_url}/control/faults", faults)
+
     def list_as_leaving(self, host: EntryHost) -> None:
         """Let the live list say that a host is leaving."""
         self._list_host(host, "leaving")
--- a/scripts/submitting.py
+++ b/scripts/submitting.py
@@ -42,15 +42,22 @@
     fresh id only after a *not run* of its first attempt.
     """
 
-    def __init__(self, name: str, urls: Sequence[str], turn: int = 0) -> None:
+    def __init__(
+        self,
+        name: str,
+        urls: Sequence[str],
+        turn: int = 0,
+        max_attempts: int = MAX_ATTEMPTS,
+    ) -> None:
         self._name = name
         self._urls = list(urls)
         self._turn = turn
+        self._max_attempts = max_attempts
 
     def submit(self, body: dict[str, Any], resubmits: bool) -> Submission:
         """Return the submission with its final answer, or without any."""
         submission = Submission("", {**body, "caller": self._name})
-        while submission.answer is None and submission.attempts < MAX_ATTEMPTS:
+        while submission.answer is None and submission.attempts < self._max_attempts:
             self._attempt(submission)
         if resubmits and submission.answer is not None:
             self._submit_again(submission)
