--- a/benches/policy/scenarios.py
+++ b/benches/policy/scenarios.py
@@ -1,6 +1,6 @@
 """The named scenarios: loads and faults, the same for every dispatcher."""
 
-__all__ = ["SCENARIOS", "Scenario", "run_scenario"]
+__all__ = ["DISPATCHERS", "SCENARIOS", "Scenario", "draw_scenario", "run_scenario"]
 
 import random
 from collections.abc import Callable
@@ -54,10 +54,23 @@
     change: Callable[[list[Arrival], random.Random], list[Arrival]] | None = None
     faults: tuple[tuple[float, Fault], ...] = ()
     second_flood: bool = False
+    is_without_flood: bool = False
 
     def without_flood(self) -> "Scenario":
         """Return the same loads and faults with no flood."""
-        return attrs.evolve(self, flooding=None, second_flood=False)
+        return attrs.evolve(
+            self, flooding=None, second_flood=False, is_without_flood=True
+        )
+
+    def stretched(self, factor: float) -> "Scenario":
+        """Return the same loads with the flood made longer."""
+        start_ms, end_ms = self.flood_ms
+        added_ms = (factor - 1) * (end_ms - start_ms)
+        return attrs.evolve(
+            self,
+            duration_ms=self.duration_ms + added_ms,
+            flood_ms=(start_ms, end_ms + added_ms),
+        )
 
 
 def draw_scenario(
--- a/hibiscusstack/dispatch/waiting.py
+++ b/hibiscusstack/dispatch/waiting.py
@@ -15,6 +15,7 @@
 Rank = tuple[int, float]
 
 PATIENCE_FACTOR = 10.0
+DEADLINE_FACTOR = 3.0
 
 
 @attrs.define
@@ -63,10 +64,13 @@
 
         The turn is the arrival plus a multiple of the time that ``slots`` slots need
         for the rest. A short batch thus overtakes a long one that came a little
-        earlier, and no batch is overtaken for ever.
+        earlier, and no batch is overtaken for ever. A deadline can make the turn
+        earlier, to where the rest would still be through.
         """
         rest_ms = self.remaining_ms / max(slots, 1)
-        self.turn_ms = self.enqueued_ms + PATIENCE_FACTOR * rest_ms
+        latest_ms = self.deadline_ms - self.longest_ms() - DEADLINE_FACTOR * rest_ms
+        patient_ms = self.enqueued_ms + PATIENCE_FACTOR * rest_ms
+        self.turn_ms = min(patient_ms, latest_ms)
         self.line.enter(self)
 
 
