--- a/Makefile
+++ b/Makefile
@@ -28,9 +28,23 @@
 bench-engine: setup
 	$(PYTHON) -m benches.engine
 
+.PHONY: model model-deep
+model: setup
+	$(PYTHON) -m specs
+
+model-deep: setup
+	$(PYTHON) -m specs --deep
+
 demo: setup
 	$(PYTHON) -m scripts.demo
 
 .PHONY: settings-page
 settings-page: setup
 	$(PYTHON) -c "from hibiscusstack.settings import describe_settings as d; print(d(), end='')" > docs/SETTINGS.md
+
+.PHONY: bench-target-client
+bench-target-client: setup
+	$(PYTHON) -m benches.target_client
+
+bench-path: setup
+	$(PYTHON) -m benches.path
