--- a/hibiscusstack/dispatch/admission.py
+++ b/hibiscusstack/dispatch/admission.py
@@ -10,8 +10,8 @@
 
 from hibiscusstack.dispatch.answers import Problem, Reason
 from hibiscusstack.dispatch.estimates import Backlog, estimate_wait_ms
-from hibiscusstack.dispatch.interfaces import HomeLoad
 from hibiscusstack.dispatch.jobs import MAX_TASKS_PER_JOB, Job
+from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import HostName
 from hibiscusstack.dispatch.policy import PolicyInForce
 from hibiscusstack.dispatch.run_times import RunTimes
--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -38,10 +38,10 @@
 from hibiscusstack.dispatch.interfaces import (
     Admission,
     AdmitEverything,
-    HomeLoad,
     TargetHealth,
 )
 from hibiscusstack.dispatch.jobs import Job
+from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import (
     BatchResults,
     CancelBatch,
@@ -235,6 +235,7 @@
             slots=load.slots,
             ejected=load.ejected,
             queued_ms_by_class=load.queued_ms_by_class,
+            free_by_target=load.free_by_target,
         )
 
     def view_targets(self) -> list[TargetSnapshot]:
@@ -335,6 +336,7 @@
                 free_slots=message.free_slots,
                 queued_ms=message.queued_ms,
                 queued_ms_by_class=message.queued_ms_by_class,
+                free_by_target=message.free_by_target,
             )
         return self._owner.results(sender, message, now_ms)
 
@@ -353,6 +355,7 @@
             message.slots,
             message.ejected,
             message.queued_ms_by_class,
+            message.free_by_target,
         )
         self._note_fleet()
         was_draining = previous is not None and previous.is_draining
--- a/hibiscusstack/dispatch/estimates.py
+++ b/hibiscusstack/dispatch/estimates.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from hibiscusstack.dispatch.interfaces import HomeLoad
+from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.policy import Policy
 
 
--- a/hibiscusstack/dispatch/home.py
+++ b/hibiscusstack/dispatch/home.py
@@ -21,8 +21,9 @@
     TaskStates,
 )
 from hibiscusstack.dispatch.inquiry import Inquiry, Verdict
-from hibiscusstack.dispatch.interfaces import HomeLoad, TargetHealth, UnlimitedHealth
+from hibiscusstack.dispatch.interfaces import TargetHealth, UnlimitedHealth
 from hibiscusstack.dispatch.jobs import task_id_of
+from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import (
     BatchResults,
     CancelBatch,
@@ -113,14 +114,17 @@
     def load(self, now_ms: int) -> HomeLoad:
         """Return the state of the targets homed here and of the queue."""
         by_class = self._queue.queued_ms_by_class()
-        homed = [t for t in map(self.slots.target, self._own_targets) if t is not None]
+        names = sorted(self._own_targets)
+        homed = [t for t in map(self.slots.target, names) if t is not None]
+        free = tuple(self._free_on(target, now_ms) for target in homed)
         return HomeLoad(
-            free_slots=sum(self._free_on(target, now_ms) for target in homed),
+            free_slots=sum(free),
             queued_ms=self._queue.queued_ms(),
             targets=len(self._own_targets),
             slots=sum(target.slots for target in homed),
             ejected=self._health.ejected(now_ms),
             queued_ms_by_class=tuple(sorted(by_class.items())),
+            free_by_target=free,
         )
 
     def note_fleet(self, ejected_elsewhere: int, targets: int) -> None:
@@ -362,6 +366,7 @@
             free_slots=load.free_slots,
             queued_ms=load.queued_ms,
             queued_ms_by_class=load.queued_ms_by_class,
+            free_by_target=load.free_by_target,
         )
 
 
--- a/hibiscusstack/dispatch/interfaces.py
+++ b/hibiscusstack/dispatch/interfaces.py
@@ -3,7 +3,6 @@
 __all__ = [
     "Admission",
     "AdmitEverything",
-    "HomeLoad",
     "TargetHealth",
     "UnlimitedHealth",
 ]
@@ -11,47 +10,13 @@
 from collections.abc import Iterable, Mapping
 from typing import Protocol
 
-import attrs
-
 from hibiscusstack.dispatch.answers import Problem
 from hibiscusstack.dispatch.jobs import Job
+from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import HostName
 from hibiscusstack.dispatch.targets import TargetInfo
 
 
-@attrs.frozen
-class HomeLoad:
-    """What a home host last said of its targets and its queue."""
-
-    free_slots: int
-    queued_ms: int
-    targets: int
-    slots: int = 0
-    ejected: int = 0
-    queued_ms_by_class: tuple[tuple[str, int], ...] = ()
-
-    def with_batch(self, class_name: str, tasks: int, work_ms: float) -> "HomeLoad":
-        """Return the load that is expected once a batch has been placed.
-
-        Tasks take free slots first; the rest counts as queued.
-
-        >>> load = HomeLoad(1, 0, 1, slots=8).with_batch("checks", 3, 300.0)
-        >>> load.free_slots, load.queued_ms, load.queued_ms_by_class
-        (-2, 200, (('checks', 200),))
-        """
-        waiting = max(tasks - max(self.free_slots, 0), 0)
-        added_ms = round(work_ms * waiting / tasks) if tasks else 0
-        by_class = dict(self.queued_ms_by_class)
-        if added_ms:
-            by_class[class_name] = by_class.get(class_name, 0) + added_ms
-        return attrs.evolve(
-            self,
-            free_slots=self.free_slots - tasks,
-            queued_ms=self.queued_ms + added_ms,
-            queued_ms_by_class=tuple(sorted(by_class.items())),
-        )
-
-
 class Admission(Protocol):
     """The decision whether a whole job can be served in time."""
 
--- a/hibiscusstack/dispatch/messages.py
+++ b/hibiscusstack/dispatch/messages.py
@@ -54,7 +54,8 @@
 
     The load sums over the targets whose home is the sender: their number, all their
     slots and those free, how many are ejected, and the expected run time of what
-    waits, in all and by class.
+    waits, in all and by class. ``free_by_target`` has the free slots of each of these
+    targets, in order of their names.
     """
 
     configuration_offset: int
@@ -65,6 +66,7 @@
     slots: int = 0
     ejected: int = 0
     queued_ms_by_class: tuple[tuple[str, int], ...] = ()
+    free_by_target: tuple[int, ...] = ()
 
 
 @attrs.frozen
@@ -129,6 +131,7 @@
     free_slots: int = 0
     queued_ms: int = 0
     queued_ms_by_class: tuple[tuple[str, int], ...] = ()
+    free_by_target: tuple[int, ...] = ()
 
 
 @attrs.frozen
--- a/hibiscusstack/dispatch/placement.py
+++ b/hibiscusstack/dispatch/placement.py
@@ -6,13 +6,15 @@
 
 import attrs
 
-from hibiscusstack.dispatch.interfaces import HomeLoad
+from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import HostName
 
-EXTRA_HOME_PART = 0.03
+EXTRA_HOME_PART = 0.3
 LEAST_EXPECTED_MS = 1.0
 ASSUMED_SLOTS = 8
 
+LoadFor = Callable[[HostName, Sequence[str]], HomeLoad | None]
+
 
 @attrs.frozen
 class Portion:
@@ -45,7 +47,7 @@
 def split_over_homes(
     matches: Mapping[int, frozenset[str]],
     home_of: Mapping[str, HostName],
-    loads: Mapping[HostName, HomeLoad],
+    load_for: LoadFor,
     *,
     preferred: HostName,
     expected_ms: Mapping[int, float],
@@ -57,15 +59,17 @@
     ranked: ``preferred`` first, as it costs no message, then by free slots and
     queue. As many of them are used, in that order, as make the last start early
     enough to be worth another home, which counts as much as ``EXTRA_HOME_PART`` of
-    the longest task. Each gets what it can start by then. Each index needs at least
-    one matching target that has a home. ``wait_ms`` tells from a home's load when
-    its next slot comes to work of this class.
+    the time that the job takes on the preferred home alone. Each gets what it can
+    start by then. Each index needs at least one matching target that has a home.
+    ``load_for`` gives a home's load as work for
+    the named targets sees it, if it is known, and ``wait_ms`` tells from a load when
+    the next slot comes to work of this class.
 
     >>> a = HostName("dc1", "a", 1)
     >>> split_over_homes(
     ...     {0: frozenset({"t1"})},
     ...     {"t1": a},
-    ...     {},
+    ...     lambda home, targets: None,
     ...     preferred=a,
     ...     expected_ms={0: 100.0},
     ...     wait_ms=lambda load: 0.0,
@@ -83,7 +87,7 @@
     for names, indexes in by_targets.items():
         targets_of = _group_by_home(names, home_of)
         homes = [
-            _describe(name, len(targets), loads.get(name), wait_ms)
+            _describe(name, len(targets), load_for(name, targets), wait_ms)
             for name, targets in targets_of.items()
         ]
         homes = [home.with_taken(taken.get(home.name, 0)) for home in homes]
@@ -120,9 +124,9 @@
 ) -> dict[HostName, int]:
     """Return how many of the tasks each home gets."""
     mean_ms = max(sum(expected_ms) / len(expected_ms), LEAST_EXPECTED_MS)
-    charge_ms = EXTRA_HOME_PART * max(expected_ms)
     total = len(expected_ms)
     best_ms, best_count = _last_start_ms(homes[:1], total, mean_ms), 1
+    charge_ms = EXTRA_HOME_PART * (max(expected_ms) + best_ms)
     for count in range(2, len(homes) + 1):
         if best_ms <= charge_ms * (count - best_count):
             break
--- a/hibiscusstack/dispatch/planning.py
+++ b/hibiscusstack/dispatch/planning.py
@@ -2,12 +2,13 @@
 
 __all__ = ["Matches", "Planner"]
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 from hibiscusstack.dispatch.answers import Problem, Reason
 from hibiscusstack.dispatch.estimates import Backlog, estimate_wait_ms
-from hibiscusstack.dispatch.interfaces import Admission, HomeLoad
+from hibiscusstack.dispatch.interfaces import Admission
 from hibiscusstack.dispatch.jobs import Job
+from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import HostName
 from hibiscusstack.dispatch.placement import Portion, split_over_homes
 from hibiscusstack.dispatch.policy import PolicyInForce
@@ -40,6 +41,7 @@
         self._targets: Mapping[str, TargetInfo] = {}
         self._home_of: Mapping[str, HostName] = {}
         self._homed: dict[tuple[frozenset[str], str], frozenset[str]] = {}
+        self._names_of: dict[HostName, list[str]] = {}
         self._others: list[str] = []
 
     def replace_targets(
@@ -49,6 +51,9 @@
         self._targets = targets
         self._home_of = home_of
         self._homed = {}
+        self._names_of = {}
+        for name in sorted(home_of):
+            self._names_of.setdefault(home_of[name], []).append(name)
         found = {home.data_centre for home in home_of.values()}
         self._others = sorted(found - {self._name.data_centre})
 
@@ -64,7 +69,7 @@
         portions = split_over_homes(
             matches,
             self._home_of,
-            self.loads,
+            self._load_for,
             preferred=self._name,
             expected_ms=expected_ms,
             wait_ms=lambda load: estimate_wait_ms(
@@ -86,7 +91,7 @@
             matches = self._match(job, (data_centre,))
             if not all(matches.values()):
                 continue
-            problem = self._admit(job, class_name, {data_centre}, now_ms)
+            problem = self._admit(job, class_name, matches, now_ms)
             if problem is None:
                 return matches
             refusal = refusal or problem
@@ -101,19 +106,29 @@
         if unmatched:
             detail = f"no reachable target may run task {unmatched[0]}"
             return Problem(Reason.NO_MATCHING_TARGET, detail)
-        every = set(self._data_centres())
-        return self._admit(job, class_name, every, now_ms) or matches
+        return self._admit(job, class_name, matches, now_ms) or matches
 
     def _admit(
-        self, job: Job, class_name: str, data_centres: set[str], now_ms: int
+        self, job: Job, class_name: str, matches: Matches, now_ms: int
     ) -> Problem | None:
-        loads = {
-            host: load
-            for host, load in self.loads.items()
-            if host.data_centre in data_centres
-        }
+        """Ask the admission, with the loads as far as the job can use them."""
+        usable: dict[HostName, list[str]] = {}
+        for name in frozenset().union(*set(matches.values())):
+            usable.setdefault(self._home_of[name], []).append(name)
+        loads = {}
+        for home, names in usable.items():
+            load = self._load_for(home, names)
+            if load is not None:
+                loads[home] = load
         return self.admission.admit(job, class_name, loads, now_ms)
 
+    def _load_for(self, home: HostName, names: Collection[str]) -> HomeLoad | None:
+        """Return a home's load as work sees it that may use only ``names``."""
+        load = self.loads.get(home)
+        if load is None:
+            return None
+        return load.restricted(self._names_of.get(home, ()), names)
+
     def _data_centres(self) -> list[str]:
         """Return the data centres with reachable homes, this one first."""
         free = dict.fromkeys(self._others, 0)
@@ -152,5 +167,8 @@
         if load is None:
             return
         work_ms = sum(expected_ms[index] for index in portion.indexes)
-        expected = load.with_batch(class_name, len(portion.indexes), work_ms)
+        names = self._names_of.get(portion.home, ())
+        expected = load.with_batch(
+            names, portion.targets, class_name, len(portion.indexes), work_ms
+        )
         self.loads[portion.home] = expected
--- a/hibiscusstack/dispatch/policy.py
+++ b/hibiscusstack/dispatch/policy.py
@@ -61,7 +61,7 @@
 class Limits:
     """Bounds that keep an overloaded data centre useful."""
 
-    max_queue_ms: int = 10_000
+    max_queue_ms: int = 2_000
     max_queued_tasks: int = 100_000
     max_jobs_per_caller: int = 1_000
     max_tasks_per_caller: int = 20_000
--- a/hibiscusstack/dispatch/tests/test_admission.py
+++ b/hibiscusstack/dispatch/tests/test_admission.py
@@ -6,7 +6,7 @@
 
 from hibiscusstack.dispatch.admission import AdmissionControl
 from hibiscusstack.dispatch.answers import Reason
-from hibiscusstack.dispatch.interfaces import HomeLoad
+from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import HostName
 from hibiscusstack.dispatch.run_times import RunTimes
 from hibiscusstack.dispatch.tests.builders import THREE_CLASSES, make_job, make_policy
