--- a/hibiscusstack/daemon/daemon.py
+++ b/hibiscusstack/daemon/daemon.py
@@ -308,6 +308,7 @@
         self._metrics.gauge(Metric.CONFIGURATION, heartbeat.configuration_offset)
         self._metrics.gauge(Metric.JOBS_WAITING, self._dispatcher.waiting)
         self._metrics.gauge(Metric.PEERS_CONNECTED, len(self._mesh.peers()))
+        self._metrics.flush()
 
     def _close(self, cause: StopCause) -> None:
         for timer in self._timers:
@@ -318,6 +319,7 @@
         self._mesh.stop()
         self._target_client.close()
         self._tracer.close()
+        self._metrics.flush()
         closing = [maybeDeferred(port.stopListening) for port in self._ports]
         closing += [self._log_http.close(), self._list_http.close()]
         DeferredList(closing).addBoth(lambda _: self._on_stopped(cause))
@@ -326,11 +328,12 @@
         self._timers.append(self._reactor.callLater(delay_ms / 1000, function))
 
     def _call_every(self, interval_ms: int, function) -> None:
-        call = LoopingCall(function)
+        call = LoopingCall(lambda: maybeDeferred(function).addErrback(_log_error))
         call.clock = self._reactor
         self._calls.append(call)
-        call.start(interval_ms / 1000).addErrback(_log_broken_timer)
+        call.start(interval_ms / 1000)
 
 
-def _log_broken_timer(failure: Failure) -> None:
+def _log_error(failure: Failure) -> None:
+    """Log an error of a timed call, which is called again all the same."""
     log_message("daemon:timer_error", level="error", cause=failure.getTraceback())
--- a/hibiscusstack/telemetry/metrics.py
+++ b/hibiscusstack/telemetry/metrics.py
@@ -71,13 +71,21 @@
 
 
 class StatsdMetrics:
-    """Metrics sent by UDP; without an address they go nowhere.
+    """Metrics gathered here and sent by UDP when flushed, many in one datagram.
 
-    >>> StatsdMetrics("", 8125, "h1").count(Metric.JOBS_SUBMITTED)
+    Counters are summed and gauges keep their last value until then. Without an
+    address they go nowhere.
+
+    >>> metrics = StatsdMetrics("", 8125, "h1")
+    >>> metrics.count(Metric.JOBS_SUBMITTED)
+    >>> metrics.flush()
     """
 
     def __init__(self, address: str, port: int, host_name: str) -> None:
         self._client = None
+        self._counts: dict[Metric, int] = {}
+        self._gauges: dict[Metric, float] = {}
+        self._timings: list[tuple[Metric, float]] = []
         if address:
             prefix = f"{PREFIX}.{host_name.replace('.', '_')}"
             is_ipv6 = ":" in address
@@ -86,17 +94,32 @@
     def count(self, metric: Metric, amount: int = 1) -> None:
         """Add to a counter."""
         if self._client is not None:
-            self._client.incr(metric.label, amount)
+            self._counts[metric] = self._counts.get(metric, 0) + amount
 
     def gauge(self, metric: Metric, value: float) -> None:
         """Set a gauge."""
         if self._client is not None:
-            self._client.gauge(metric.label, value)
+            self._gauges[metric] = value
 
     def time(self, metric: Metric, duration_ms: float) -> None:
         """Record a duration."""
         if self._client is not None:
-            self._client.timing(metric.label, duration_ms)
+            self._timings.append((metric, duration_ms))
+
+    def flush(self) -> None:
+        """Send what was gathered since the last flush."""
+        if self._client is None:
+            return
+        with self._client.pipeline() as pipeline:
+            for metric, amount in self._counts.items():
+                pipeline.incr(metric.label, amount)
+            for metric, value in self._gauges.items():
+                pipeline.gauge(metric.label, value)
+            for metric, duration_ms in self._timings:
+                pipeline.timing(metric.label, duration_ms)
+        self._counts.clear()
+        self._gauges.clear()
+        self._timings.clear()
 
 
 def describe_metrics() -> str:
