Judge targets by run time over what was expected, not by run time

Cause: added latency had p99 over 300 ms at half load, while the processor was not the limit. The queue on the host held up to 585 tasks although 192 slots were there for 30 busy ones: targets that had got the longer tasks were taken for slow and left with one task every 2 s. Ruled out: the loop (admin requests were answered in 10 ms) and the stand-ins (direct calls had p99 of 60 ms). The health of a target now counts the run time over the expected one; the daemon also plans with the run times that its queue learns, which it did not.

The new test failed before.

--- a/hibiscusstack/daemon/daemon.py
+++ b/hibiscusstack/daemon/daemon.py
@@ -176,6 +176,7 @@
             queue=parts.queue,
             admission=parts.admission,
             health=parts.health,
+            run_times=parts.run_times,
         )
         hops = PeerHops(self._tracer)
         self._dispatcher = Dispatcher(engine, targets, hops, self._metrics)
--- a/hibiscusstack/dispatch/health.py
+++ b/hibiscusstack/dispatch/health.py
@@ -22,7 +22,7 @@
 SLOW_FACTOR = 2.2
 SLOW_PROBE_INTERVAL_MS = 2_000
 TIMED_MEMORY_RUNS = 40
-LEAST_RUN_TIME_MS = 1.0
+LEAST_SLOWNESS = 0.001
 
 
 @attrs.define
@@ -30,7 +30,7 @@
     """What is known of one target.
 
     ``allowed`` bounds its running tasks while it is readmitted; ``None`` means that
-    it is trusted. ``log_ms`` is the moving mean of the logarithm of its run times,
+    it is trusted. ``log_slowness`` is the moving mean of the logarithm of its slowness,
     which one very long task hardly moves.
     """
 
@@ -38,7 +38,7 @@
     failure_part: float = 0.0
     consecutive_failures: int = 0
     timed: int = 0
-    log_ms: float = 0.0
+    log_slowness: float = 0.0
     allowed: int | None = None
     successes: int = 0
     ejected_until_ms: int = 0
@@ -101,10 +101,13 @@
         return min(record.allowed, target.slots)
 
     def record(
-        self, target: str, is_success: bool, run_time_ms: int, now_ms: int
+        self, target: str, is_success: bool, slowness: float, now_ms: int
     ) -> None:
         """Account for one start that has ended.
 
+        ``slowness`` is the run time over what is expected of such a task, so a
+        target that gets the longer kinds of work is not taken for a slow one.
+
         What ends while its target is ejected was started before, and tells nothing
         new.
         """
@@ -116,7 +119,7 @@
         part = max(LEARNING_PART, 1.0 / record.ended)
         record.failure_part += part * ((not is_success) - record.failure_part)
         if is_success:
-            self._record_success(record, run_time_ms)
+            self._record_success(record, slowness)
             record.is_slow = self._is_slow(target, record)
             return
         record.consecutive_failures += 1
@@ -135,11 +138,11 @@
             record = self._records[target] = _Record()
         return record
 
-    def _record_success(self, record: _Record, run_time_ms: int) -> None:
+    def _record_success(self, record: _Record, slowness: float) -> None:
         record.consecutive_failures = 0
         record.timed = min(record.timed + 1, TIMED_MEMORY_RUNS)
-        log_ms = math.log(max(run_time_ms, LEAST_RUN_TIME_MS))
-        record.log_ms += (log_ms - record.log_ms) / record.timed
+        log_slowness = math.log(max(slowness, LEAST_SLOWNESS))
+        record.log_slowness += (log_slowness - record.log_slowness) / record.timed
         if record.allowed is None:
             return
         record.successes += 1
@@ -183,10 +186,10 @@
         if record.timed < LEAST_TIMED:
             return False
         others = [
-            other.log_ms
+            other.log_slowness
             for name, other in self._records.items()
             if name != target and other.timed >= LEAST_TIMED
         ]
         if not others:
             return False
-        return record.log_ms - min(others) > math.log(SLOW_FACTOR)
+        return record.log_slowness - min(others) > math.log(SLOW_FACTOR)
--- a/hibiscusstack/dispatch/home.py
+++ b/hibiscusstack/dispatch/home.py
@@ -42,6 +42,7 @@
 
 MAX_START_ATTEMPTS = 4
 SILENCE_GRACE_MS = 10_000
+LEAST_EXPECTED_MS = 1.0
 PROBE_AFTER_MS = 1_000
 PROBE_RUN_TIME_FACTOR = 4
 BUSY_REASON = "busy"
@@ -269,7 +270,9 @@
     def _record_health(
         self, running: _Running, is_success: bool, now_ms: int, run_time_ms: int = 0
     ) -> None:
-        self._health.record(running.target, is_success, run_time_ms, now_ms)
+        expected_ms = self._queue.expected_ms(running.entry.task)
+        slowness = run_time_ms / max(expected_ms, LEAST_EXPECTED_MS)
+        self._health.record(running.target, is_success, slowness, now_ms)
 
     def _conclude(self, verdicts: list[Verdict], now_ms: int) -> list[Effect]:
         effects: list[Effect] = []
--- a/hibiscusstack/dispatch/interfaces.py
+++ b/hibiscusstack/dispatch/interfaces.py
@@ -49,7 +49,7 @@
         """Return how many targets get nothing now."""
 
     def record(
-        self, target: str, is_success: bool, run_time_ms: int, now_ms: int
+        self, target: str, is_success: bool, slowness: float, now_ms: int
     ) -> None:
         """Account for one start that has ended."""
 
@@ -89,6 +89,6 @@
         return 0
 
     def record(
-        self, target: str, is_success: bool, run_time_ms: int, now_ms: int
+        self, target: str, is_success: bool, slowness: float, now_ms: int
     ) -> None:
         """Do nothing."""
--- a/hibiscusstack/dispatch/queueing.py
+++ b/hibiscusstack/dispatch/queueing.py
@@ -60,6 +60,9 @@
     def replace_targets(self, targets: Iterable[TargetInfo], fleet_slots: int) -> None:
         """Take over the targets whose home this host is."""
 
+    def expected_ms(self, task: Task) -> float:
+        """Return how long a task is expected to run."""
+
     def queued_ms(self) -> int:
         """Return the expected run time of all that waits."""
 
@@ -105,6 +108,10 @@
     def replace_targets(self, targets: Iterable[TargetInfo], fleet_slots: int) -> None:
         """Do nothing: this queue shares nothing out."""
 
+    def expected_ms(self, task: Task) -> float:
+        """Return the declared run time."""
+        return task.run_time_ms
+
     def queued_ms(self) -> int:
         """Return the declared run time of all that waits."""
         return sum(entry.task.run_time_ms for entry in self._entries)
--- a/hibiscusstack/dispatch/shares.py
+++ b/hibiscusstack/dispatch/shares.py
@@ -9,6 +9,7 @@
 import attrs
 
 from hibiscusstack.dispatch.credits import ClassCredits
+from hibiscusstack.dispatch.jobs import Task
 from hibiscusstack.dispatch.messages import HostName
 from hibiscusstack.dispatch.policy import PolicyInForce
 from hibiscusstack.dispatch.queueing import QueuedTask
@@ -155,6 +156,10 @@
         now_ms = charge.started_ms + run_time_ms
         self._charge(charge.class_name, charge.team, run_time_ms, now_ms)
 
+    def expected_ms(self, task: Task) -> float:
+        """Return how long a task is expected to run, from what was learned."""
+        return self.run_times.expected_ms(task)
+
     def queued_ms(self) -> int:
         """Return the expected run time of all that waits."""
         return round(sum(self._queued_ms.values()))
--- a/hibiscusstack/dispatch/tests/test_engine.py
+++ b/hibiscusstack/dispatch/tests/test_engine.py
@@ -3,6 +3,11 @@
 import pytest
 
 from hibiscusstack.dispatch.answers import Outcome, Reason
+from hibiscusstack.dispatch.engine import Engine
+from hibiscusstack.dispatch.jobs import Job, Task
+from hibiscusstack.dispatch.policy import PolicyInForce
+from hibiscusstack.dispatch.policy_parts import make_policy_parts
+from hibiscusstack.dispatch.policy_text import read_policy
 from hibiscusstack.dispatch.tests.fleets import Fleet, job_of, kendra_fleet
 
 
@@ -264,3 +269,39 @@
     fleet.targets["t0"].refuses = ""
     fleet.run(200)
     assert fleet.answers[request].outcome is Outcome.SUCCEEDED
+
+
+SHORT_ON_FIRST_TARGETS = """
+[labels t0]
+part = first
+
+[placement short]
+work = kind = short
+targets = part = first
+"""
+
+
+def test_target_with_longer_work_is_not_taken_for_slow():
+    fleet = Fleet(hosts=1, targets=4)
+    policy = PolicyInForce(read_policy(SHORT_ON_FIRST_TARGETS).ok)
+    parts = make_policy_parts(policy)
+    name = fleet.names[0]
+    fleet.engines[name] = Engine(
+        name,
+        fleet.clock,
+        fleet.engines[name].ids,
+        policy=policy,
+        queue=parts.queue,
+        admission=parts.admission,
+        health=parts.health,
+        run_times=parts.run_times,
+    )
+    fleet.call(0, "targets_listed", [t.info for t in fleet.targets.values()])
+    for _ in range(20):
+        short = [Task(i, "short", 5, run_time_ms=5) for i in range(8)]
+        fleet.submit(0, Job(fleet.mint(0), "guard", tuple(short)))
+        fleet.submit(0, job_of(fleet.mint(0), *[100] * 24))
+        fleet.run(150)
+    request = fleet.submit(0, job_of(fleet.mint(0), *[100] * 32))
+    fleet.run(130)
+    assert fleet.answers[request].outcome is Outcome.SUCCEEDED
