--- a/Makefile
+++ b/Makefile
@@ -48,3 +48,7 @@
 
 bench-path: setup
 	$(PYTHON) -m benches.path
+
+.PHONY: bench-caller-api
+bench-caller-api: setup
+	$(PYTHON) -m benches.caller_api
--- a/hibiscusstack/caller/json_body.py
+++ b/hibiscusstack/caller/json_body.py
@@ -11,6 +11,7 @@
 MAX_JSON_DEPTH = 32
 MAX_INTEGER_BITS = 64
 MAX_SHOWN_CHARACTERS = 40
+CONTAINERS = (dict, list)
 
 
 def parse_json_body(body: bytes, max_depth: int = MAX_JSON_DEPTH) -> Any:
@@ -89,20 +90,18 @@
 
 
 def _check_depth(value: Any, max_depth: int) -> None:
-    level = [value]
+    level = [value] if isinstance(value, CONTAINERS) else []
     for _ in range(max_depth):
-        level = [item for parent in level for item in _children_of(parent)]
         if not level:
             return
-    raise _too_deep(max_depth)
-
-
-def _children_of(value: Any) -> Any:
-    if isinstance(value, dict):
-        return value.values()
-    if isinstance(value, list):
-        return value
-    return ()
+        level = [
+            item
+            for parent in level
+            for item in (parent.values() if isinstance(parent, dict) else parent)
+            if isinstance(item, CONTAINERS)
+        ]
+    if level:
+        raise _too_deep(max_depth)
 
 
 def _check_characters(text: str, value: Any) -> None:
--- a/hibiscusstack/caller/tests/test_submissions.py
+++ b/hibiscusstack/caller/tests/test_submissions.py
@@ -146,6 +146,13 @@
         decode_submission(body)
 
 
+def test_nesting_is_allowed_up_to_its_limit_and_no_further() -> None:
+    for opening, closing in ((b"[", b"]"), (b'{"a":', b"}")):
+        assert parse_json_body(opening * 5 + b"1" + closing * 5, max_depth=5)
+        with pytest.raises(InvalidInputError):
+            parse_json_body(opening * 6 + b"1" + closing * 6, max_depth=5)
+
+
 def test_a_fault_names_its_field() -> None:
     body = json.dumps(VALID | {"tasks": [{"kind": "k"}, {"kind": 5}]}).encode()
     with pytest.raises(InvalidInputError) as caught:
