Bound the submissions of one caller, those that hung up included

The dispatcher holds a submission until its answer, whether its caller still listens or not, but a hang-up freed its place: posting one id and hanging up in a loop grew memory without bound.

--- a/hibiscusstack/caller/api.py
+++ b/hibiscusstack/caller/api.py
@@ -7,14 +7,14 @@
 
 import attrs
 from klein import Klein
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred, maybeDeferred, succeed
 from twisted.web.iweb import IRequest
 
 from hibiscusstack.caller.answers import encode_answer, encode_job_state
 from hibiscusstack.caller.error_handlers import add_error_handlers
 from hibiscusstack.caller.fields import FieldReader, check_job_id, check_name
 from hibiscusstack.caller.json_body import parse_json_body
-from hibiscusstack.caller.limits import ApiLimits
+from hibiscusstack.caller.limits import ApiLimits, WaitingRoom
 from hibiscusstack.caller.problems import InputFault, problem_of_answer, refusal_of
 from hibiscusstack.caller.responses import read_json_bytes, write_json, write_problem
 from hibiscusstack.caller.service import JobService
@@ -43,12 +43,17 @@
     def __init__(self, service: JobService, limits: ApiLimits | None = None) -> None:
         self._service = service
         self._limits = limits or ApiLimits()
-        self._waiting = 0
+        self._waiting = WaitingRoom(
+            self._limits.max_waiting, self._limits.max_waiting_per_caller
+        )
 
     @property
     def waiting(self) -> int:
-        """The number of requests that wait for the answer to their job."""
-        return self._waiting
+        """The number of submissions that the service has not answered yet.
+
+        One whose caller hung up counts too, as the service still holds it.
+        """
+        return len(self._waiting)
 
     @app.route("/healthz", methods=["GET"])
     def get_health(self, request: IRequest) -> bytes:
@@ -77,13 +82,14 @@
         """Submit a job or join an earlier submission; answer when it has ended."""
         body = read_json_bytes(request)
         submission = decode_submission(body, _read_traceparent(request))
-        if self._waiting >= self._limits.max_waiting:
+        caller = submission.job.caller
+        if not self._waiting.enter(caller):
             raise refusal_of(
                 InputFault.TOO_MANY_WAITING, retry_after_ms=WAITING_RETRY_MS
             )
-        waiter = _detach_waiter(self._submit(submission))
-        self._waiting += 1
-        waiter.addBoth(self._stop_waiting)
+        answered = maybeDeferred(self._submit, submission)
+        answered.addBoth(self._stop_waiting, caller)
+        waiter = _detach_waiter(answered)
         waiter.addCallback(lambda answer: self._write_answer(request, answer))
         return waiter
 
@@ -119,8 +125,8 @@
         retry_after_ms = RETRY_MS_OF_REFUSAL[reason]
         return succeed(not_run(NO_JOB_ID, reason, retry_after_ms=retry_after_ms))
 
-    def _stop_waiting(self, result: Any) -> Any:
-        self._waiting -= 1
+    def _stop_waiting(self, result: Any, caller: str) -> Any:
+        self._waiting.leave(caller)
         return result
 
     def _write_answer(self, request: IRequest, answer: JobAnswer) -> bytes:
--- a/hibiscusstack/caller/tests/fakes.py
+++ b/hibiscusstack/caller/tests/fakes.py
@@ -15,6 +15,7 @@
     not_run,
 )
 from hibiscusstack.dispatch.jobs import Job
+from hibiscusstack.exceptions import InvalidInputError
 
 
 @attrs.define
@@ -43,6 +44,8 @@
 
     def job_id_of_key(self, caller: str, key: str) -> str:
         """Return an id made of caller and key."""
+        if key == "refused":
+            raise InvalidInputError("key", "another key", key)
         return f"key.{caller}.{key}"
 
     def submit(self, job: Job) -> Deferred[JobAnswer]:
--- a/hibiscusstack/caller/tests/test_api.py
+++ b/hibiscusstack/caller/tests/test_api.py
@@ -95,10 +95,11 @@
     assert api.api.waiting == 1
     waiting.cancel()
     api.http.flush()
-    assert api.api.waiting == 0
+    assert api.api.waiting == 1
     assert api.service.cancelled == []
     assert not api.service.waiters["j1"][0].called
     api.service.succeed("j1")
+    assert api.api.waiting == 0
     assert read(api, post_job(api, id="j1"))[1]["outcome"] == "succeeded"
 
 
@@ -175,6 +176,13 @@
     assert read(api, waiting)[0].code == 200
 
 
+def test_a_key_that_is_refused_takes_no_room() -> None:
+    api = make_api()
+    response, body = read(api, post_job(api, key="refused"))
+    assert (response.code, body["where"]) == (400, "key")
+    assert api.api.waiting == 0
+
+
 def test_waiting_requests_are_bounded() -> None:
     api = make_api(ApiLimits(max_waiting=2))
     first, _ = post_job(api, id="j1"), post_job(api, id="j2")
@@ -188,6 +196,21 @@
     assert "j3" in api.service.jobs
 
 
+def test_one_caller_leaves_room_for_the_others() -> None:
+    api = make_api(ApiLimits(max_waiting_per_caller=2))
+    hung_up = post_job(api, id="j1")
+    hung_up.addErrback(lambda _: None)
+    hung_up.cancel()
+    post_job(api, id="j1")
+    response, body = read(api, post_job(api, id="j1"))
+    assert response.code == 503
+    assert body["type"] == PROBLEM_PREFIX + "too-many-waiting"
+    post_job(api, caller="guard-2", id="j2")
+    assert "j2" in api.service.jobs
+    api.service.succeed("j1")
+    assert api.api.waiting == 1
+
+
 def test_ids_are_issued_in_batches() -> None:
     api = make_api()
     response, body = read(api, send(api, "POST", "/v1/ids", json={"count": 3}))
