--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,10 @@
 bench-path: setup
 	$(PYTHON) -m benches.path
 
+.PHONY: bench-caller-api
+bench-caller-api: setup
+	$(PYTHON) -m benches.caller_api
+
 .PHONY: check-daemon
 check-daemon: setup
 	$(PYTHON) -m scripts.check_daemon
