--- a/hibiscusstack/daemon/tests/test_dispatcher.py
+++ b/hibiscusstack/daemon/tests/test_dispatcher.py
@@ -1,5 +1,7 @@
 """The dispatcher carries out effects, each once and in order."""
 
+import inspect
+
 import attrs
 from twisted.internet.defer import Deferred, succeed
 
@@ -20,7 +22,12 @@
 from hibiscusstack.dispatch.engine import Engine
 from hibiscusstack.dispatch.ids import IdIssuer
 from hibiscusstack.dispatch.jobs import Job, Task
-from hibiscusstack.dispatch.messages import CancelBatch, HostName, PlaceBatch
+from hibiscusstack.dispatch.messages import (
+    BatchResults,
+    CancelBatch,
+    HostName,
+    PlaceBatch,
+)
 from hibiscusstack.dispatch.targets import TargetInfo
 from hibiscusstack.telemetry import StatsdMetrics, build_tracer
 
@@ -94,12 +101,18 @@
 
 
 def test_replies_that_come_at_once_do_not_nest():
-    host = Host(FakeClient(TaskNotSent("refused")))
-    _, answered = host.submit(tasks=200)
-    for _ in range(3_000):
-        host.clock.advance(20)
-        host.dispatcher.tick()
-    assert answered.called
+    host = Host(FakeClient(finished()))
+    depths = []
+    start = host.dispatcher._targets.start
+
+    def start_and_measure(effect, replied):
+        depths.append(len(inspect.stack(0)))
+        start(effect, replied)
+
+    host.dispatcher._targets.start = start_and_measure
+    host.submit(tasks=50)
+    assert len(depths) > 1
+    assert len(set(depths)) == 1
 
 
 def test_an_error_in_the_client_proves_nothing_about_the_task():
@@ -145,6 +158,19 @@
     assert client.starts[0][1].traceparent.split("-")[2] == spans["target.task"].span_id
 
 
+def test_a_hop_of_two_tasks_ends_with_the_second():
+    host = Host(FakeClient())
+    host.dispatcher.peer_connected(PEER)
+    tasks = (Task(0, "k"), Task(1, "k"))
+    batch = PlaceBatch(1, "j9", tasks, ("t1",), 1_000, "c", "t", "default")
+    host.dispatcher.peer_message(PEER, batch)
+    failed = TaskResult(0, Outcome.FAILED)
+    host.dispatcher.carry_out([SendPeer(PEER, BatchResults(1, (failed,)))])
+    assert host.tracer.ring.spans_of("j9") == ()
+    host.dispatcher.carry_out([SendPeer(PEER, BatchResults(1, (), (1,)))])
+    assert [span.name for span in host.tracer.ring.spans_of("j9")] == ["home.batch"]
+
+
 def test_a_lost_peer_ends_its_hops():
     host = Host(FakeClient(None))
     host.dispatcher.peer_connected(PEER)
--- a/hibiscusstack/host/tests/fleet.py
+++ b/hibiscusstack/host/tests/fleet.py
@@ -86,6 +86,7 @@
         self.listeners = {}
         self.pairs: list[tuple[FakeTransport, FakeTransport]] = []
         self.is_cut = False
+        self.dialled: list[int] = []
 
     def listen(self, address, port, build):
         """Register a listener."""
@@ -94,6 +95,7 @@
 
     def dial(self, address, port, build) -> Deferred:
         """Connect to a listener, or refuse."""
+        self.dialled.append(port)
         if self.is_cut or port not in self.listeners:
             return fail(Refused())
         near, far = FakeTransport(self.reactor), FakeTransport(self.reactor)
--- /dev/null
+++ b/hibiscusstack/host/tests/test_dialing.py
@@ -0,0 +1,64 @@
+"""Which addresses are dialled, and when."""
+
+import random
+
+from hibiscusstack.host.backoff import Backoff
+from hibiscusstack.host.dialing import LONGEST_DELAY_MS, AddressBook, PeerAddress
+
+SEED = PeerAddress("127.0.0.1", 7400)
+LISTED = PeerAddress("127.0.0.1", 7401)
+
+
+def attempts_of(book, duration_ms, connected=frozenset()):
+    """Return the times of the attempts, each of which fails at once."""
+    times = []
+    for now_ms in range(0, duration_ms, 10):
+        for address in book.take_due((), set(connected), now_ms):
+            times.append(now_ms)
+            book.note_closed(address, now_ms)
+    return times
+
+
+def test_delays_grow_to_the_limit_and_differ():
+    backoff = Backoff(random.Random(3), first_ms=100, limit_ms=1_000)
+    delays = [backoff.next_ms() for _ in range(200)]
+    assert max(delays) <= 1_000
+    assert min(delays[5:]) >= 500
+    assert len(set(delays)) > 100
+    backoff.reset()
+    assert backoff.next_ms() <= 100
+
+
+def test_an_address_that_fails_is_dialled_less_and_less():
+    times = attempts_of(AddressBook([SEED], random.Random(1)), 60_000)
+    gaps = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
+    assert gaps[0] <= 110
+    assert max(gaps) <= LONGEST_DELAY_MS + 10
+    assert len(times) < 30
+
+
+def test_a_success_starts_again_at_the_shortest_delay():
+    book = AddressBook([SEED], random.Random(1))
+    attempts_of(book, 20_000)
+    book.note_connected(SEED)
+    book.note_closed(SEED, 20_000)
+    assert book.take_due((), set(), 20_100) == [SEED]
+
+
+def test_an_attempt_in_progress_is_not_repeated():
+    book = AddressBook([SEED], random.Random(1))
+    assert book.take_due((), set(), 0) == [SEED]
+    assert book.take_due((), set(), 60_000) == []
+
+
+def test_connected_and_own_addresses_are_not_dialled():
+    book = AddressBook([SEED], random.Random(1))
+    book.replace_listed([LISTED])
+    assert book.take_due((), {SEED}, 0) == [LISTED]
+    book.mark_own(SEED)
+    assert book.take_due((SEED,), set(), 100) == []
+
+
+def test_addresses_that_peers_gave_are_dialled():
+    book = AddressBook([], random.Random(1))
+    assert book.take_due((LISTED,), set(), 0) == [LISTED]
--- a/hibiscusstack/host/tests/test_mesh.py
+++ b/hibiscusstack/host/tests/test_mesh.py
@@ -2,6 +2,7 @@
 
 from hibiscusstack.dispatch.messages import CancelBatch, Hello
 from hibiscusstack.host.connection import NotConnected, SendBufferFull
+from hibiscusstack.host.dialing import PeerAddress
 from hibiscusstack.host.tests.fleet import FakeTransport, Fleet
 
 
@@ -85,13 +86,82 @@
     assert fleet.name(2, incarnation=4) not in fleet.events[1].connected
 
 
-def test_a_host_that_was_paused_blames_no_peer():
+def test_a_host_that_was_paused_retires_no_connection():
     fleet = Fleet(2)
     fleet.run(500)
+    before = list(fleet.network.open_pairs())
     fleet.reactor.rightNow += 60
     fleet.run(1_000)
+    assert fleet.network.open_pairs() == before
     assert fleet.events[1].lost == []
-    assert fleet.events[2].lost == []
+
+
+def test_a_host_that_was_paused_gives_absent_peers_their_time_anew():
+    fleet = Fleet(2)
+    fleet.run(500)
+    fleet.network.is_cut = True
+    fleet.meshes[2].stop()
+    fleet.run(100)
+    fleet.reactor.rightNow += 60
+    fleet.run(1_000)
+    assert fleet.events[1].lost == []
+    fleet.run(fleet.timing.lost_after_ms)
+    assert fleet.events[1].lost == [fleet.name(2)]
+
+
+def test_a_lost_connection_is_told_before_the_peer_is_lost():
+    fleet = Fleet(2)
+    fleet.run(500)
+    fleet.network.is_cut = True
+    fleet.meshes[2].stop()
+    fleet.run(10)
+    assert fleet.events[1].disconnected == [fleet.name(2)]
+    assert fleet.events[1].lost == []
+
+
+def test_connections_dialled_from_both_ends_leave_one():
+    fleet = Fleet(2)
+    fleet.meshes[1]._dial(fleet.seeds[1])
+    assert len(fleet.network.open_pairs()) == 2
+    fleet.run(500)
+    assert len(fleet.network.open_pairs()) == 1
+    for port in (1, 2):
+        other = fleet.name(3 - port)
+        assert fleet.meshes[port].send(other, CancelBatch(1)).is_ok()
+    near = fleet.network.open_pairs()[0][0]
+    assert near.protocol is fleet.meshes[1]._sessions.connection_to(fleet.name(2))
+
+
+def test_a_message_before_the_hello_ends_the_connection():
+    fleet = Fleet(1)
+    connection = fleet.meshes[1]._build_accepted()
+    transport = FakeTransport(fleet.reactor)
+    transport.far = transport.protocol = connection
+    transport.is_silent = True
+    connection.makeConnection(transport)
+    fleet.meshes[1].message_received(connection, CancelBatch(1))
+    assert not transport.is_open
+    assert fleet.events[1].messages == []
+
+
+def test_an_address_that_leaves_the_list_is_not_dialled():
+    fleet = Fleet(1)
+    mesh = fleet.meshes[1]
+    mesh.replace_listed([PeerAddress("127.0.0.1", 9)])
+    fleet.run(300)
+    dialled = fleet.network.dialled.count(9)
+    assert dialled > 0
+    mesh.replace_listed([])
+    fleet.run(10_000, step_ms=20)
+    assert fleet.network.dialled.count(9) == dialled
+
+
+def test_a_host_does_not_dial_itself():
+    fleet = Fleet(2)
+    fleet.run(5_000)
+    assert len(fleet.network.open_pairs()) == 1
+    assert sorted(set(fleet.network.dialled)) in ([1, 2], [1], [2])
+    assert fleet.network.dialled.count(1) + fleet.network.dialled.count(2) == 2
 
 
 def test_a_peer_that_does_not_read_is_retired():
