--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -38,10 +38,10 @@
 from hibiscusstack.dispatch.interfaces import (
     Admission,
     AdmitEverything,
-    HomeLoad,
     TargetHealth,
 )
 from hibiscusstack.dispatch.jobs import Job
+from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import (
     BatchResults,
     CancelBatch,
@@ -91,16 +91,20 @@
         policy: PolicyInForce | None = None,
         admission: Admission | None = None,
         health: TargetHealth | None = None,
+        run_times: RunTimes | None = None,
     ) -> None:
         self.name = name
         self.ids = ids
         self.configuration_offset = 0
         self._clock = clock
         self._policy = policy or PolicyInForce()
-        self._planner = Planner(name, self._policy, admission or AdmitEverything())
+        run_times = run_times or RunTimes()
+        self._planner = Planner(
+            name, self._policy, admission or AdmitEverything(), run_times
+        )
         self._owner = Owner(name, self._planner)
         if queue is None:
-            queue = ShareQueue(self._policy, RunTimes())
+            queue = ShareQueue(self._policy, run_times)
         self._home = Home(queue, health)
         self._forwarding = Forwarding()
         self._finished = FinishedJobs()
@@ -231,6 +235,7 @@
             slots=load.slots,
             ejected=load.ejected,
             queued_ms_by_class=load.queued_ms_by_class,
+            free_by_target=load.free_by_target,
         )
 
     def view_targets(self) -> list[TargetSnapshot]:
@@ -250,8 +255,8 @@
 
     def view_queue(self) -> QueueSnapshot:
         """Return what waits on this host."""
-        _, queued_ms = self._home.load(self._clock.now_ms())
-        return QueueSnapshot(self._home.waiting_count, queued_ms)
+        load = self._home.load(self._clock.now_ms())
+        return QueueSnapshot(self._home.waiting_count, load.queued_ms)
 
     def drain(self) -> list[Effect]:
         """Refuse new work and return what waits here to its owners."""
@@ -331,6 +336,7 @@
                 free_slots=message.free_slots,
                 queued_ms=message.queued_ms,
                 queued_ms_by_class=message.queued_ms_by_class,
+                free_by_target=message.free_by_target,
             )
         return self._owner.results(sender, message, now_ms)
 
@@ -342,16 +348,16 @@
     def _hear(self, sender: HostName, message: Heartbeat, now_ms: int) -> list[Effect]:
         previous = self._peers.get(sender)
         self._peers[sender] = message
-        if sender.data_centre == self.name.data_centre:
-            self._planner.loads[sender] = HomeLoad(
-                message.free_slots,
-                message.queued_ms,
-                message.targets,
-                message.slots,
-                message.ejected,
-                message.queued_ms_by_class,
-            )
-            self._note_fleet()
+        self._planner.loads[sender] = HomeLoad(
+            message.free_slots,
+            message.queued_ms,
+            message.targets,
+            message.slots,
+            message.ejected,
+            message.queued_ms_by_class,
+            message.free_by_target,
+        )
+        self._note_fleet()
         was_draining = previous is not None and previous.is_draining
         if message.is_draining != was_draining:
             return self._assign_homes()
@@ -362,11 +368,15 @@
         self._planner.loads[self.name] = load
 
     def _note_fleet(self) -> None:
+        here = self.name.data_centre
         others = [
-            load for home, load in self._planner.loads.items() if home != self.name
+            load
+            for home, load in self._planner.loads.items()
+            if home != self.name and home.data_centre == here
         ]
         ejected = sum(load.ejected for load in others)
-        self._home.note_fleet(ejected, len(self._listed))
+        targets = sum(load.targets for load in others) + self._home.own_count
+        self._home.note_fleet(ejected, targets)
 
     def _assign_homes(self) -> list[Effect]:
         home_of: dict[str, HostName] = {}
--- a/hibiscusstack/dispatch/interfaces.py
+++ b/hibiscusstack/dispatch/interfaces.py
@@ -3,7 +3,6 @@
 __all__ = [
     "Admission",
     "AdmitEverything",
-    "HomeLoad",
     "TargetHealth",
     "UnlimitedHealth",
 ]
@@ -11,26 +10,13 @@
 from collections.abc import Iterable, Mapping
 from typing import Protocol
 
-import attrs
-
 from hibiscusstack.dispatch.answers import Problem
 from hibiscusstack.dispatch.jobs import Job
+from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import HostName
 from hibiscusstack.dispatch.targets import TargetInfo
 
 
-@attrs.frozen
-class HomeLoad:
-    """What a home host last said of its targets and its queue."""
-
-    free_slots: int
-    queued_ms: int
-    targets: int
-    slots: int = 0
-    ejected: int = 0
-    queued_ms_by_class: tuple[tuple[str, int], ...] = ()
-
-
 class Admission(Protocol):
     """The decision whether a whole job can be served in time."""
 
--- a/hibiscusstack/dispatch/owner.py
+++ b/hibiscusstack/dispatch/owner.py
@@ -15,7 +15,6 @@
 )
 from hibiscusstack.dispatch.conclusion import conclude_job
 from hibiscusstack.dispatch.effects import Effect, SendPeer, TaskStates
-from hibiscusstack.dispatch.homes import Portion
 from hibiscusstack.dispatch.inquiry import Inquiry, Verdict
 from hibiscusstack.dispatch.jobs import Job, task_id_of
 from hibiscusstack.dispatch.messages import (
@@ -26,6 +25,7 @@
     PlaceBatch,
     QueryBatch,
 )
+from hibiscusstack.dispatch.placement import Portion
 from hibiscusstack.dispatch.planning import Matches, Planner
 
 MAX_PLACEMENTS_PER_TASK = 5
@@ -174,10 +174,8 @@
         return effects + self._conclude(verdicts, now_ms)
 
     def _place(self, owned: _OwnedJob, matches: Matches, now_ms: int) -> list[Effect]:
-        return [
-            self._send_portion(owned, portion, now_ms)
-            for portion in self._planner.split(matches)
-        ]
+        portions = self._planner.split(owned.job, owned.class_name, matches)
+        return [self._send_portion(owned, portion, now_ms) for portion in portions]
 
     def _send_portion(
         self, owned: _OwnedJob, portion: Portion, now_ms: int
--- a/hibiscusstack/dispatch/planning.py
+++ b/hibiscusstack/dispatch/planning.py
@@ -2,16 +2,17 @@
 
 __all__ = ["Matches", "Planner"]
 
-from collections.abc import Mapping, Sequence
-
-import attrs
+from collections.abc import Collection, Mapping, Sequence
 
 from hibiscusstack.dispatch.answers import Problem, Reason
-from hibiscusstack.dispatch.homes import Portion, split_over_homes
-from hibiscusstack.dispatch.interfaces import Admission, HomeLoad
+from hibiscusstack.dispatch.estimates import Backlog, estimate_wait_ms
+from hibiscusstack.dispatch.interfaces import Admission
 from hibiscusstack.dispatch.jobs import Job
+from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.dispatch.placement import Portion, split_over_homes
 from hibiscusstack.dispatch.policy import PolicyInForce
+from hibiscusstack.dispatch.run_times import RunTimes
 from hibiscusstack.dispatch.targets import TargetInfo
 
 MAX_OTHER_DATA_CENTRES = 2
@@ -26,15 +27,21 @@
     """
 
     def __init__(
-        self, name: HostName, policy: PolicyInForce, admission: Admission
+        self,
+        name: HostName,
+        policy: PolicyInForce,
+        admission: Admission,
+        run_times: RunTimes,
     ) -> None:
         self.loads: dict[HostName, HomeLoad] = {}
         self.policy = policy
         self.admission = admission
+        self._run_times = run_times
         self._name = name
         self._targets: Mapping[str, TargetInfo] = {}
         self._home_of: Mapping[str, HostName] = {}
         self._homed: dict[tuple[frozenset[str], str], frozenset[str]] = {}
+        self._names_of: dict[HostName, list[str]] = {}
         self._others: list[str] = []
 
     def replace_targets(
@@ -44,6 +51,9 @@
         self._targets = targets
         self._home_of = home_of
         self._homed = {}
+        self._names_of = {}
+        for name in sorted(home_of):
+            self._names_of.setdefault(home_of[name], []).append(name)
         found = {home.data_centre for home in home_of.values()}
         self._others = sorted(found - {self._name.data_centre})
 
@@ -51,11 +61,23 @@
         """Return the targets of each task, in the nearest data centre with any."""
         return self._match(job, self._data_centres())
 
-    def split(self, matches: Matches) -> list[Portion]:
+    def split(self, job: Job, class_name: str, matches: Matches) -> list[Portion]:
         """Return the portions for each home, and expect their load from now on."""
-        portions = split_over_homes(matches, self._home_of, self.loads, self._name)
+        expected_ms = {
+            index: self._run_times.expected_ms(job.tasks[index]) for index in matches
+        }
+        portions = split_over_homes(
+            matches,
+            self._home_of,
+            self._load_for,
+            preferred=self._name,
+            expected_ms=expected_ms,
+            wait_ms=lambda load: estimate_wait_ms(
+                self.policy.policy, Backlog.sum_of([load]), class_name
+            ),
+        )
         for portion in portions:
-            self._expect_load(portion)
+            self._expect_load(class_name, portion, expected_ms)
         return portions
 
     def plan(self, job: Job, class_name: str, now_ms: int) -> Matches | Problem:
@@ -69,7 +91,7 @@
             matches = self._match(job, (data_centre,))
             if not all(matches.values()):
                 continue
-            problem = self._admit(job, class_name, {data_centre}, now_ms)
+            problem = self._admit(job, class_name, matches, now_ms)
             if problem is None:
                 return matches
             refusal = refusal or problem
@@ -84,19 +106,29 @@
         if unmatched:
             detail = f"no reachable target may run task {unmatched[0]}"
             return Problem(Reason.NO_MATCHING_TARGET, detail)
-        every = set(self._data_centres())
-        return self._admit(job, class_name, every, now_ms) or matches
+        return self._admit(job, class_name, matches, now_ms) or matches
 
     def _admit(
-        self, job: Job, class_name: str, data_centres: set[str], now_ms: int
+        self, job: Job, class_name: str, matches: Matches, now_ms: int
     ) -> Problem | None:
-        loads = {
-            host: load
-            for host, load in self.loads.items()
-            if host.data_centre in data_centres
-        }
+        """Ask the admission, with the loads as far as the job can use them."""
+        usable: dict[HostName, list[str]] = {}
+        for name in frozenset().union(*set(matches.values())):
+            usable.setdefault(self._home_of[name], []).append(name)
+        loads = {}
+        for home, names in usable.items():
+            load = self._load_for(home, names)
+            if load is not None:
+                loads[home] = load
         return self.admission.admit(job, class_name, loads, now_ms)
 
+    def _load_for(self, home: HostName, names: Collection[str]) -> HomeLoad | None:
+        """Return a home's load as work sees it that may use only ``names``."""
+        load = self.loads.get(home)
+        if load is None:
+            return None
+        return load.restricted(self._names_of.get(home, ()), names)
+
     def _data_centres(self) -> list[str]:
         """Return the data centres with reachable homes, this one first."""
         free = dict.fromkeys(self._others, 0)
@@ -128,8 +160,15 @@
             self._homed[key] = found
         return found
 
-    def _expect_load(self, portion: Portion) -> None:
+    def _expect_load(
+        self, class_name: str, portion: Portion, expected_ms: Mapping[int, float]
+    ) -> None:
         load = self.loads.get(portion.home)
-        if load is not None:
-            free_slots = load.free_slots - len(portion.indexes)
-            self.loads[portion.home] = attrs.evolve(load, free_slots=free_slots)
+        if load is None:
+            return
+        work_ms = sum(expected_ms[index] for index in portion.indexes)
+        names = self._names_of.get(portion.home, ())
+        expected = load.with_batch(
+            names, portion.targets, class_name, len(portion.indexes), work_ms
+        )
+        self.loads[portion.home] = expected
