--- a/hibiscusstack/dispatch/tests/fleets.py
+++ b/hibiscusstack/dispatch/tests/fleets.py
@@ -98,6 +98,7 @@
         ]
         self.targets = {info.name: ScriptedTarget(info) for info in infos}
         self.answers: dict[int, JobAnswer] = {}
+        self.submitted_to: dict[int, int] = {}
         self.peer_messages = Counter()
         self.dead: set[HostName] = set()
         self.cut: set[frozenset[HostName]] = set()
@@ -109,6 +110,7 @@
     def submit(self, host: int, job: Job) -> int:
         """Hand a job to one host and return the number of the request."""
         request = next(self._requests)
+        self.submitted_to[request] = host
         self._do(self.names[host], lambda engine: engine.submit(request, job))
         return request
 
--- /dev/null
+++ b/hibiscusstack/dispatch/tests/test_engine_machine.py
@@ -0,0 +1,229 @@
+"""A rule-based machine on whole engines: faults in any order, true answers."""
+
+from collections import Counter
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from hibiscusstack.dispatch.answers import Outcome
+from hibiscusstack.dispatch.ids import parse_issued_id
+from hibiscusstack.dispatch.tests.fleets import Fleet, job_of
+
+HOSTS = 3
+TARGETS = 6
+HOST = st.integers(0, HOSTS - 1)
+FAULTY_TARGET = st.integers(0, TARGETS // 2 - 1).map(lambda number: f"t{number}")
+TIMEOUT_MS = 2_000
+UNTIL_ALL_ANSWERED_MS = 30_000
+AT_ONCE_MS = 1_000
+
+
+class EngineMachine(RuleBasedStateMachine):
+    """Three hosts, six targets with two slots, and callers that resubmit."""
+
+    @initialize()
+    def boot_all(self):
+        """Start every host."""
+        self.fleet = Fleet(hosts=HOSTS, targets=TARGETS, slots=2)
+        self.jobs = {}
+        self.requests = {}
+        self.cut = set()
+
+    def alive(self):
+        """Return the hosts that were not killed."""
+        fleet = self.fleet
+        return [n for n in range(HOSTS) if fleet.names[n] not in fleet.dead]
+
+    @rule(
+        owner=HOST,
+        host=HOST,
+        times=st.lists(st.integers(1, 400), min_size=1, max_size=12),
+    )
+    def submit(self, owner, host, times):
+        """Submit an id for the first time."""
+        if not {owner, host} <= set(self.alive()):
+            return
+        job_id = self.fleet.mint(owner)
+        fields = {"timeout_ms": TIMEOUT_MS, "is_first_attempt": True}
+        job = job_of(job_id, *times, caller=f"caller of {job_id}", **fields)
+        self.jobs[job_id] = job
+        self.requests[self.fleet.submit(host, job)] = (job_id, job.caller)
+
+    @precondition(lambda self: self.jobs)
+    @rule(data=st.data(), host=HOST, is_other=st.booleans())
+    def resubmit(self, data, host, is_other):
+        """Submit an id again, anywhere, or as another caller."""
+        job_id = data.draw(st.sampled_from(sorted(self.jobs)))
+        told = self.told(job_id)
+        if host not in self.alive() or Outcome.NOT_RUN in told:
+            return
+        first = self.jobs[job_id]
+        times = [task.payload for task in first.tasks]
+        is_other = is_other and self.is_claimed(first)
+        caller = "another caller" if is_other else first.caller
+        job = job_of(job_id, *times, caller=caller, timeout_ms=TIMEOUT_MS)
+        self.requests[self.fleet.submit(host, job)] = (job_id, caller)
+
+    def is_claimed(self, job):
+        """Tell whether the owner has the job of its own caller in progress."""
+        owner = parse_issued_id(job.job_id).ok.owner
+        engine = self.fleet.engines[owner]
+        return engine.progress_of(job.job_id, job.caller) is not None
+
+    def told(self, job_id):
+        """Return the outcomes that the caller of a job was told."""
+        return {
+            self.fleet.answers[request].outcome
+            for request, (other, caller) in self.requests.items()
+            if other == job_id
+            and request in self.fleet.answers
+            and caller == self.jobs[job_id].caller
+        }
+
+    @precondition(lambda self: self.jobs)
+    @rule(data=st.data(), host=HOST)
+    def cancel(self, data, host):
+        """Cancel for the right caller at any host."""
+        job_id = data.draw(st.sampled_from(sorted(self.jobs)))
+        self.fleet.call(host, "cancel", job_id, self.jobs[job_id].caller)
+
+    @rule(duration_ms=st.sampled_from([1, 2, 10, 50, 200]))
+    def run(self, duration_ms):
+        """Let virtual time pass."""
+        self.fleet.run(duration_ms)
+
+    @precondition(lambda self: len(self.jobs) > 2 and len(self.alive()) > 1)
+    @rule(host=HOST)
+    def kill(self, host):
+        """End a host without a word."""
+        if host in self.alive():
+            self.fleet.kill(host)
+
+    @precondition(lambda self: len(self.jobs) > 2)
+    @rule(host=HOST)
+    def drain(self, host):
+        """Begin a planned stop."""
+        self.fleet.call(host, "drain")
+
+    @rule(first=HOST, second=HOST)
+    def cut_link(self, first, second):
+        """Cut two hosts off from each other."""
+        if first == second or not {first, second} <= set(self.alive()):
+            return
+        self.fleet.cut_link(first, second)
+        self.cut.add((first, second))
+        one, other = self.fleet.names[first], self.fleet.names[second]
+        self.fleet.call(first, "peer_disconnected", other)
+        self.fleet.call(second, "peer_disconnected", one)
+
+    @precondition(lambda self: self.cut)
+    @rule(data=st.data(), is_mutual=st.booleans())
+    def lose_peer(self, data, is_mutual):
+        """Let one side, or both, take the other for lost."""
+        first, second = data.draw(st.sampled_from(sorted(self.cut)))
+        one, other = self.fleet.names[first], self.fleet.names[second]
+        self.fleet.call(first, "peer_lost", other)
+        if is_mutual:
+            self.fleet.call(second, "peer_lost", one)
+
+    @precondition(lambda self: self.cut)
+    @rule(data=st.data())
+    def mend_link(self, data):
+        """Connect two hosts again."""
+        first, second = data.draw(st.sampled_from(sorted(self.cut)))
+        self.cut -= {(first, second), (second, first)}
+        if {first, second} <= set(self.alive()):
+            self.fleet.mend_link(first, second)
+
+    @rule(
+        name=FAULTY_TARGET,
+        fault=st.sampled_from(["is_cut", "lose_answers", "fails"]),
+        is_on=st.sampled_from([False, False, True]),
+    )
+    def set_target_fault(self, name, fault, is_on):
+        """Turn one fault of a target on or off."""
+        setattr(self.fleet.targets[name], fault, is_on)
+
+    @rule(name=FAULTY_TARGET, reason=st.sampled_from(["", "", "busy", "leaving"]))
+    def let_target_refuse(self, name, reason):
+        """Let a target refuse all or nothing."""
+        self.fleet.targets[name].refuses = reason
+
+    @rule(name=FAULTY_TARGET)
+    def restart_target(self, name):
+        """Put an empty target in the place of one."""
+        self.fleet.restart_target(name)
+
+    @invariant()
+    def promises_hold(self):
+        """Compare all answers with what targets started."""
+        starts = self.starts()
+        assert all(count == 1 for count in starts.values())
+        for request, answer in self.fleet.answers.items():
+            job_id, caller = self.requests[request]
+            assert answer.job_id == job_id
+            if caller != self.jobs[job_id].caller:
+                assert answer.results == ()
+                continue
+            self.check(answer, self.jobs[job_id], starts)
+
+    def starts(self):
+        """Return the starts of each task on any target."""
+        starts = Counter()
+        for target in self.fleet.targets.values():
+            for task_id, count in target.starts.items():
+                starts[task_id.rsplit("/", 1)[0]] += count
+        return starts
+
+    def check(self, answer, job, starts):
+        """Compare one answer with the starts."""
+        names = [f"{job.job_id}/{task.index}" for task in job.tasks]
+        if answer.outcome is Outcome.NOT_RUN:
+            assert not any(starts[name] for name in names)
+        if answer.outcome is Outcome.SUCCEEDED:
+            assert [result.index for result in answer.results] == list(
+                range(len(job.tasks))
+            )
+            assert {r.outcome for r in answer.results} <= {Outcome.SUCCEEDED}
+        for result in answer.results:
+            started = starts[names[result.index]]
+            if result.outcome is Outcome.NOT_RUN:
+                assert not started
+            if result.outcome in (Outcome.SUCCEEDED, Outcome.FAILED):
+                assert started
+            if result.outcome is Outcome.SUCCEEDED:
+                assert result.value.startswith(f"{names[result.index]}/")
+
+    def teardown(self):
+        """Let time pass: every request at a living host is answered."""
+        if not hasattr(self, "fleet"):
+            return
+        for _ in range(UNTIL_ALL_ANSWERED_MS // AT_ONCE_MS):
+            if not self.unanswered():
+                break
+            self.fleet.run(AT_ONCE_MS)
+        self.fleet.run(AT_ONCE_MS)
+        self.promises_hold()
+        assert self.unanswered() == []
+
+    def unanswered(self):
+        """Return the requests at living hosts that have no answer yet."""
+        fleet = self.fleet
+        return [
+            request
+            for request, host in fleet.submitted_to.items()
+            if fleet.names[host] not in fleet.dead and request not in fleet.answers
+        ]
+
+
+EngineMachine.TestCase.settings = settings(
+    derandomize=True, max_examples=200, stateful_step_count=40, deadline=None
+)
+TestEngineMachine = EngineMachine.TestCase
