--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -38,10 +38,10 @@
 from hibiscusstack.dispatch.interfaces import (
     Admission,
     AdmitEverything,
-    HomeLoad,
     TargetHealth,
 )
 from hibiscusstack.dispatch.jobs import Job
+from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import (
     BatchResults,
     CancelBatch,
@@ -55,6 +55,7 @@
     QueryBatch,
 )
 from hibiscusstack.dispatch.owner import Owner
+from hibiscusstack.dispatch.planning import Planner
 from hibiscusstack.dispatch.policy import Policy, PolicyInForce, labelled
 from hibiscusstack.dispatch.queueing import TaskQueue
 from hibiscusstack.dispatch.run_times import RunTimes
@@ -90,15 +91,20 @@
         policy: PolicyInForce | None = None,
         admission: Admission | None = None,
         health: TargetHealth | None = None,
+        run_times: RunTimes | None = None,
     ) -> None:
         self.name = name
         self.ids = ids
         self.configuration_offset = 0
         self._clock = clock
         self._policy = policy or PolicyInForce()
-        self._owner = Owner(name, self._policy, admission or AdmitEverything())
+        run_times = run_times or RunTimes()
+        self._planner = Planner(
+            name, self._policy, admission or AdmitEverything(), run_times
+        )
+        self._owner = Owner(name, self._planner)
         if queue is None:
-            queue = ShareQueue(self._policy, RunTimes())
+            queue = ShareQueue(self._policy, run_times)
         self._home = Home(queue, health)
         self._forwarding = Forwarding()
         self._finished = FinishedJobs()
@@ -107,6 +113,7 @@
         self._listed: tuple[TargetInfo, ...] = ()
         self._home_of: dict[str, HostName] = {}
         self._peers: dict[HostName, Heartbeat | None] = {}
+        self._disconnected: set[HostName] = set()
         self._is_draining = False
         self._handlers = {
             PlaceBatch: self._home.place,
@@ -184,6 +191,7 @@
     def peer_connected(self, peer: HostName) -> list[Effect]:
         """Act on a new connection to a peer, the first one or a later one."""
         self._peers.setdefault(peer, None)
+        self._disconnected.discard(peer)
         effects = self._forwarding.connected(peer)
         effects += self._owner.home_connected(peer)
         return self._run(effects + self._assign_homes())
@@ -191,11 +199,13 @@
     def peer_disconnected(self, peer: HostName) -> list[Effect]:
         """Act on the end of a connection to a peer that may come back."""
         self._forwarding.disconnected(peer)
-        return []
+        self._disconnected.add(peer)
+        return self._run(self._assign_homes())
 
     def peer_lost(self, peer: HostName) -> list[Effect]:
         """Act on the loss of a peer that has not come back in time."""
         self._peers.pop(peer, None)
+        self._disconnected.discard(peer)
         now_ms = self._clock.now_ms()
         effects = self._forwarding.lost(peer)
         effects += self._home.owner_lost(peer, now_ms)
@@ -225,6 +235,7 @@
             slots=load.slots,
             ejected=load.ejected,
             queued_ms_by_class=load.queued_ms_by_class,
+            free_by_target=load.free_by_target,
         )
 
     def view_targets(self) -> list[TargetSnapshot]:
@@ -244,14 +255,15 @@
 
     def view_queue(self) -> QueueSnapshot:
         """Return what waits on this host."""
-        _, queued_ms = self._home.load(self._clock.now_ms())
-        return QueueSnapshot(self._home.waiting_count, queued_ms)
+        load = self._home.load(self._clock.now_ms())
+        return QueueSnapshot(self._home.waiting_count, load.queued_ms)
 
     def drain(self) -> list[Effect]:
         """Refuse new work and return what waits here to its owners."""
         self._is_draining = True
         effects = self._assign_homes()
-        effects += self._home.give_back_queued(self._clock.now_ms())
+        if self.name not in self._home_candidates(self.name.data_centre):
+            effects += self._home.give_back_queued(self._clock.now_ms())
         return self._run(effects)
 
     def tick(self) -> list[Effect]:
@@ -317,13 +329,14 @@
     def _take_results(
         self, sender: HostName, message: BatchResults, now_ms: int
     ) -> list[Effect]:
-        known = self._owner.loads.get(sender)
+        known = self._planner.loads.get(sender)
         if known is not None:
-            self._owner.loads[sender] = attrs.evolve(
+            self._planner.loads[sender] = attrs.evolve(
                 known,
                 free_slots=message.free_slots,
                 queued_ms=message.queued_ms,
                 queued_ms_by_class=message.queued_ms_by_class,
+                free_by_target=message.free_by_target,
             )
         return self._owner.results(sender, message, now_ms)
 
@@ -335,16 +348,16 @@
     def _hear(self, sender: HostName, message: Heartbeat, now_ms: int) -> list[Effect]:
         previous = self._peers.get(sender)
         self._peers[sender] = message
-        if sender.data_centre == self.name.data_centre:
-            self._owner.loads[sender] = HomeLoad(
-                message.free_slots,
-                message.queued_ms,
-                message.targets,
-                message.slots,
-                message.ejected,
-                message.queued_ms_by_class,
-            )
-            self._note_fleet()
+        self._planner.loads[sender] = HomeLoad(
+            message.free_slots,
+            message.queued_ms,
+            message.targets,
+            message.slots,
+            message.ejected,
+            message.queued_ms_by_class,
+            message.free_by_target,
+        )
+        self._note_fleet()
         was_draining = previous is not None and previous.is_draining
         if message.is_draining != was_draining:
             return self._assign_homes()
@@ -352,12 +365,18 @@
 
     def _refresh_own_load(self) -> None:
         load = self._home.load(self._clock.now_ms())
-        self._owner.loads[self.name] = load
+        self._planner.loads[self.name] = load
 
     def _note_fleet(self) -> None:
-        others = [load for home, load in self._owner.loads.items() if home != self.name]
+        here = self.name.data_centre
+        others = [
+            load
+            for home, load in self._planner.loads.items()
+            if home != self.name and home.data_centre == here
+        ]
         ejected = sum(load.ejected for load in others)
-        self._home.note_fleet(ejected, len(self._listed))
+        targets = sum(load.targets for load in others) + self._home.own_count
+        self._home.note_fleet(ejected, targets)
 
     def _assign_homes(self) -> list[Effect]:
         home_of: dict[str, HostName] = {}
@@ -365,7 +384,9 @@
             home_of |= self._homes_in(data_centre)
         self._home_of = home_of
         own = frozenset(t for t, home in home_of.items() if home == self.name)
-        self._owner.replace_targets({each.name: each for each in self._listed}, home_of)
+        self._planner.replace_targets(
+            {each.name: each for each in self._listed}, home_of
+        )
         here = [t for t in self._listed if t.data_centre == self.name.data_centre]
         effects = self._home.replace_targets(here, own, self._clock.now_ms())
         self._refresh_own_load()
@@ -380,14 +401,18 @@
         return assign_homes(staying, self._home_candidates(data_centre))
 
     def _home_candidates(self, data_centre: str) -> list[HostName]:
-        candidates = [
+        """Return who may be a home, this host also while it drains alone."""
+        peers = [
             peer
             for peer, heartbeat in self._peers.items()
-            if not (heartbeat is not None and heartbeat.is_draining)
+            if peer.data_centre == data_centre
+            and not (heartbeat is not None and heartbeat.is_draining)
+            and peer not in self._disconnected
         ]
-        if not self._is_draining:
-            candidates.append(self.name)
-        return sorted(each for each in candidates if each.data_centre == data_centre)
+        is_needed = not (self._is_draining and peers)
+        if is_needed and self.name.data_centre == data_centre:
+            peers.append(self.name)
+        return sorted(peers)
 
     def _run(self, effects: list[Effect]) -> list[Effect]:
         """Deliver messages to this host and answers; return what is left to do."""
--- a/hibiscusstack/dispatch/home.py
+++ b/hibiscusstack/dispatch/home.py
@@ -21,8 +21,9 @@
     TaskStates,
 )
 from hibiscusstack.dispatch.inquiry import Inquiry, Verdict
-from hibiscusstack.dispatch.interfaces import HomeLoad, TargetHealth, UnlimitedHealth
+from hibiscusstack.dispatch.interfaces import TargetHealth, UnlimitedHealth
 from hibiscusstack.dispatch.jobs import task_id_of
+from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import (
     BatchResults,
     CancelBatch,
@@ -113,14 +114,17 @@
     def load(self, now_ms: int) -> HomeLoad:
         """Return the state of the targets homed here and of the queue."""
         by_class = self._queue.queued_ms_by_class()
-        homed = [t for t in map(self.slots.target, self._own_targets) if t is not None]
+        names = sorted(self._own_targets)
+        homed = [t for t in map(self.slots.target, names) if t is not None]
+        free = tuple(self._free_on(target, now_ms) for target in homed)
         return HomeLoad(
-            free_slots=sum(self._free_on(target, now_ms) for target in homed),
+            free_slots=sum(free),
             queued_ms=self._queue.queued_ms(),
             targets=len(self._own_targets),
             slots=sum(target.slots for target in homed),
             ejected=self._health.ejected(now_ms),
             queued_ms_by_class=tuple(sorted(by_class.items())),
+            free_by_target=free,
         )
 
     def note_fleet(self, ejected_elsewhere: int, targets: int) -> None:
@@ -298,7 +302,8 @@
         self._remove(running)
         entry = running.entry
         must_return = not self._pause_after(running.target, reply, now_ms)
-        attempts = self._attempts.pop(entry.task_id, 1) + 1
+        is_counted = not _is_busy(reply)
+        attempts = self._attempts.pop(entry.task_id, 1) + is_counted
         is_open = self._batches.is_open(entry.owner, entry.batch, entry.task.index)
         if must_return or not is_open or attempts > MAX_START_ATTEMPTS:
             self._queue.record_run(entry, 0)
@@ -316,7 +321,7 @@
             self._health.record(target, False, 0, now_ms)
             self.slots.pause(target, now_ms + UNREACHABLE_PAUSE_MS)
             return True
-        if reply.reason == BUSY_REASON:
+        if _is_busy(reply):
             self.slots.pause(target, now_ms + BUSY_PAUSE_MS)
             return True
         if reply.reason == LEAVING_REASON:
@@ -361,9 +366,14 @@
             free_slots=load.free_slots,
             queued_ms=load.queued_ms,
             queued_ms_by_class=load.queued_ms_by_class,
+            free_by_target=load.free_by_target,
         )
 
 
+def _is_busy(reply: TaskRefused | TaskNotSent) -> bool:
+    return isinstance(reply, TaskRefused) and reply.reason == BUSY_REASON
+
+
 def _queued(owner: HostName, message: PlaceBatch, task, now_ms: int) -> QueuedTask:
     return QueuedTask(
         owner=owner,
--- a/scripts/submitting.py
+++ b/scripts/submitting.py
@@ -5,7 +5,6 @@
 import http.client
 import json
 import time
-import zlib
 from collections.abc import Sequence
 from typing import Any
 from urllib.parse import urlsplit
@@ -43,15 +42,22 @@
     fresh id only after a *not run* of its first attempt.
     """
 
-    def __init__(self, name: str, urls: Sequence[str]) -> None:
+    def __init__(
+        self,
+        name: str,
+        urls: Sequence[str],
+        turn: int = 0,
+        max_attempts: int = MAX_ATTEMPTS,
+    ) -> None:
         self._name = name
         self._urls = list(urls)
-        self._turn = zlib.crc32(name.encode())
+        self._turn = turn
+        self._max_attempts = max_attempts
 
     def submit(self, body: dict[str, Any], resubmits: bool) -> Submission:
         """Return the submission with its final answer, or without any."""
         submission = Submission("", {**body, "caller": self._name})
-        while submission.answer is None and submission.attempts < MAX_ATTEMPTS:
+        while submission.answer is None and submission.attempts < self._max_attempts:
             self._attempt(submission)
         if resubmits and submission.answer is not None:
             self._submit_again(submission)
@@ -93,8 +99,8 @@
             "id": submission.job_id,
             "is_first_attempt": submission.sends_of_id == 0,
         }
-        submission.sends_of_id += 1
         status, answer = _post_json(f"{url}/v1/jobs", body)
+        submission.sends_of_id += status is not None
         if status == 200:
             return answer
         return answer.get("answer")
@@ -110,12 +116,19 @@
     return answer["outcome"] == "not_run" and reason in ATTEMPT_REASONS
 
 
-def _post_json(url: str, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
-    """Return status and body of an answer; status 0 when none came."""
+def _post_json(url: str, body: dict[str, Any]) -> tuple[int | None, dict[str, Any]]:
+    """Return status and body of an answer.
+
+    The status is 0 when no answer came, and ``None`` when nothing was sent.
+    """
     parts = urlsplit(url)
     connection = http.client.HTTPConnection(
         parts.hostname, parts.port, timeout=ANSWER_TIMEOUT_S
     )
+    try:
+        connection.connect()
+    except OSError:
+        return None, {}
     try:
         headers = {"Content-Type": "application/json"}
         connection.request("POST", parts.path, json.dumps(body), headers)
