--- a/hibiscusstack/daemon/job_service.py
+++ b/hibiscusstack/daemon/job_service.py
@@ -13,7 +13,13 @@
 from hibiscusstack.clock import Clock
 from hibiscusstack.daemon.dispatcher import Dispatcher
 from hibiscusstack.daemon.lifecycle import Phase
-from hibiscusstack.dispatch.answers import JobAnswer, Outcome, Reason, not_run
+from hibiscusstack.dispatch.answers import (
+    JobAnswer,
+    Outcome,
+    Reason,
+    not_run,
+    outcome_unknown,
+)
 from hibiscusstack.dispatch.ids import parse_issued_id
 from hibiscusstack.dispatch.jobs import Job
 from hibiscusstack.exceptions import InvalidInputError
@@ -70,10 +76,7 @@
     def submit(self, job: Job) -> Deferred[JobAnswer]:
         """Return the answer to a job, once it has ended or is refused."""
         if self._phase() is Phase.STARTING:
-            detail = "this host does not know the configuration yet"
-            return succeed(
-                not_run(job.job_id, Reason.NOT_READY, detail, NOT_READY_RETRY_MS)
-            )
+            return succeed(_not_ready(job))
         span = self._tracer.start_span(
             "caller.submit", job.job_id, job.traceparent, tasks=len(job.tasks)
         )
@@ -121,3 +124,11 @@
             duration_ms=duration_ms,
         )
         return answer
+
+
+def _not_ready(job: Job) -> JobAnswer:
+    """Return the answer of a starting host, which knows of no earlier attempt."""
+    detail = "this host does not know the configuration yet"
+    if job.is_first_attempt:
+        return not_run(job.job_id, Reason.NOT_READY, detail, NOT_READY_RETRY_MS)
+    return outcome_unknown(job.job_id, Reason.NOT_READY, detail)
