--- a/hibiscusstack/dispatch/home.py
+++ b/hibiscusstack/dispatch/home.py
@@ -21,8 +21,9 @@
     TaskStates,
 )
 from hibiscusstack.dispatch.inquiry import Inquiry, Verdict
-from hibiscusstack.dispatch.interfaces import HomeLoad, TargetHealth, UnlimitedHealth
+from hibiscusstack.dispatch.interfaces import TargetHealth, UnlimitedHealth
 from hibiscusstack.dispatch.jobs import task_id_of
+from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import (
     BatchResults,
     CancelBatch,
@@ -41,6 +42,7 @@
 
 MAX_START_ATTEMPTS = 4
 SILENCE_GRACE_MS = 10_000
+LEAST_EXPECTED_MS = 1.0
 PROBE_AFTER_MS = 1_000
 PROBE_RUN_TIME_FACTOR = 4
 BUSY_REASON = "busy"
@@ -113,14 +115,17 @@
     def load(self, now_ms: int) -> HomeLoad:
         """Return the state of the targets homed here and of the queue."""
         by_class = self._queue.queued_ms_by_class()
-        homed = [t for t in map(self.slots.target, self._own_targets) if t is not None]
+        names = sorted(self._own_targets)
+        homed = [t for t in map(self.slots.target, names) if t is not None]
+        free = tuple(self._free_on(target, now_ms) for target in homed)
         return HomeLoad(
-            free_slots=sum(self._free_on(target, now_ms) for target in homed),
+            free_slots=sum(free),
             queued_ms=self._queue.queued_ms(),
             targets=len(self._own_targets),
             slots=sum(target.slots for target in homed),
             ejected=self._health.ejected(now_ms),
             queued_ms_by_class=tuple(sorted(by_class.items())),
+            free_by_target=free,
         )
 
     def note_fleet(self, ejected_elsewhere: int, targets: int) -> None:
@@ -265,7 +270,9 @@
     def _record_health(
         self, running: _Running, is_success: bool, now_ms: int, run_time_ms: int = 0
     ) -> None:
-        self._health.record(running.target, is_success, run_time_ms, now_ms)
+        expected_ms = self._queue.expected_ms(running.entry.task)
+        slowness = run_time_ms / max(expected_ms, LEAST_EXPECTED_MS)
+        self._health.record(running.target, is_success, slowness, now_ms)
 
     def _conclude(self, verdicts: list[Verdict], now_ms: int) -> list[Effect]:
         effects: list[Effect] = []
@@ -362,6 +369,7 @@
             free_slots=load.free_slots,
             queued_ms=load.queued_ms,
             queued_ms_by_class=load.queued_ms_by_class,
+            free_by_target=load.free_by_target,
         )
 
 
