--- a/benches/path.py
+++ b/benches/path.py
@@ -227,6 +227,8 @@
     await deferLater(reactor, _SETTLE_S)
     counted = bench.counters.totals - before
     tasks = _require_successes(sample) * _TASKS_PER_JOB
+    if counted["tasks.started"] < tasks:
+        raise UnavailableError("statsd", f"{counted} after {tasks} tasks")
     exchanges = counted["tasks.refused"] + counted["stops.sent"]
     extra = counted["peers.messages"] + 2 * exchanges
     _print(f"path_counted_starts_{suffix}", counted["tasks.started"] / tasks, "a task")
