--- a/hibiscusstack/operator/arguments.py
+++ b/hibiscusstack/operator/arguments.py
@@ -9,6 +9,7 @@
 from hibiscusstack.operator.exit_codes import describe_exit_codes
 
 DEFAULT_ENTRY = "http://127.0.0.1:8080"
+DEFAULT_ADMIN = "http://127.0.0.1:8081"
 ENTRIES_VARIABLE = "HIBISCUS_ENTRIES"
 ADMINS_VARIABLE = "HIBISCUS_ADMINS"
 CALLER_VARIABLE = "HIBISCUS_CALLER"
@@ -43,7 +44,7 @@
     entries = options.entry or os.environ.get(ENTRIES_VARIABLE, "").split()
     entries = entries or [DEFAULT_ENTRY]
     admins = options.admin or os.environ.get(ADMINS_VARIABLE, "").split()
-    return entries, admins or entries
+    return entries, admins or [DEFAULT_ADMIN]
 
 
 def _add_common_arguments(parser: argparse.ArgumentParser, default: Any) -> None:
@@ -62,7 +63,7 @@
         action="append",
         default=default,
         metavar="URL",
-        help="an operators' interface, may be given again (default: the entries)",
+        help=f"an operators' interface, may be given again (default {DEFAULT_ADMIN})",
     )
     parser.add_argument(
         "--json", action="store_true", default=default, help="write JSON lines"
