Keep the start of a flood, and its longest jobs, from harming others

At the start of a flood the flooding class could use up its saved credit ahead of all others: Societe's turns waited up to 10 times their run time for 1.5 s; classes now take turns by what is left of their credit. Extra homes are weighed against the longest task and the wait apart.

--- a/Makefile
+++ b/Makefile
@@ -48,3 +48,6 @@
 
 bench-path: setup
 	$(PYTHON) -m benches.path
+
+policy: setup
+	$(PYTHON) -m benches.policy $(ARGUMENTS)
--- a/hibiscusstack/dispatch/admission.py
+++ b/hibiscusstack/dispatch/admission.py
@@ -22,6 +22,7 @@
 QUOTA_RETRY_AFTER_MS = 500
 JITTER_STEPS = 1_024
 IMPOSSIBLE_FACTOR = 2.0
+SMALL_TEAM_FACTOR = 1.5
 
 
 @attrs.frozen
@@ -39,7 +40,8 @@
     after its deadline. All but the first say when to come back.
 
     While a class is full, a team that has less than its part of the class's queue
-    is still admitted, so a flood by one team leaves the others in.
+    is still admitted up to ``SMALL_TEAM_FACTOR`` times the published queue, so a flood
+    by one team leaves the others in.
 
     What is counted is what this host owns. Bounds of a data centre are divided by
     its hosts: the balancer spreads callers over them. Memory is bounded by
@@ -121,7 +123,8 @@
         policy = self._in_force.policy
         wait_ms = estimate_wait_ms(policy, backlog, class_name)
         most_ms = policy.limits.max_queue_ms
-        if wait_ms > most_ms and not self._is_within_part(job, class_name, len(loads)):
+        is_small = self._is_within_part(job, class_name)
+        if wait_ms > most_ms * (SMALL_TEAM_FACTOR if is_small else 1.0):
             detail = f"the work of its class waits about {_bounded(wait_ms)} ms"
             return _refused(Reason.OVERLOADED, detail, wait_ms - most_ms, job)
         work_ms = math.fsum(expected_ms)
@@ -132,7 +135,7 @@
         detail = f"it would finish in about {_bounded(finish_ms)} ms"
         return _refused(Reason.OVERLOADED, detail, finish_ms - job.timeout_ms, job)
 
-    def _is_within_part(self, job: Job, class_name: str, hosts: int) -> bool:
+    def _is_within_part(self, job: Job, class_name: str) -> bool:
         """Tell whether a team has less than its part of a full class's queue."""
         team = self._counts.of_class_and_team(class_name, job.team)
         everyone = self._counts.of_class(class_name)
--- a/hibiscusstack/dispatch/placement.py
+++ b/hibiscusstack/dispatch/placement.py
@@ -9,7 +9,8 @@
 from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import HostName
 
-EXTRA_HOME_PART = 0.3
+RUN_TIME_PART = 0.5
+WAIT_PART = 0.1
 LEAST_EXPECTED_MS = 1.0
 ASSUMED_SLOTS = 8
 
@@ -58,10 +59,10 @@
     Tasks with the same targets are split together. The homes of those targets are
     ranked: ``preferred`` first, as it costs no message, then by free slots and
     queue. As many of them are used, in that order, as make the last start early
-    enough to be worth another home, which counts as much as ``EXTRA_HOME_PART`` of
-    the time that the job takes on the preferred home alone. Each gets what it can
-    start by then. Each index needs at least one matching target that has a home.
-    ``load_for`` gives a home's load as work for
+    enough to be worth another home, which counts as much as ``RUN_TIME_PART`` of the
+    longest task and ``WAIT_PART`` of the wait on the preferred home alone. Each gets
+    what it can start by then. Each index needs at least one matching target that has
+    a home. ``load_for`` gives a home's load as work for
     the named targets sees it, if it is known, and ``wait_ms`` tells from a load when
     the next slot comes to work of this class.
 
@@ -126,7 +127,7 @@
     mean_ms = max(sum(expected_ms) / len(expected_ms), LEAST_EXPECTED_MS)
     total = len(expected_ms)
     best_ms, best_count = _last_start_ms(homes[:1], total, mean_ms), 1
-    charge_ms = EXTRA_HOME_PART * (max(expected_ms) + best_ms)
+    charge_ms = RUN_TIME_PART * max(expected_ms) + WAIT_PART * best_ms
     for count in range(2, len(homes) + 1):
         if best_ms <= charge_ms * (count - best_count):
             break
--- a/hibiscusstack/dispatch/shares.py
+++ b/hibiscusstack/dispatch/shares.py
@@ -24,6 +24,7 @@
 )
 
 HOPELESS_PART = 0.5
+CREDIT_STEPS = 4
 FAIRNESS_STEP_MS = 10_000
 MAX_TEAM_STATES = 4_096
 
@@ -39,8 +40,10 @@
 class ShareQueue:
     """A :class:`~hibiscusstack.dispatch.queueing.TaskQueue` that shares slot time.
 
-    A free slot goes to the most urgent class that has not used up its guaranteed
-    part, and once no such class waits, to the most urgent class of all. Within a
+    A free slot goes to the class that has most of its guaranteed part left, in
+    ``CREDIT_STEPS`` steps, and among equals to the most urgent one. Once every class
+    that waits has used up its part, the most urgent one goes first. So the first
+    seconds of a flood don't push others aside either. Within a
     class the team goes first that has had the least for its weight, in steps of
     ``FAIRNESS_STEP_MS``. Among equals the batch goes first whose arrival plus a
     multiple of its remaining time is the earliest, and of a batch the task that is
@@ -170,10 +173,11 @@
     def _part_of(self, class_name: str) -> float:
         return self._in_force.policy.class_named(class_name).guaranteed_part
 
-    def _rank(self, class_name: str, now_ms: int) -> tuple[bool, int, float]:
+    def _rank(self, class_name: str, now_ms: int) -> tuple[int, int, float]:
         urgency = self._in_force.policy.class_named(class_name).urgency
         level = self._credits.level(class_name, now_ms)
-        return level <= 0, -urgency, -level
+        credited_step = math.ceil(max(level, 0.0) * CREDIT_STEPS)
+        return -credited_step, -urgency, -level
 
     def _next_line(self, candidate: ClassLine) -> TeamLine | None:
         return candidate.next_line(self._rank_of_line, self._may_run)
--- a/hibiscusstack/dispatch/waiting.py
+++ b/hibiscusstack/dispatch/waiting.py
@@ -14,7 +14,7 @@
 BatchKey = tuple[HostName, int]
 Rank = tuple[int, float]
 
-PATIENCE_FACTOR = 10.0
+PATIENCE_FACTOR = 5.0
 DEADLINE_FACTOR = 3.0
 
 
