--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,10 @@
 settings-page: setup
 	$(PYTHON) -c "from hibiscusstack.settings import describe_settings as d; print(d(), end='')" > docs/SETTINGS.md
 
+.PHONY: bench-codec
+bench-codec: setup
+	$(PYTHON) -m benches.codec
+
 .PHONY: bench-target-client
 bench-target-client: setup
 	$(PYTHON) -m benches.target_client
@@ -51,3 +55,14 @@
 
 policy: setup
 	$(PYTHON) -m benches.policy $(ARGUMENTS)
+
+.PHONY: bench-caller-api
+bench-caller-api: setup
+	$(PYTHON) -m benches.caller_api
+
+.PHONY: check-daemon
+check-daemon: setup
+	$(PYTHON) -m scripts.check_daemon
+
+slopes: setup
+	$(PYTHON) -m benches.slopes $(ARGUMENTS)
