--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,9 @@
 bench-path: setup
 	$(PYTHON) -m benches.path
 
+policy: setup
+	$(PYTHON) -m benches.policy $(ARGUMENTS)
+
 .PHONY: bench-caller-api
 bench-caller-api: setup
 	$(PYTHON) -m benches.caller_api
@@ -60,3 +63,6 @@
 .PHONY: check-daemon
 check-daemon: setup
 	$(PYTHON) -m scripts.check_daemon
+
+slopes: setup
+	$(PYTHON) -m benches.slopes $(ARGUMENTS)
