Build an engine from the parts of its policy, made together

They now come as one value whose default is the real thing, so the tests of whole engines run with it as well. They found that a job for a data centre whose homes had not yet reported was refused as overloaded with an endless wait; before the first report only the counts now bound what is admitted.

--- a/benches/policy/engines.py
+++ b/benches/policy/engines.py
@@ -36,7 +36,7 @@
 from hibiscusstack.dispatch.jobs import Job, Task
 from hibiscusstack.dispatch.messages import HostName, Message
 from hibiscusstack.dispatch.policy import PolicyInForce
-from hibiscusstack.dispatch.policy_parts import make_policy_parts
+from hibiscusstack.dispatch.policy_parts import PolicyParts, make_policy_parts
 from hibiscusstack.dispatch.targets import TargetInfo
 
 TICK_INTERVAL_MS = 10
@@ -119,20 +119,12 @@
             self._do(name, lambda e=engine: e.targets_listed(infos))
 
     def _engine(self, name: HostName) -> Engine:
-        in_force = PolicyInForce(self._world.policy)
-        parts = make_policy_parts(in_force)
         clock = self._loop.clock
         ids = IdIssuer(name, clock, secret=name.name.encode().ljust(16))
-        return Engine(
-            name,
-            clock,
-            ids,
-            policy=in_force,
-            queue=parts.queue,
-            admission=parts.admission,
-            health=parts.health,
-            run_times=parts.run_times,
-        )
+        return Engine(name, clock, ids, self._make_parts())
+
+    def _make_parts(self) -> PolicyParts:
+        return make_policy_parts(PolicyInForce(self._world.policy))
 
     def _connect(self) -> None:
         for name, engine in self.engines.items():
--- a/benches/policy/scenarios.py
+++ b/benches/policy/scenarios.py
@@ -10,6 +10,7 @@
 from benches.policy.baselines import CentralQueue, RandomPick, TwoChoices
 from benches.policy.engines import EngineFleet
 from benches.policy.measures import Measures, measure
+from benches.policy.pricing import PricedFleet
 from benches.policy.workload import (
     Arrival,
     Kind,
@@ -26,6 +27,8 @@
 
 DISPATCHERS: dict[str, Callable[[World, str], object]] = {
     "hibiscus": EngineFleet,
+    "priced_4": lambda world, seed: PricedFleet(world, seed, mu=4.0),
+    "priced_64": lambda world, seed: PricedFleet(world, seed, mu=64.0),
     "random": RandomPick,
     "two_choices": TwoChoices,
     "central": lambda world, seed: CentralQueue(world),
--- a/benches/slopes/subjects.py
+++ b/benches/slopes/subjects.py
@@ -54,18 +54,7 @@
 def make_engine(targets: int, peers: int = 0, data_centres: int = 1) -> Engine:
     """Return an engine with all parts of the policy, and its peers connected."""
     clock = ManualClock()
-    in_force = PolicyInForce()
-    parts = make_policy_parts(in_force)
-    engine = Engine(
-        OWN,
-        clock,
-        IdIssuer(OWN, clock, secret=bytes(16)),
-        policy=in_force,
-        queue=parts.queue,
-        admission=parts.admission,
-        health=parts.health,
-        run_times=parts.run_times,
-    )
+    engine = Engine(OWN, clock, IdIssuer(OWN, clock, secret=bytes(16)))
     for number in range(peers):
         engine.peer_connected(HostName("dc1", f"peer-{number}", 1))
     listed = make_targets(targets)
--- a/hibiscusstack/daemon/daemon.py
+++ b/hibiscusstack/daemon/daemon.py
@@ -37,8 +37,6 @@
 from hibiscusstack.dispatch.engine import Engine
 from hibiscusstack.dispatch.ids import IdIssuer
 from hibiscusstack.dispatch.messages import Heartbeat, Hello, HostName, Message
-from hibiscusstack.dispatch.policy import PolicyInForce
-from hibiscusstack.dispatch.policy_parts import make_policy_parts
 from hibiscusstack.host import Mesh, MeshTiming, TcpNetwork
 from hibiscusstack.operator.api import OperatorApi
 from hibiscusstack.platform import LiveListClient, LogClient, PlatformHttp
@@ -166,18 +164,7 @@
             self._metrics,
             settings.targets.timeout_ms,
         )
-        in_force = PolicyInForce()
-        parts = make_policy_parts(in_force)
-        engine = Engine(
-            self._name,
-            self._clock,
-            ids,
-            policy=in_force,
-            queue=parts.queue,
-            admission=parts.admission,
-            health=parts.health,
-            run_times=parts.run_times,
-        )
+        engine = Engine(self._name, self._clock, ids)
         hops = PeerHops(self._tracer)
         self._dispatcher = Dispatcher(engine, targets, hops, self._metrics)
 
--- a/hibiscusstack/dispatch/admission.py
+++ b/hibiscusstack/dispatch/admission.py
@@ -45,7 +45,8 @@
 
     What is counted is what this host owns. Bounds of a data centre are divided by
     its hosts: the balancer spreads callers over them. Memory is bounded by
-    ``max_queued_tasks`` tasks in progress.
+    ``max_queued_tasks`` tasks in progress. Before any home has reported its load,
+    only the counts bound what is admitted.
     """
 
     def __init__(self, in_force: PolicyInForce, run_times: RunTimes) -> None:
@@ -118,7 +119,7 @@
         loads: Mapping[HostName, HomeLoad],
     ) -> Problem | None:
         backlog = Backlog.sum_of(loads.values())
-        if backlog.free_slots >= len(job.tasks):
+        if not loads or backlog.free_slots >= len(job.tasks):
             return None
         policy = self._in_force.policy
         wait_ms = estimate_wait_ms(policy, backlog, class_name)
--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -35,11 +35,6 @@
     parse_issued_id,
     reason_of_refusal,
 )
-from hibiscusstack.dispatch.interfaces import (
-    Admission,
-    AdmitEverything,
-    TargetHealth,
-)
 from hibiscusstack.dispatch.jobs import Job
 from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import (
@@ -56,10 +51,8 @@
 )
 from hibiscusstack.dispatch.owner import Owner
 from hibiscusstack.dispatch.planning import Planner
-from hibiscusstack.dispatch.policy import Policy, PolicyInForce, labelled
-from hibiscusstack.dispatch.queueing import TaskQueue
-from hibiscusstack.dispatch.run_times import RunTimes
-from hibiscusstack.dispatch.shares import ShareQueue
+from hibiscusstack.dispatch.policy import Policy, labelled
+from hibiscusstack.dispatch.policy_parts import PolicyParts, make_policy_parts
 from hibiscusstack.dispatch.targets import TargetInfo
 from hibiscusstack.dispatch.views import QueueSnapshot, TargetSnapshot
 
@@ -86,26 +79,17 @@
         name: HostName,
         clock: Clock,
         ids: IdIssuer,
-        *,
-        queue: TaskQueue | None = None,
-        policy: PolicyInForce | None = None,
-        admission: Admission | None = None,
-        health: TargetHealth | None = None,
-        run_times: RunTimes | None = None,
+        parts: PolicyParts | None = None,
     ) -> None:
+        parts = parts or make_policy_parts()
         self.name = name
         self.ids = ids
         self.configuration_offset = 0
         self._clock = clock
-        self._policy = policy or PolicyInForce()
-        run_times = run_times or RunTimes()
-        self._planner = Planner(
-            name, self._policy, admission or AdmitEverything(), run_times
-        )
+        self._policy = parts.in_force
+        self._planner = Planner(name, parts)
         self._owner = Owner(name, self._planner)
-        if queue is None:
-            queue = ShareQueue(self._policy, run_times)
-        self._home = Home(queue, health)
+        self._home = Home(parts.queue, parts.health)
         self._forwarding = Forwarding()
         self._finished = FinishedJobs()
         self._callers: dict[str, str] = {}
--- a/hibiscusstack/dispatch/home.py
+++ b/hibiscusstack/dispatch/home.py
@@ -21,7 +21,7 @@
     TaskStates,
 )
 from hibiscusstack.dispatch.inquiry import Inquiry, Verdict
-from hibiscusstack.dispatch.interfaces import TargetHealth, UnlimitedHealth
+from hibiscusstack.dispatch.interfaces import TargetHealth
 from hibiscusstack.dispatch.jobs import task_id_of
 from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import (
@@ -70,10 +70,10 @@
     target's word over a new connection.
     """
 
-    def __init__(self, queue: TaskQueue, health: TargetHealth | None = None) -> None:
+    def __init__(self, queue: TaskQueue, health: TargetHealth) -> None:
         self.slots = SlotTable()
         self._queue = queue
-        self._health = health or UnlimitedHealth()
+        self._health = health
         self._batches = BatchTable()
         self._running: dict[str, _Running] = {}
         self._attempts: dict[str, int] = {}
--- a/hibiscusstack/dispatch/interfaces.py
+++ b/hibiscusstack/dispatch/interfaces.py
@@ -2,9 +2,7 @@
 
 __all__ = [
     "Admission",
-    "AdmitEverything",
     "TargetHealth",
-    "UnlimitedHealth",
 ]
 
 from collections.abc import Iterable, Mapping
@@ -52,43 +50,3 @@
         self, target: str, is_success: bool, slowness: float, now_ms: int
     ) -> None:
         """Account for one start that has ended."""
-
-
-class AdmitEverything:
-    """An admission without limits."""
-
-    def admit(
-        self,
-        job: Job,
-        class_name: str,
-        loads: Mapping[HostName, HomeLoad],
-        now_ms: int,
-    ) -> Problem | None:
-        """Admit the job."""
-        return None
-
-    def finished(self, job: Job, class_name: str, now_ms: int) -> None:
-        """Do nothing."""
-
-
-class UnlimitedHealth:
-    """A judgement that trusts every target."""
-
-    def replace_targets(self, targets: Iterable[TargetInfo]) -> None:
-        """Do nothing."""
-
-    def note_fleet(self, ejected_elsewhere: int, targets: int) -> None:
-        """Do nothing."""
-
-    def most_running(self, target: TargetInfo, now_ms: int) -> int:
-        """Return all slots of the target."""
-        return target.slots
-
-    def ejected(self, now_ms: int) -> int:
-        """Return none."""
-        return 0
-
-    def record(
-        self, target: str, is_success: bool, slowness: float, now_ms: int
-    ) -> None:
-        """Do nothing."""
--- a/hibiscusstack/dispatch/planning.py
+++ b/hibiscusstack/dispatch/planning.py
@@ -6,13 +6,11 @@
 
 from hibiscusstack.dispatch.answers import Problem, Reason
 from hibiscusstack.dispatch.estimates import Backlog, estimate_wait_ms
-from hibiscusstack.dispatch.interfaces import Admission
 from hibiscusstack.dispatch.jobs import Job
 from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import HostName
 from hibiscusstack.dispatch.placement import Portion, split_over_homes
-from hibiscusstack.dispatch.policy import PolicyInForce
-from hibiscusstack.dispatch.run_times import RunTimes
+from hibiscusstack.dispatch.policy_parts import PolicyParts
 from hibiscusstack.dispatch.targets import TargetInfo
 
 MAX_OTHER_DATA_CENTRES = 2
@@ -26,17 +24,11 @@
     ``loads`` is kept up to date by the engine from what homes report.
     """
 
-    def __init__(
-        self,
-        name: HostName,
-        policy: PolicyInForce,
-        admission: Admission,
-        run_times: RunTimes,
-    ) -> None:
+    def __init__(self, name: HostName, parts: PolicyParts) -> None:
         self.loads: dict[HostName, HomeLoad] = {}
-        self.policy = policy
-        self.admission = admission
-        self._run_times = run_times
+        self.policy = parts.in_force
+        self.admission = parts.admission
+        self._run_times = parts.run_times
         self._name = name
         self._targets: Mapping[str, TargetInfo] = {}
         self._home_of: Mapping[str, HostName] = {}
--- a/hibiscusstack/dispatch/policy_parts.py
+++ b/hibiscusstack/dispatch/policy_parts.py
@@ -6,7 +6,9 @@
 
 from hibiscusstack.dispatch.admission import AdmissionControl
 from hibiscusstack.dispatch.health import HealthTable
+from hibiscusstack.dispatch.interfaces import Admission, TargetHealth
 from hibiscusstack.dispatch.policy import PolicyInForce
+from hibiscusstack.dispatch.queueing import TaskQueue
 from hibiscusstack.dispatch.run_times import RunTimes
 from hibiscusstack.dispatch.shares import ShareQueue
 
@@ -15,20 +17,23 @@
 class PolicyParts:
     """Queue, admission and health that share a policy and learned run times."""
 
-    queue: ShareQueue
-    admission: AdmissionControl
-    health: HealthTable
+    in_force: PolicyInForce
+    queue: TaskQueue
+    admission: Admission
+    health: TargetHealth
     run_times: RunTimes
 
 
-def make_policy_parts(in_force: PolicyInForce) -> PolicyParts:
+def make_policy_parts(in_force: PolicyInForce | None = None) -> PolicyParts:
     """Return the parts for one host; a change of ``in_force`` counts in all of them.
 
-    >>> make_policy_parts(PolicyInForce()).queue.queued_ms()
+    >>> make_policy_parts().queue.queued_ms()
     0
     """
+    in_force = in_force or PolicyInForce()
     run_times = RunTimes()
     return PolicyParts(
+        in_force,
         ShareQueue(in_force, run_times),
         AdmissionControl(in_force, run_times),
         HealthTable(in_force),
--- a/hibiscusstack/dispatch/tests/fleets.py
+++ b/hibiscusstack/dispatch/tests/fleets.py
@@ -33,6 +33,7 @@
 from hibiscusstack.dispatch.ids import IdIssuer
 from hibiscusstack.dispatch.jobs import Job, Task
 from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.dispatch.policy_parts import make_policy_parts
 from hibiscusstack.dispatch.targets import TargetInfo
 
 LATENCY_MS = 1
@@ -183,7 +184,8 @@
     def _engine(self, name: HostName, fields: dict) -> Engine:
         made = {key: make() for key, make in fields.items()}
         ids = IdIssuer(name, self.clock, secret=name.name.encode().ljust(16))
-        return Engine(name, self.clock, ids, **made)
+        parts = attrs.evolve(make_policy_parts(), **made)
+        return Engine(name, self.clock, ids, parts)
 
     def _connect_all(self, infos: list[TargetInfo]) -> None:
         for name in self.engines:
--- a/hibiscusstack/dispatch/tests/test_data_centres.py
+++ b/hibiscusstack/dispatch/tests/test_data_centres.py
@@ -1,7 +1,6 @@
 """Jobs whose targets stand in another data centre."""
 
 from hibiscusstack.dispatch.answers import Outcome, Problem, Reason
-from hibiscusstack.dispatch.interfaces import AdmitEverything
 from hibiscusstack.dispatch.policy_text import read_policy
 from hibiscusstack.dispatch.tests.fleets import job_of, societe_fleet
 
@@ -15,7 +14,7 @@
 """
 
 
-class RefusesFirst(AdmitEverything):
+class RefusesFirst:
     """Refuses each first try of a job, as an overloaded data centre does."""
 
     def __init__(self) -> None:
@@ -28,6 +27,9 @@
         self.seen.add(job.job_id)
         return Problem(Reason.OVERLOADED, retry_after_ms=100)
 
+    def finished(self, job, class_name, now_ms):
+        """Do nothing."""
+
 
 def configure(fleet, text):
     for host in range(len(fleet.names)):
--- a/hibiscusstack/dispatch/tests/test_engine.py
+++ b/hibiscusstack/dispatch/tests/test_engine.py
@@ -3,10 +3,7 @@
 import pytest
 
 from hibiscusstack.dispatch.answers import Outcome, Reason
-from hibiscusstack.dispatch.engine import Engine
 from hibiscusstack.dispatch.jobs import Job, Task
-from hibiscusstack.dispatch.policy import PolicyInForce
-from hibiscusstack.dispatch.policy_parts import make_policy_parts
 from hibiscusstack.dispatch.policy_text import read_policy
 from hibiscusstack.dispatch.tests.fleets import Fleet, job_of, kendra_fleet
 
@@ -283,20 +280,7 @@
 
 def test_target_with_longer_work_is_not_taken_for_slow():
     fleet = Fleet(hosts=1, targets=4)
-    policy = PolicyInForce(read_policy(SHORT_ON_FIRST_TARGETS).ok)
-    parts = make_policy_parts(policy)
-    name = fleet.names[0]
-    fleet.engines[name] = Engine(
-        name,
-        fleet.clock,
-        fleet.engines[name].ids,
-        policy=policy,
-        queue=parts.queue,
-        admission=parts.admission,
-        health=parts.health,
-        run_times=parts.run_times,
-    )
-    fleet.call(0, "targets_listed", [t.info for t in fleet.targets.values()])
+    fleet.call(0, "configured", read_policy(SHORT_ON_FIRST_TARGETS).ok, 1)
     for _ in range(20):
         short = [Task(i, "short", 5, run_time_ms=5) for i in range(8)]
         fleet.submit(0, Job(fleet.mint(0), "guard", tuple(short)))
