--- a/hibiscusstack/dispatch/admission.py
+++ b/hibiscusstack/dispatch/admission.py
@@ -22,6 +22,7 @@
 QUOTA_RETRY_AFTER_MS = 500
 JITTER_STEPS = 1_024
 IMPOSSIBLE_FACTOR = 2.0
+SMALL_TEAM_FACTOR = 1.5
 
 
 @attrs.frozen
@@ -39,11 +40,13 @@
     after its deadline. All but the first say when to come back.
 
     While a class is full, a team that has less than its part of the class's queue
-    is still admitted, so a flood by one team leaves the others in.
+    is still admitted up to ``SMALL_TEAM_FACTOR`` times the published queue, so a flood
+    by one team leaves the others in.
 
     What is counted is what this host owns. Bounds of a data centre are divided by
     its hosts: the balancer spreads callers over them. Memory is bounded by
-    ``max_queued_tasks`` tasks in progress.
+    ``max_queued_tasks`` tasks in progress. Before any home has reported its load,
+    only the counts bound what is admitted.
     """
 
     def __init__(self, in_force: PolicyInForce, run_times: RunTimes) -> None:
@@ -116,12 +119,13 @@
         loads: Mapping[HostName, HomeLoad],
     ) -> Problem | None:
         backlog = Backlog.sum_of(loads.values())
-        if backlog.free_slots >= len(job.tasks):
+        if not loads or backlog.free_slots >= len(job.tasks):
             return None
         policy = self._in_force.policy
         wait_ms = estimate_wait_ms(policy, backlog, class_name)
         most_ms = policy.limits.max_queue_ms
-        if wait_ms > most_ms and not self._is_within_part(job, class_name, len(loads)):
+        is_small = self._is_within_part(job, class_name)
+        if wait_ms > most_ms * (SMALL_TEAM_FACTOR if is_small else 1.0):
             detail = f"the work of its class waits about {_bounded(wait_ms)} ms"
             return _refused(Reason.OVERLOADED, detail, wait_ms - most_ms, job)
         work_ms = math.fsum(expected_ms)
@@ -132,7 +136,7 @@
         detail = f"it would finish in about {_bounded(finish_ms)} ms"
         return _refused(Reason.OVERLOADED, detail, finish_ms - job.timeout_ms, job)
 
-    def _is_within_part(self, job: Job, class_name: str, hosts: int) -> bool:
+    def _is_within_part(self, job: Job, class_name: str) -> bool:
         """Tell whether a team has less than its part of a full class's queue."""
         team = self._counts.of_class_and_team(class_name, job.team)
         everyone = self._counts.of_class(class_name)
