--- a/hibiscusstack/target/client.py
+++ b/hibiscusstack/target/client.py
@@ -31,7 +31,7 @@
     encode_stop,
     encode_usage_query,
 )
-from hibiscusstack.target.pool import ConnectionPool, NoConnection
+from hibiscusstack.target.pool import CONNECT_TIMEOUT_MS, ConnectionPool, NoConnection
 
 _SWEEP_INTERVAL_MS = 1_000
 _RESERVED_FOR_STOPS = 4
@@ -48,10 +48,14 @@
     """
 
     def __init__(
-        self, reactor: IReactorTCP, query_timeout_ms: int = _QUERY_TIMEOUT_MS
+        self,
+        reactor: IReactorTCP,
+        query_timeout_ms: int = _QUERY_TIMEOUT_MS,
+        connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
     ) -> None:
         self._reactor = reactor
         self._query_timeout_ms = query_timeout_ms
+        self._connect_timeout_ms = connect_timeout_ms
         self._pools: dict[str, ConnectionPool] = {}
         self._waiting: dict[tuple[str, str], HttpConnection] = {}
         self._sweep: IDelayedCall | None = None
@@ -205,7 +209,11 @@
         if pool is not None:
             pool.close_idle()
         pool = ConnectionPool(
-            self._reactor, target.address, target.port, target.connections
+            self._reactor,
+            target.address,
+            target.port,
+            target.connections,
+            self._connect_timeout_ms,
         )
         self._pools[target.name] = pool
         self._schedule_sweep()
--- a/hibiscusstack/target/pool.py
+++ b/hibiscusstack/target/pool.py
@@ -1,6 +1,6 @@
 """The bounded connections to one target."""
 
-__all__ = ["ConnectionPool", "NoConnection"]
+__all__ = ["CONNECT_TIMEOUT_MS", "ConnectionPool", "NoConnection"]
 
 import attrs
 from twisted.internet.defer import Deferred, succeed
@@ -11,7 +11,7 @@
 
 from hibiscusstack.target.connection import HttpConnection
 
-_CONNECT_TIMEOUT_MS = 1_000
+CONNECT_TIMEOUT_MS = 1_000
 _MAX_IDLE_MS = 1_000
 
 
@@ -30,12 +30,18 @@
     """
 
     def __init__(
-        self, reactor: IReactorTCP, address: str, port: int, limit: int
+        self,
+        reactor: IReactorTCP,
+        address: str,
+        port: int,
+        limit: int,
+        connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
     ) -> None:
         self.address = address
         self.port = port
         self._reactor = reactor
         self._limit = limit
+        self._connect_timeout_ms = connect_timeout_ms
         self._idle: list[HttpConnection] = []
         self._open: set[HttpConnection] = set()
         self._connecting = 0
@@ -56,7 +62,7 @@
         if self.count() >= self._limit - reserved:
             return succeed(NoConnection(f"all {self._limit} connections are in use"))
         self._connecting += 1
-        timeout_s = min(timeout_ms, _CONNECT_TIMEOUT_MS) / 1000
+        timeout_s = min(timeout_ms, self._connect_timeout_ms) / 1000
         endpoint = TCP4ClientEndpoint(
             self._reactor, self.address, self.port, timeout=timeout_s
         )
--- a/hibiscusstack/target/tests/test_client.py
+++ b/hibiscusstack/target/tests/test_client.py
@@ -98,6 +98,13 @@
     assert isinstance(reply_of(started), TaskNotSent)
 
 
+def test_the_time_to_connect_is_bounded_by_its_own_setting(network):
+    network.behaviour = STAYS_SILENT
+    client = TargetClient(network, connect_timeout_ms=250)
+    client.start(target_of(), start_of(timeout_ms=400))
+    assert network.tcpClients[0][3] == 0.25
+
+
 def test_a_payload_that_is_no_json_is_not_sent(client, network):
     effect = start_of(payload=float("nan"))
     assert isinstance(reply_of(client.start(target_of(), effect)), TaskNotSent)
