Let an idle host tick less often

Three idle hosts with 24 targets and polls every 200 ms on a busy machine, share of a core each: 3.4 to 4.0 % over 20 s before, 2.6 to 3.2 % after. Resident memory stays at 67 MB, most of it libraries.

--- a/hibiscusstack/daemon/daemon.py
+++ b/hibiscusstack/daemon/daemon.py
@@ -47,6 +47,7 @@
 from hibiscusstack.telemetry import Metric, StatsdMetrics, build_tracer
 
 TICK_INTERVAL_MS = 20
+IDLE_TICK_INTERVAL_MS = 100
 CONFIGURATION_INTERVAL_MS = 100
 REPORT_INTERVAL_MS = 1_000
 LAST_ANSWERS_MS = 200
@@ -81,6 +82,7 @@
             settings.host.data_centre, settings.host.name, choose_incarnation()
         )
         self._reported_ms = 0
+        self._ticked_ms = 0
         self._timers: list = []
         self._calls: list[LoopingCall] = []
         self._ports: list[IListeningPort] = []
@@ -286,7 +288,11 @@
         self.stop(StopCause.START_FAILED)
 
     def _tick(self) -> None:
-        self._dispatcher.tick()
+        now_ms = self._clock.now_ms()
+        is_due = now_ms - self._ticked_ms >= IDLE_TICK_INTERVAL_MS
+        if is_due or not self._dispatcher.is_idle:
+            self._ticked_ms = now_ms
+            self._dispatcher.tick()
         if self.phase is Phase.DRAINING and self._is_idle():
             self.lifecycle.became_idle()
 
--- a/hibiscusstack/host/mesh.py
+++ b/hibiscusstack/host/mesh.py
@@ -28,7 +28,7 @@
 from hibiscusstack.host.network import Network
 from hibiscusstack.host.sessions import HelloRefused, Refusal, SessionTable
 
-DIAL_INTERVAL_MS = 50
+DIAL_INTERVAL_MS = 100
 MAX_UNSENT_BYTES = 16 * 1024 * 1024
 
 
--- a/hibiscusstack/telemetry/traces.py
+++ b/hibiscusstack/telemetry/traces.py
@@ -3,6 +3,7 @@
 __all__ = ["SpanRecord", "SpanRing", "Tracer", "build_tracer", "traceparent_of"]
 
 import re
+import sys
 from collections import deque
 from collections.abc import Mapping
 
@@ -112,7 +113,8 @@
     It traces ``percent`` of the jobs that come without a parent, and the others as
     their parent says.
 
-    ``exporter`` is ``none``, or ``console`` for JSON on standard output.
+    ``exporter`` is ``none``, or ``console`` for lines of JSON on
+    standard error.
 
     >>> tracer = build_tracer("none", 10, "h1")
     >>> tracer.start_span("caller.submit", "j1", "").end()
@@ -128,7 +130,10 @@
     ring = SpanRing(max_spans)
     provider.add_span_processor(ring)
     if exporter == "console":
-        provider.add_span_processor(SimpleSpanProcessor(ConsoleSpanExporter()))
+        exporter_to_stderr = ConsoleSpanExporter(
+            out=sys.stderr, formatter=_format_as_line
+        )
+        provider.add_span_processor(SimpleSpanProcessor(exporter_to_stderr))
     return Tracer(provider, ring, provider.get_tracer("hibiscusstack"))
 
 
@@ -140,6 +145,10 @@
     return f"00-{trace_id}-{span_id}-{int(context.trace_flags):02x}"
 
 
+def _format_as_line(span: ReadableSpan) -> str:
+    return f"{span.to_json(indent=None)}\n"
+
+
 def _context_of(traceparent: str) -> Context:
     """Return a context with the remote parent, or an empty one."""
     match = _TRACEPARENT.fullmatch(traceparent)
