--- a/hibiscusstack/daemon/daemon.py
+++ b/hibiscusstack/daemon/daemon.py
@@ -178,6 +178,7 @@
             queue=parts.queue,
             admission=parts.admission,
             health=parts.health,
+            run_times=parts.run_times,
         )
         hops = PeerHops(self._tracer)
         self._dispatcher = Dispatcher(engine, targets, hops, self._metrics)
