--- a/hibiscusstack/daemon/daemon.py
+++ b/hibiscusstack/daemon/daemon.py
@@ -193,7 +193,11 @@
             clock=self._clock,
             seeds=peers.seeds,
             timing=MeshTiming(
-                peers.heartbeat_ms, peers.silence_ms, peers.lost_after_ms
+                heartbeat_ms=peers.heartbeat_ms,
+                silence_ms=peers.silence_ms,
+                far_heartbeat_ms=peers.far_heartbeat_ms,
+                far_silence_ms=peers.far_silence_ms,
+                lost_after_ms=peers.lost_after_ms,
             ),
             rng=random.Random(self._name.incarnation),
             max_unsent_bytes=peers.max_unsent_bytes,
--- a/hibiscusstack/host/mesh.py
+++ b/hibiscusstack/host/mesh.py
@@ -37,11 +37,14 @@
     """The durations that govern connections.
 
     A connection on which nothing came for ``silence_ms`` is retired, and a peer
-    without a connection for ``lost_after_ms`` more is lost.
+    without a connection for ``lost_after_ms`` more is lost. Peers in other data
+    centres are many, so they are sent heartbeats less often.
     """
 
     heartbeat_ms: int = 500
     silence_ms: int = 2_000
+    far_heartbeat_ms: int = 2_000
+    far_silence_ms: int = 8_000
     lost_after_ms: int = 3_000
 
 
@@ -108,6 +111,7 @@
         self._links: dict[Connection, _Link] = {}
         self._is_running = False
         self._beat_ms = 0
+        self._far_beat_ms = 0
         self._beating = _looping_call(reactor, self._beat)
         self._dialling = _looping_call(reactor, self._dial_due)
 
@@ -153,9 +157,7 @@
 
     def send_heartbeats(self) -> None:
         """Send the current state to every peer, ahead of the next interval."""
-        heartbeat = self._events.heartbeat()
-        for peer, _ in self._sessions.connections():
-            self.send(peer, heartbeat)
+        self._send_heartbeats(is_far_due=True)
 
     def peers(self) -> list[HostName]:
         """Return the peers to which a connection is open."""
@@ -271,11 +273,28 @@
         if now_ms - self._beat_ms > self._timing.silence_ms:
             self._restart_timers(now_ms)
         self._beat_ms = now_ms
-        self.send_heartbeats()
+        is_far_due = now_ms - self._far_beat_ms >= self._timing.far_heartbeat_ms
+        if is_far_due:
+            self._far_beat_ms = now_ms
+        self._send_heartbeats(is_far_due)
         self._retire_silent(now_ms)
         for peer in self._sessions.expire(now_ms):
             self._report_lost(peer)
 
+    def _send_heartbeats(self, is_far_due: bool) -> None:
+        heartbeat = self._events.heartbeat()
+        for peer, _ in self._sessions.connections():
+            if is_far_due or not self._is_far(peer):
+                self.send(peer, heartbeat)
+
+    def _is_far(self, peer: HostName) -> bool:
+        return peer.data_centre != self._hello.sender.data_centre
+
+    def _longest_silence_ms(self, peer: HostName | None) -> int:
+        if peer is not None and self._is_far(peer):
+            return self._timing.far_silence_ms
+        return self._timing.silence_ms
+
     def _restart_timers(self, now_ms: int) -> None:
         """Blame no peer for the time in which this process did not run."""
         for link in self._links.values():
@@ -286,7 +305,7 @@
         silent = [
             connection
             for connection, link in self._links.items()
-            if now_ms - link.heard_ms > self._timing.silence_ms
+            if now_ms - link.heard_ms > self._longest_silence_ms(link.peer)
         ]
         for connection in silent:
             connection.abort("silent for too long")
--- a/hibiscusstack/host/tests/fleet.py
+++ b/hibiscusstack/host/tests/fleet.py
@@ -163,7 +163,10 @@
 class Fleet:
     """Meshes that know one another as seeds; ports are their indexes."""
 
-    def __init__(self, size: int, seed: int = 1) -> None:
+    def __init__(
+        self, size: int, seed: int = 1, data_centres: tuple[str, ...] = ("dc1",)
+    ) -> None:
+        self.data_centres = data_centres
         self.reactor = Reactor()
         self.network = FakeNetwork(self.reactor)
         self.seeds = [PeerAddress("127.0.0.1", port) for port in range(1, size + 1)]
@@ -176,7 +179,8 @@
 
     def name(self, port: int, incarnation: int = 1) -> HostName:
         """Return the name of the host at ``port``."""
-        return HostName("dc1", f"host{port}", incarnation)
+        data_centre = self.data_centres[port % len(self.data_centres)]
+        return HostName(data_centre, f"host{port}", incarnation)
 
     def start(self, port: int, incarnation: int = 1) -> None:
         """Start a mesh at ``port``."""
--- a/hibiscusstack/host/tests/test_mesh.py
+++ b/hibiscusstack/host/tests/test_mesh.py
@@ -1,5 +1,7 @@
 """Meshes that meet, lose and find one another again."""
 
+from collections import Counter
+
 from hibiscusstack.dispatch.messages import CancelBatch, Hello
 from hibiscusstack.host.connection import NotConnected, SendBufferFull
 from hibiscusstack.host.dialing import PeerAddress
@@ -109,6 +111,21 @@
     assert fleet.events[1].lost == [fleet.name(2)]
 
 
+def test_peers_in_other_data_centres_hear_less_often_and_are_kept():
+    fleet = Fleet(4, data_centres=("dc1", "dc2"))
+    fleet.run(40_000, step_ms=10)
+    heard = Counter(sender for sender, _ in fleet.events[1].messages)
+    assert 78 <= heard[fleet.name(3)] <= 84
+    assert 19 <= heard[fleet.name(2)] <= 23
+    assert len(fleet.events[1].connected) == 3
+    fleet.network.silence_all()
+    fleet.run(4_000, step_ms=10)
+    assert fleet.events[1].connected.count(fleet.name(3)) == 2
+    assert fleet.events[1].connected.count(fleet.name(2)) == 1
+    fleet.run(8_000, step_ms=10)
+    assert fleet.events[1].connected.count(fleet.name(2)) == 2
+
+
 def test_a_lost_connection_is_told_before_the_peer_is_lost():
     fleet = Fleet(2)
     fleet.run(500)
--- a/hibiscusstack/settings/reading.py
+++ b/hibiscusstack/settings/reading.py
@@ -108,9 +108,13 @@
             return None
 
     def _check_peers(self, peers: PeerSettings) -> None:
-        if peers.silence_ms <= peers.heartbeat_ms:
-            expected = f"more than heartbeat_ms, which is {peers.heartbeat_ms}"
-            self._add_fault("[peers] silence_ms", expected, peers.silence_ms)
+        for prefix in ("", "far_"):
+            heartbeat_ms = getattr(peers, f"{prefix}heartbeat_ms")
+            silence_ms = getattr(peers, f"{prefix}silence_ms")
+            if silence_ms <= heartbeat_ms:
+                where = f"[peers] {prefix}silence_ms"
+                expected = f"more than {prefix}heartbeat_ms, which is {heartbeat_ms}"
+                self._add_fault(where, expected, silence_ms)
 
     def _add_fault(self, where: str, expected: str, found: object) -> None:
         fault = InvalidInputError(f"{self.source} {where}", expected, found)
--- a/hibiscusstack/settings/sections.py
+++ b/hibiscusstack/settings/sections.py
@@ -120,6 +120,12 @@
     silence_ms: int = _key(
         _DURATION, "A connection on which nothing came for so long is retired.", 2_000
     )
+    far_heartbeat_ms: int = _key(
+        _DURATION, "The interval of heartbeats to other data centres.", 2_000
+    )
+    far_silence_ms: int = _key(
+        _DURATION, "As silence_ms, for peers in other data centres.", 8_000
+    )
     lost_after_ms: int = _key(
         _DURATION, "A peer without a connection for so long is lost.", 3_000
     )
--- a/hibiscusstack/settings/tests/test_reading.py
+++ b/hibiscusstack/settings/tests/test_reading.py
@@ -77,6 +77,7 @@
         ("name = h1", "name = h1\npeer_port = 65536"),
         ("name = h1", "name = h1\npeer_port = ７４００"),
         ("[peers]", "[peers]\nheartbeat_ms = 2000"),
+        ("[peers]", "[peers]\nfar_heartbeat_ms = 9000"),
         ("[host]", "[host"),
         ("[peers]", "[telemetry]\nlog_level = loud\n[peers]"),
     ],
