--- a/hibiscusstack/daemon/operator_service.py
+++ b/hibiscusstack/daemon/operator_service.py
@@ -122,10 +122,10 @@
 
     def queue(self) -> tuple[QueueView, ...]:
         """Return what waits on this host."""
-        view = self._engine.view_queue()
-        if not view.tasks:
-            return ()
-        return (QueueView("all", "all", view.tasks, view.queued_ms),)
+        return tuple(
+            QueueView(each.class_name, each.team, each.tasks, each.queued_ms)
+            for each in self._engine.view_queue()
+        )
 
     def drain(self) -> None:
         """Start a graceful stop."""
--- a/hibiscusstack/dispatch/batches.py
+++ b/hibiscusstack/dispatch/batches.py
@@ -61,14 +61,6 @@
         """Tell whether any task of any batch is neither settled nor given back."""
         return bool(self.all_open())
 
-    def open_count(self) -> int:
-        """Return how many tasks are neither settled nor given back."""
-        return sum(
-            len(batch.open_indexes)
-            for known in self._owners.values()
-            for batch in known.batches.values()
-        )
-
     def all_open(self) -> list[tuple[HostName, int]]:
         """Return every batch with open tasks, as (owner, batch)."""
         return [
--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -237,10 +237,9 @@
         """Return the peers that are not lost, with the last that each said."""
         return sorted(self._peers.items(), key=lambda item: item[0])
 
-    def view_queue(self) -> QueueSnapshot:
-        """Return what waits on this host."""
-        load = self._home.load(self._clock.now_ms())
-        return QueueSnapshot(self._home.waiting_count, load.queued_ms)
+    def view_queue(self) -> list[QueueSnapshot]:
+        """Return what waits on this host, by class and team."""
+        return self._home.view_queue()
 
     def drain(self) -> list[Effect]:
         """Refuse new work and return what waits here to its owners."""
--- a/hibiscusstack/dispatch/home.py
+++ b/hibiscusstack/dispatch/home.py
@@ -39,6 +39,7 @@
     SlotTable,
 )
 from hibiscusstack.dispatch.targets import TargetInfo
+from hibiscusstack.dispatch.views import QueueSnapshot
 
 MAX_START_ATTEMPTS = 4
 SILENCE_GRACE_MS = 10_000
@@ -90,10 +91,9 @@
         """The number of tasks sent to targets whose end is not known."""
         return len(self._running)
 
-    @property
-    def waiting_count(self) -> int:
-        """The number of tasks placed here that are in no target's hands."""
-        return self._batches.open_count() - len(self._running)
+    def view_queue(self) -> list[QueueSnapshot]:
+        """Return what waits here, by class and team."""
+        return self._queue.snapshots()
 
     def replace_targets(
         self, targets: Iterable[TargetInfo], own: frozenset[str], now_ms: int
--- a/hibiscusstack/dispatch/queueing.py
+++ b/hibiscusstack/dispatch/queueing.py
@@ -10,6 +10,7 @@
 from hibiscusstack.dispatch.jobs import Task
 from hibiscusstack.dispatch.messages import HostName
 from hibiscusstack.dispatch.targets import TargetInfo
+from hibiscusstack.dispatch.views import QueueSnapshot
 
 
 @attrs.frozen
@@ -67,3 +68,6 @@
 
     def queued_ms_by_class(self) -> Mapping[str, int]:
         """Return the expected run time of what waits in each class."""
+
+    def snapshots(self) -> list[QueueSnapshot]:
+        """Return what waits, by class and team in their order."""
--- a/hibiscusstack/dispatch/shares.py
+++ b/hibiscusstack/dispatch/shares.py
@@ -4,6 +4,7 @@
 
 import heapq
 import math
+from collections import Counter
 from collections.abc import Iterable, Mapping
 
 import attrs
@@ -15,6 +16,7 @@
 from hibiscusstack.dispatch.queueing import QueuedTask
 from hibiscusstack.dispatch.run_times import RunTimes
 from hibiscusstack.dispatch.targets import TargetInfo
+from hibiscusstack.dispatch.views import QueueSnapshot
 from hibiscusstack.dispatch.waiting import (
     BatchKey,
     ClassLine,
@@ -172,6 +174,23 @@
         rounded = {name: round(ms) for name, ms in self._queued_ms.items()}
         return {name: ms for name, ms in rounded.items() if ms > 0}
 
+    def snapshots(self) -> list[QueueSnapshot]:
+        """Return what waits, by class and team in their order.
+
+        The cost grows with the number of waiting batches.
+        """
+        tasks: Counter[tuple[str, str]] = Counter()
+        queued_ms: Counter[tuple[str, str]] = Counter()
+        for batch in self._batches.values():
+            key = (batch.line.owner.class_name, batch.line.team)
+            tasks[key] += len(batch.entries)
+            queued_ms[key] += batch.remaining_ms
+        return [
+            QueueSnapshot(*key, count, round(queued_ms[key]))
+            for key, count in sorted(tasks.items())
+            if count
+        ]
+
     def _arm(self, batch: WaitingBatch) -> None:
         heapq.heappush(self._alarms, (_alarm_ms(batch), *batch.key))
 
--- a/hibiscusstack/dispatch/tests/test_shares.py
+++ b/hibiscusstack/dispatch/tests/test_shares.py
@@ -193,3 +193,17 @@
     turned = "[class least]\nurgency = 40\nguaranteed_part = 0.5"
     in_force.policy = make_policy(turned).policy
     assert queue.pop(TARGET, 0).class_name == "least"
+
+
+def test_snapshots_show_what_waits_by_class_and_team():
+    queue = make_queue()
+    assert queue.snapshots() == []
+    fill(queue, 3, class_name="urgent", team="a")
+    fill(queue, 2, first_batch=10, class_name="urgent", team="b")
+    fill(queue, 1, first_batch=20, class_name="least", team="a")
+    queue.remove_batch(OWNER, 1)
+    shown = [(each.class_name, each.team, each.tasks) for each in queue.snapshots()]
+    assert shown == [("least", "a", 1), ("urgent", "a", 2), ("urgent", "b", 2)]
+    assert sum(each.queued_ms for each in queue.snapshots()) == queue.queued_ms()
+    assert queue.pop(TARGET, 0) is not None
+    assert sum(each.tasks for each in queue.snapshots()) == len(queue)
--- a/hibiscusstack/dispatch/views.py
+++ b/hibiscusstack/dispatch/views.py
@@ -19,7 +19,9 @@
 
 @attrs.frozen
 class QueueSnapshot:
-    """How many tasks wait, and their expected run time."""
+    """How many tasks of one class and team wait, and their expected run time."""
 
+    class_name: str
+    team: str
     tasks: int
     queued_ms: int
