--- a/hibiscusstack/dispatch/tests/test_engine.py
+++ b/hibiscusstack/dispatch/tests/test_engine.py
@@ -6,6 +6,7 @@
 from hibiscusstack.dispatch.jobs import Job, Task
 from hibiscusstack.dispatch.policy_text import read_policy
 from hibiscusstack.dispatch.tests.fleets import Fleet, job_of, kendra_fleet
+from hibiscusstack.dispatch.views import QueueSnapshot
 
 
 def outcomes_of(answer):
@@ -35,8 +36,7 @@
     fleet.submit(0, job_of(fleet.mint(0), 50, 50, 50))
     fleet.run(20)
     (engine,) = fleet.engines.values()
-    queue = engine.view_queue()
-    assert (queue.tasks, queue.queued_ms) == (2, 100)
+    assert engine.view_queue() == [QueueSnapshot("default", "default", 2, 100)]
 
 
 def test_resubmission_elsewhere_joins_the_first():
