--- a/hibiscusstack/daemon/daemon.py
+++ b/hibiscusstack/daemon/daemon.py
@@ -2,10 +2,6 @@
 
 __all__ = ["Daemon"]
 
-import random
-import secrets
-import time
-
 from eliot import log_message
 from klein import Klein
 from twisted.internet.defer import (
@@ -19,51 +15,38 @@
 from twisted.python.failure import Failure
 
 from hibiscusstack.caller.api import CallerApi
-from hibiscusstack.caller.limits import ApiLimits
 from hibiscusstack.caller.site import build_site
 from hibiscusstack.clock import Clock, SystemClock
+from hibiscusstack.daemon.assembly import (
+    api_limits_of,
+    build_configuration_sync,
+    build_host_tracer,
+    build_id_issuer,
+    build_mesh,
+    build_metrics,
+    build_platform_clients,
+)
 from hibiscusstack.daemon.configuration import ConfigurationKeeper
 from hibiscusstack.daemon.dispatcher import Dispatcher
 from hibiscusstack.daemon.hops import PeerHops
+from hibiscusstack.daemon.incarnation import choose_incarnation
 from hibiscusstack.daemon.job_service import HostJobService
 from hibiscusstack.daemon.lifecycle import Phase, StopCause, build_lifecycle
 from hibiscusstack.daemon.live_list import LiveListPoller
 from hibiscusstack.daemon.operator_service import HostOperatorService
 from hibiscusstack.daemon.targets import TargetCaller
-from hibiscusstack.dispatch.configuration_sync import (
-    ConfigurationSync,
-    ConfigurationTimings,
-)
 from hibiscusstack.dispatch.engine import Engine
-from hibiscusstack.dispatch.ids import IdIssuer
-from hibiscusstack.dispatch.messages import Heartbeat, Hello, HostName, Message
-from hibiscusstack.host import Mesh, MeshTiming, TcpNetwork
+from hibiscusstack.dispatch.messages import Heartbeat, HostName, Message
 from hibiscusstack.operator.api import OperatorApi
-from hibiscusstack.platform import LiveListClient, LogClient, PlatformHttp
 from hibiscusstack.settings import Settings
 from hibiscusstack.target import TargetClient
-from hibiscusstack.telemetry import Metric, StatsdMetrics, build_tracer
+from hibiscusstack.telemetry import Metric
 
 TICK_INTERVAL_MS = 20
 IDLE_TICK_INTERVAL_MS = 100
 CONFIGURATION_INTERVAL_MS = 100
 REPORT_INTERVAL_MS = 1_000
 LAST_ANSWERS_MS = 200
-SECRET_BYTES = 32
-INCARNATION_RANDOM_BITS = 20
-NANOSECONDS_PER_MS = 1_000_000
-
-
-def choose_incarnation() -> int:
-    """Return a number that grows from one start of a host to the next.
-
-    The random part tells two starts in the same millisecond apart.
-
-    >>> choose_incarnation() < (1 << 63)
-    True
-    """
-    now_ms = time.time_ns() // NANOSECONDS_PER_MS
-    return now_ms << INCARNATION_RANDOM_BITS | secrets.randbits(INCARNATION_RANDOM_BITS)
 
 
 class Daemon:
@@ -84,9 +67,13 @@
         self._timers: list = []
         self._calls: list[LoopingCall] = []
         self._ports: list[IListeningPort] = []
-        self._build_telemetry()
-        self._build_dispatcher()
-        self._build_mesh()
+        self._limits = api_limits_of(settings)
+        self._metrics = build_metrics(settings)
+        self._tracer = build_host_tracer(settings)
+        self._target_client = TargetClient(reactor, settings.targets.probe_ms)
+        self._dispatcher = self._build_dispatcher()
+        self._mesh = build_mesh(settings, self._name, self, reactor, self._clock)
+        self._dispatcher.send = lambda to, message: self._mesh.send(to, message).is_ok()
         self._build_platform()
         self._build_services()
 
@@ -137,80 +124,29 @@
         if not self._keeper.hear(sender, message):
             self._dispatcher.peer_message(sender, message)
 
-    def _build_telemetry(self) -> None:
-        telemetry = self._settings.telemetry
-        name = self._settings.host.name
-        self._metrics = StatsdMetrics(
-            telemetry.statsd_address, telemetry.statsd_port, name
-        )
-        self._tracer = build_tracer(
-            telemetry.trace_exporter,
-            telemetry.max_spans,
-            name,
-            telemetry.trace_percent,
-        )
-
-    def _build_dispatcher(self) -> None:
-        settings = self._settings
-        ids = IdIssuer(
-            self._name,
-            self._clock,
-            secrets.token_bytes(SECRET_BYTES),
-            settings.limits.id_lifetime_ms,
-        )
-        self._target_client = TargetClient(self._reactor, settings.targets.probe_ms)
+    def _build_dispatcher(self) -> Dispatcher:
+        ids = build_id_issuer(self._settings, self._name, self._clock)
         targets = TargetCaller(
             self._target_client,
             self._clock,
             self._tracer,
             self._metrics,
-            settings.targets.timeout_ms,
+            self._settings.targets.timeout_ms,
         )
         engine = Engine(self._name, self._clock, ids)
-        hops = PeerHops(self._tracer)
-        self._dispatcher = Dispatcher(engine, targets, hops, self._metrics)
-
-    def _build_mesh(self) -> None:
-        host, peers = self._settings.host, self._settings.peers
-        self._mesh = Mesh(
-            hello=Hello(self._name, host.address, host.peer_port),
-            events=self,
-            network=TcpNetwork(self._reactor, peers.connect_timeout_ms),
-            reactor=self._reactor,
-            clock=self._clock,
-            seeds=peers.seeds,
-            timing=MeshTiming(
-                heartbeat_ms=peers.heartbeat_ms,
-                silence_ms=peers.silence_ms,
-                far_heartbeat_ms=peers.far_heartbeat_ms,
-                far_silence_ms=peers.far_silence_ms,
-                lost_after_ms=peers.lost_after_ms,
-            ),
-            rng=random.Random(self._name.incarnation),
-            max_unsent_bytes=peers.max_unsent_bytes,
-        )
-        self._dispatcher.send = lambda to, message: self._mesh.send(to, message).is_ok()
+        return Dispatcher(engine, targets, PeerHops(self._tracer), self._metrics)
 
     def _build_platform(self) -> None:
-        platform = self._settings.platform
-        self._log_http = PlatformHttp(
-            self._reactor, platform.log_url, platform.timeout_ms
-        )
-        self._list_http = PlatformHttp(
-            self._reactor, platform.list_url, platform.timeout_ms
-        )
-        timings = ConfigurationTimings(
-            poll_ms=platform.poll_interval_ms, request_timeout_ms=platform.timeout_ms
-        )
+        self._platform = build_platform_clients(self._settings, self._reactor)
         self._keeper = ConfigurationKeeper(
-            ConfigurationSync(self._name, self._clock, timings),
-            LogClient(self._log_http),
-            platform.configuration_stream,
+            build_configuration_sync(self._settings, self._name, self._clock),
+            self._platform.log,
+            self._settings.platform.configuration_stream,
             self._dispatcher,
             self.lifecycle.configured,
         )
         self._live_list = LiveListPoller(
-            LiveListClient(self._list_http),
+            self._platform.live_list,
             self._dispatcher,
             self._mesh,
             self._name.data_centre,
@@ -232,17 +168,9 @@
             phase=lambda: self.phase,
             request_drain=self.lifecycle.drain_requested,
         )
-        self._caller_api = CallerApi(jobs, self._api_limits())
+        self._caller_api = CallerApi(jobs, self._limits)
         self._operator_api = OperatorApi(operators)
 
-    def _api_limits(self) -> ApiLimits:
-        caller = self._settings.caller
-        return ApiLimits(
-            max_body_bytes=caller.max_body_bytes,
-            receive_timeout_ms=caller.receive_timeout_ms,
-            max_waiting=self._settings.limits.max_waiting_requests,
-        )
-
     @inlineCallbacks
     def _listen_everywhere(self):
         caller, operator = self._settings.caller, self._settings.operator
@@ -261,7 +189,7 @@
             )
 
     def _listen_http(self, address: str, port: int, app: Klein) -> None:
-        site = build_site(app.resource(), self._api_limits(), self._reactor)
+        site = build_site(app.resource(), self._limits, self._reactor)
         site.noisy = False
         self._ports.append(self._reactor.listenTCP(port, site, interface=address))
 
@@ -319,7 +247,7 @@
         self._tracer.close()
         self._metrics.flush()
         closing = [maybeDeferred(port.stopListening) for port in self._ports]
-        closing += [self._log_http.close(), self._list_http.close()]
+        closing += self._platform.close()
         DeferredList(closing).addBoth(lambda _: self._on_stopped(cause))
 
     def _call_later(self, delay_ms: int, function) -> None:
--- /dev/null
+++ b/hibiscusstack/daemon/incarnation.py
@@ -0,0 +1,21 @@
+"""The number that tells two runs of a host apart."""
+
+__all__ = ["choose_incarnation"]
+
+import secrets
+import time
+
+INCARNATION_RANDOM_BITS = 20
+NANOSECONDS_PER_MS = 1_000_000
+
+
+def choose_incarnation() -> int:
+    """Return a number that grows from one start of a host to the next.
+
+    The random part tells two starts in the same millisecond apart.
+
+    >>> choose_incarnation() < (1 << 63)
+    True
+    """
+    now_ms = time.time_ns() // NANOSECONDS_PER_MS
+    return now_ms << INCARNATION_RANDOM_BITS | secrets.randbits(INCARNATION_RANDOM_BITS)
--- a/hibiscusstack/host/mesh.py
+++ b/hibiscusstack/host/mesh.py
@@ -1,10 +1,9 @@
 """The connections of one host with all its peers."""
 
-__all__ = ["Mesh", "MeshEvents", "MeshTiming"]
+__all__ = ["Mesh"]
 
 import random
 from collections.abc import Callable, Iterable
-from typing import Protocol as Interface
 
 import attrs
 from eliot import log_message
@@ -15,7 +14,7 @@
 from twisted.python.failure import Failure
 
 from hibiscusstack.clock import Clock
-from hibiscusstack.dispatch.messages import Heartbeat, Hello, HostName, Message
+from hibiscusstack.dispatch.messages import Hello, HostName, Message
 from hibiscusstack.host.connection import (
     Connection,
     NotConnected,
@@ -25,6 +24,8 @@
     dial_connection,
 )
 from hibiscusstack.host.dialing import AddressBook, PeerAddress
+from hibiscusstack.host.liveness import Liveness
+from hibiscusstack.host.mesh_interfaces import MeshEvents, MeshTiming
 from hibiscusstack.host.network import Network
 from hibiscusstack.host.sessions import HelloRefused, Refusal, SessionTable
 
@@ -32,41 +33,6 @@
 MAX_UNSENT_BYTES = 16 * 1024 * 1024
 
 
-@attrs.frozen
-class MeshTiming:
-    """The durations that govern connections.
-
-    A connection on which nothing came for ``silence_ms`` is retired, and a peer
-    without a connection for ``lost_after_ms`` more is lost. Peers in other data
-    centres are many, so they are sent heartbeats less often.
-    """
-
-    heartbeat_ms: int = 500
-    silence_ms: int = 2_000
-    far_heartbeat_ms: int = 2_000
-    far_silence_ms: int = 8_000
-    lost_after_ms: int = 3_000
-
-
-class MeshEvents(Interface):
-    """Who hears of peers and of their messages."""
-
-    def heartbeat(self) -> Heartbeat:
-        """Return what is to be sent to every peer now."""
-
-    def peer_connected(self, peer: HostName) -> None:
-        """Hear that a connection to ``peer`` was opened, or replaced another."""
-
-    def peer_disconnected(self, peer: HostName) -> None:
-        """Hear that the connection to ``peer`` is gone; another may follow."""
-
-    def peer_lost(self, peer: HostName) -> None:
-        """Hear that ``peer`` is gone: away for too long, or restarted."""
-
-    def peer_message(self, sender: HostName, message: Message) -> None:
-        """Hear of one message; those of one connection come in order."""
-
-
 @attrs.define
 class _Link:
     """What is known of one connection, before and after its first message."""
@@ -109,9 +75,9 @@
             hello.sender, self._timing.lost_after_ms
         )
         self._links: dict[Connection, _Link] = {}
-        self._is_running = False
-        self._beat_ms = 0
-        self._far_beat_ms = 0
+        self._liveness = Liveness(
+            self._timing, hello.sender.data_centre, clock.now_ms()
+        )
         self._beating = _looping_call(reactor, self._beat)
         self._dialling = _looping_call(reactor, self._dial_due)
 
@@ -123,14 +89,11 @@
 
     def start(self) -> None:
         """Start to dial peers and to send heartbeats."""
-        self._is_running = True
-        self._beat_ms = self._clock.now_ms()
         self._beating.start(self._timing.heartbeat_ms / 1000)
         self._dialling.start(DIAL_INTERVAL_MS / 1000)
 
     def stop(self) -> None:
         """Close every connection, after all that was sent on it."""
-        self._is_running = False
         for call in (self._beating, self._dialling):
             if call.running:
                 call.stop()
@@ -270,13 +233,9 @@
 
     def _beat(self) -> None:
         now_ms = self._clock.now_ms()
-        if now_ms - self._beat_ms > self._timing.silence_ms:
+        if self._liveness.was_paused(now_ms):
             self._restart_timers(now_ms)
-        self._beat_ms = now_ms
-        is_far_due = now_ms - self._far_beat_ms >= self._timing.far_heartbeat_ms
-        if is_far_due:
-            self._far_beat_ms = now_ms
-        self._send_heartbeats(is_far_due)
+        self._send_heartbeats(self._liveness.take_far_beat(now_ms))
         self._retire_silent(now_ms)
         for peer in self._sessions.expire(now_ms):
             self._report_lost(peer)
@@ -284,17 +243,9 @@
     def _send_heartbeats(self, is_far_due: bool) -> None:
         heartbeat = self._events.heartbeat()
         for peer, _ in self._sessions.connections():
-            if is_far_due or not self._is_far(peer):
+            if is_far_due or not self._liveness.is_far(peer):
                 self.send(peer, heartbeat)
 
-    def _is_far(self, peer: HostName) -> bool:
-        return peer.data_centre != self._hello.sender.data_centre
-
-    def _longest_silence_ms(self, peer: HostName | None) -> int:
-        if peer is not None and self._is_far(peer):
-            return self._timing.far_silence_ms
-        return self._timing.silence_ms
-
     def _restart_timers(self, now_ms: int) -> None:
         """Blame no peer for the time in which this process did not run."""
         for link in self._links.values():
@@ -305,7 +256,7 @@
         silent = [
             connection
             for connection, link in self._links.items()
-            if now_ms - link.heard_ms > self._longest_silence_ms(link.peer)
+            if now_ms - link.heard_ms > self._liveness.longest_silence_ms(link.peer)
         ]
         for connection in silent:
             connection.abort("silent for too long")
--- a/hibiscusstack/host/tests/fleet.py
+++ b/hibiscusstack/host/tests/fleet.py
@@ -14,7 +14,8 @@
 
 from hibiscusstack.dispatch.messages import Heartbeat, Hello, HostName, Message
 from hibiscusstack.host.dialing import PeerAddress
-from hibiscusstack.host.mesh import Mesh, MeshTiming
+from hibiscusstack.host.mesh import Mesh
+from hibiscusstack.host.mesh_interfaces import MeshTiming
 
 LATENCY_S = 0.001
 
