Check the client library on real processes with faults

make check-client pauses one host, kills a second and drains a third under 1200 jobs and compares the answers with the targets' own record.

--- a/Makefile
+++ b/Makefile
@@ -60,3 +60,7 @@
 .PHONY: check-daemon
 check-daemon: setup
 	$(PYTHON) -m scripts.check_daemon
+
+.PHONY: check-client
+check-client: setup
+	$(PYTHON) -m scripts.check_client
