--- a/scripts/check_client.py
+++ b/scripts/check_client.py
@@ -11,8 +11,10 @@
 import argparse
 import random
 import signal
+import statistics
 import sys
 import tempfile
+import time
 from collections.abc import Generator
 from pathlib import Path
 from typing import Any
@@ -38,6 +40,8 @@
 TIMEOUT_MS = 15_000
 FAULT_INTERVAL_S = 1.0
 PAUSE_S = 4.0
+MS_PER_SECOND = 1000
+PERCENT = 100
 
 Answered = list[tuple[tuple[Task, ...], JobAnswer]]
 
@@ -77,10 +81,11 @@
     urls = [host.caller_url for host in hosts]
     clients = [connect_client(reactor, urls, f"club-{n}") for n in range(CALLERS)]
     answered: Answered = []
+    waits_ms: list[float] = []
     plan = iter([_make_tasks(number, rng) for number in range(jobs)])
     cooperator = Cooperator()
     workers = [
-        cooperator.coiterate(_submit_all(client, plan, answered))
+        cooperator.coiterate(_submit_all(client, plan, answered, waits_ms))
         for client in clients
         for _ in range(IN_PROGRESS_PER_CALLER)
     ]
@@ -88,7 +93,7 @@
     yield gatherResults(workers, consumeErrors=True)
     yield faults
     audit = audit_answers(answered, count_starts(site.read_starts()))
-    _print(audit, len(answered))
+    _print(audit, len(answered), waits_ms)
     raise SystemExit(1 if audit.violations or len(answered) != jobs else 0)
 
 
@@ -105,16 +110,22 @@
 
 
 def _submit_all(
-    client: CallerClient, plan: Any, answered: Answered
+    client: CallerClient, plan: Any, answered: Answered, waits_ms: list[float]
 ) -> Generator[Deferred[None], None, None]:
     for tasks in plan:
-        yield Deferred.fromCoroutine(_submit(client, tasks, answered))
+        yield Deferred.fromCoroutine(_submit(client, tasks, answered, waits_ms))
 
 
 async def _submit(
-    client: CallerClient, tasks: tuple[Task, ...], answered: Answered
+    client: CallerClient,
+    tasks: tuple[Task, ...],
+    answered: Answered,
+    waits_ms: list[float],
 ) -> None:
+    begun_s = time.monotonic()
     answer = await client.submit(tasks, timeout_ms=TIMEOUT_MS)
+    longest_ms = max(task.payload["run_ms"] for task in tasks)
+    waits_ms.append((time.monotonic() - begun_s) * MS_PER_SECOND - longest_ms)
     answered.append((tasks, answer))
 
 
@@ -133,7 +144,7 @@
     hosts[1].process.send_signal(signal.SIGCONT)
 
 
-def _print(audit: ClientAudit, jobs: int) -> None:
+def _print(audit: ClientAudit, jobs: int, waits_ms: list[float]) -> None:
     outcomes = [
         f"{outcome.value}={audit.outcomes.get(outcome, 0)}" for outcome in Outcome
     ]
@@ -144,6 +155,10 @@
         f"false_not_run={audit.false_not_run} partial={audit.partial} "
         f"foreign={audit.foreign}"
     )
+    percentiles = statistics.quantiles(waits_ms, n=PERCENT)
+    for percent in (50, 90, 99):
+        wait_ms = percentiles[percent - 1]
+        print(f"wait_beyond_longest_task_p{percent}={wait_ms:.0f} ms")
 
 
 if __name__ == "__main__":
