Send each job to the host that issued its id, and notice silent hosts

A client took its ids from one host and sent jobs to all in turn, so most jobs were forwarded, and a host that was paused collected every worker of a client within a second. Ids now come from all hosts in turn and go back to their issuer. A host that owes answers and says nothing is asked for its health and avoided without one. An address is connected to directly: a refusal took 300 ms and is now known at once.

--- a/hibiscusstack/caller/attempts.py
+++ b/hibiscusstack/caller/attempts.py
@@ -9,6 +9,7 @@
     "Lost",
     "NotSent",
     "Refused",
+    "is_fault_of_host",
 ]
 
 import json
@@ -190,6 +191,25 @@
     raise DeferredTimeoutError(timeout_s)
 
 
+def is_fault_of_host(result: AttemptResult) -> bool:
+    """Return whether an attempt speaks against the host that it was sent to.
+
+    Silence does not, as the job may take long.
+
+    >>> is_fault_of_host(Lost("connection reset")), is_fault_of_host(Lost("", True))
+    (True, False)
+    """
+    match result:
+        case Answered():
+            return False
+        case Refused(error):
+            return error.status >= FIRST_SERVER_ERROR
+        case Lost(_, is_timeout):
+            return not is_timeout
+        case NotSent():
+            return True
+
+
 def _read_attempt_result(status: int, value: Any, job_id: str | None) -> AttemptResult:
     answer_value = value if status == 200 else FieldReader(value).read_any("answer")
     if answer_value is None:
--- a/hibiscusstack/caller/client.py
+++ b/hibiscusstack/caller/client.py
@@ -19,12 +19,14 @@
     AttemptResult,
     EntryClient,
     HttpRequester,
+    is_fault_of_host,
 )
 from hibiscusstack.caller.client_settings import ClientSettings
 from hibiscusstack.caller.entries import EntryRotation
 from hibiscusstack.caller.fields import check_job_id, check_name
 from hibiscusstack.caller.id_source import IdSource
 from hibiscusstack.caller.resubmission import (
+    Effort,
     Finish,
     RetryFreshId,
     RetrySameId,
@@ -32,6 +34,7 @@
 )
 from hibiscusstack.caller.retry_budget import RetryBudget
 from hibiscusstack.caller.service import ATTEMPT_REASONS, IssuedIds, JobState
+from hibiscusstack.caller.silence import SilenceWatch
 from hibiscusstack.caller.submissions import Submission, encode_submission
 from hibiscusstack.clock import Clock, SystemClock
 from hibiscusstack.dispatch.answers import JobAnswer, Outcome, Reason, not_run
@@ -80,6 +83,7 @@
         clients = [EntryClient(url.rstrip("/"), http, reactor) for url in entries]
         self._entries = EntryRotation(clients, self._clock, self._chance)
         self._ids = IdSource(self._entries, self._clock, self._settings)
+        self._silence = SilenceWatch(reactor, self._entries, self._settings)
         self._budget = RetryBudget()
 
     async def submit(
@@ -154,7 +158,8 @@
         pinned = submission.key or submission.job.job_id
         if pinned:
             return Submitting(pinned, is_pinned=True)
-        return Submitting(await self._ids.take())
+        held = await self._ids.take()
+        return Submitting(held.job_id, held.source)
 
     async def _attempt_until_final(
         self, submission: Submission, submitting: Submitting
@@ -169,13 +174,12 @@
             delay_ms = self._delay_before_retry(step, retries)
             if self._clock.now_ms() + delay_ms >= deadline_ms:
                 return step.otherwise
-            if not _is_rejoin(step):
-                retries += 1
-                if not self._may_retry(retries):
-                    return step.otherwise
+            retries += step.effort is not Effort.REJOIN
+            if not self._may_retry(step, retries):
+                return step.otherwise
             await self._sleep(delay_ms)
             if isinstance(step, RetryFreshId):
-                renewed = await self._renew(step)
+                renewed = await self._renew(step, submitting)
                 if renewed is None:
                     return step.otherwise
                 submitting = renewed
@@ -195,23 +199,30 @@
         longest_ms = remaining_ms + self._settings.answer_grace_ms
         timeout_ms = min(self._settings.attempt_timeout_ms, longest_ms)
         attempt = Attempt(fields, timeout_ms, job.traceparent)
-        entry = self._entries.choose()
+        entry = self._entries.choose(submitting.source)
+        return await self._exchange(entry, attempt)
+
+    async def _exchange(self, entry: EntryClient, attempt: Attempt) -> AttemptResult:
         requested_ms = self._clock.now_ms()
+        self._silence.begin(entry)
         result = await entry.submit(attempt)
+        self._silence.end(entry)
         if isinstance(result, Answered):
-            self._ids.add(result.next_ids, requested_ms)
-        else:
+            self._entries.trust(entry)
+            self._ids.add(result.next_ids, entry.url, requested_ms)
+        elif is_fault_of_host(result):
             self._entries.suspect(entry)
         return result
 
-    async def _renew(self, step: RetryFreshId) -> Submitting | None:
+    async def _renew(self, step: RetryFreshId, old: Submitting) -> Submitting | None:
         problem = step.otherwise.problem
         if problem is not None and problem.reason in ATTEMPT_REASONS:
-            self._ids.discard_all()
+            self._ids.discard_from(old.source)
         try:
-            return Submitting(await self._ids.take())
+            held = await self._ids.take()
         except (RequestRefusedError, UnavailableError):
             return None
+        return Submitting(held.job_id, held.source)
 
     def _delay_before_retry(
         self, step: RetrySameId | RetryFreshId, retries: int
@@ -223,12 +234,10 @@
         longest_ms = min(settings.max_backoff_ms, settings.backoff_ms << retries)
         return int(longest_ms * self._chance.random())
 
-    def _may_retry(self, retries: int) -> bool:
-        return retries <= self._settings.max_retries and self._budget.spend()
+    def _may_retry(self, step: RetrySameId | RetryFreshId, retries: int) -> bool:
+        if retries > self._settings.max_retries:
+            return False
+        return step.effort is not Effort.RETRY or self._budget.spend()
 
     async def _sleep(self, delay_ms: int) -> None:
         await deferLater(self._reactor, delay_ms / MS_PER_SECOND)
-
-
-def _is_rejoin(step: RetrySameId | RetryFreshId) -> bool:
-    return isinstance(step, RetrySameId) and step.is_rejoin
--- a/hibiscusstack/caller/resubmission.py
+++ b/hibiscusstack/caller/resubmission.py
@@ -5,7 +5,16 @@
 *unaccounted*, and then only a *not run* that is final for the id is proof.
 """
 
-__all__ = ["Finish", "NextStep", "RetryFreshId", "RetrySameId", "Submitting"]
+__all__ = [
+    "Effort",
+    "Finish",
+    "NextStep",
+    "RetryFreshId",
+    "RetrySameId",
+    "Submitting",
+]
+
+from enum import Enum
 
 import attrs
 
@@ -44,6 +53,18 @@
 RETRIED_REFUSALS = frozenset({"too-many-waiting", "not-ready", "draining"})
 
 
+class Effort(Enum):
+    """What one more attempt means.
+
+    ``REJOIN`` asks again for a job that may just take long, ``RECONNECT`` follows an
+    attempt that reached nobody, and ``RETRY`` loads the fleet once more.
+    """
+
+    REJOIN = "rejoin"
+    RECONNECT = "reconnect"
+    RETRY = "retry"
+
+
 @attrs.frozen
 class Finish:
     """Give this answer to the application."""
@@ -55,13 +76,13 @@
 class RetrySameId:
     """Send the job once more with the same id, which joins or refuses.
 
-    ``otherwise`` is the true answer if there is no retry. ``is_rejoin`` says that the
-    job may just take long, so that asking again is no retry of a failure.
+    ``otherwise`` is the true answer if there is no retry. ``effort`` says what the
+    retry takes from whom.
     """
 
     otherwise: JobAnswer
     retry_after_ms: int | None = None
-    is_rejoin: bool = False
+    effort: Effort = Effort.RETRY
 
 
 @attrs.frozen
@@ -73,6 +94,7 @@
 
     otherwise: JobAnswer
     retry_after_ms: int | None = None
+    effort: Effort = Effort.RETRY
 
 
 NextStep = Finish | RetrySameId | RetryFreshId
@@ -80,7 +102,7 @@
 
 @attrs.define
 class Submitting:
-    """The attempts to submit one job under one id.
+    """The attempts to submit one job under one id, which ``source`` issued.
 
     ``is_pinned`` says that the application chose the id, or a key in its place, so
     that no fresh one may stand for it.
@@ -95,6 +117,7 @@
     """
 
     job_id: str
+    source: str = ""
     is_pinned: bool = False
     is_unaccounted: bool = False
 
@@ -115,11 +138,13 @@
             case Lost(cause, is_timeout):
                 self.is_unaccounted = True
                 unknown = self._unknown(cause)
-                return RetrySameId(unknown, is_rejoin=is_timeout)
+                effort = Effort.REJOIN if is_timeout else Effort.RETRY
+                return RetrySameId(unknown, effort=effort)
             case NotSent(cause):
                 reason = Reason.OWNER_UNREACHABLE
                 answer = not_run(self.job_id, reason, cause)
-                return RetrySameId(self._true_answer(answer))
+                true_answer = self._true_answer(answer)
+                return RetrySameId(true_answer, effort=Effort.RECONNECT)
             case Refused(error):
                 return self._decide_on_refusal(error)
 
--- a/hibiscusstack/operator/context.py
+++ b/hibiscusstack/operator/context.py
@@ -6,17 +6,15 @@
 from typing import TextIO
 
 import attrs
-from treq.client import HTTPClient
 from twisted.internet.interfaces import IReactorTime
-from twisted.web.client import Agent, HTTPConnectionPool
 
 from hibiscusstack.caller.attempts import EntryClient, HttpRequester
 from hibiscusstack.caller.client import CallerClient
+from hibiscusstack.caller.client_settings import ClientSettings
+from hibiscusstack.caller.connecting import connect_http
 from hibiscusstack.operator.admin_client import AdminClient
 from hibiscusstack.operator.arguments import read_addresses
 
-CONNECT_TIMEOUT_S = 2
-
 
 @attrs.frozen
 class ToolContext:
@@ -56,6 +54,5 @@
     options: argparse.Namespace, reactor: IReactorTime, out: TextIO, err: TextIO
 ) -> ToolContext:
     """Return a context on real connections."""
-    pool = HTTPConnectionPool(reactor)
-    agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool)
-    return ToolContext(options, reactor, HTTPClient(agent), out, err)
+    http = connect_http(reactor, ClientSettings())
+    return ToolContext(options, reactor, http, out, err)
--- a/scripts/check_client.py
+++ b/scripts/check_client.py
@@ -15,6 +15,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Generator
 from pathlib import Path
 from typing import Any
@@ -94,6 +95,7 @@
     yield faults
     audit = audit_answers(answered, count_starts(site.read_starts()))
     _print(audit, len(answered), waits_ms)
+    _print_reasons(answered)
     raise SystemExit(1 if audit.violations or len(answered) != jobs else 0)
 
 
@@ -133,15 +135,15 @@
 def _inject_faults(
     reactor: IReactorTime, hosts: list[EntryHost]
 ) -> Generator[Deferred[Any], Any, None]:
-    """Pause one host, kill a second and drain a third, while jobs run."""
+    """Kill one host, drain a second and pause a third for a while, as jobs run."""
     yield deferLater(reactor, FAULT_INTERVAL_S)
-    hosts[1].process.send_signal(signal.SIGSTOP)
+    hosts[1].process.send_signal(signal.SIGKILL)
     yield deferLater(reactor, FAULT_INTERVAL_S)
-    hosts[2].process.send_signal(signal.SIGKILL)
+    hosts[2].process.send_signal(signal.SIGTERM)
     yield deferLater(reactor, FAULT_INTERVAL_S)
-    hosts[3].process.send_signal(signal.SIGTERM)
+    hosts[3].process.send_signal(signal.SIGSTOP)
     yield deferLater(reactor, PAUSE_S)
-    hosts[1].process.send_signal(signal.SIGCONT)
+    hosts[3].process.send_signal(signal.SIGCONT)
 
 
 def _print(audit: ClientAudit, jobs: int, waits_ms: list[float]) -> None:
@@ -161,5 +163,14 @@
         print(f"wait_beyond_longest_task_p{percent}={wait_ms:.0f} ms")
 
 
+def _print_reasons(answered: Answered) -> None:
+    reasons = Counter(
+        f"{answer.outcome.value}.{answer.problem.reason.value}"
+        for _, answer in answered
+        if answer.problem is not None
+    )
+    print(" ".join(f"{name}={count}" for name, count in sorted(reasons.items())))
+
+
 if __name__ == "__main__":
     sys.exit(main())
