--- a/Makefile
+++ b/Makefile
@@ -66,3 +66,7 @@
 
 slopes: setup
 	$(PYTHON) -m benches.slopes $(ARGUMENTS)
+
+.PHONY: check-client
+check-client: setup
+	$(PYTHON) -m scripts.check_client
