Check the promises on histories of real processes under seeded faults

make histories runs three hosts and two groups of targets for each seed, kills, pauses and stops them, silences connections, loses answers and takes the log away, and checks the records of callers, targets, hosts and operators promise by promise.

--- a/Makefile
+++ b/Makefile
@@ -56,3 +56,10 @@
 .PHONY: check-daemon
 check-daemon: setup
 	$(PYTHON) -m scripts.check_daemon
+
+histories: setup
+	$(PYTHON) -m scripts.histories
+
+.PHONY: bench-ids
+bench-ids: setup
+	$(PYTHON) -m benches.ids
--- a/scripts/processes.py
+++ b/scripts/processes.py
@@ -115,7 +115,7 @@
         keys = {"peer_port": 0, "leave_ms": 500, **host_keys}
         lines = "\n".join(f"{key} = {value}" for key, value in keys.items())
         text = _SETTINGS.format(name=name, platform=self.platform_url, host_keys=lines)
-        settings.write_text(text)
+        settings.write_text(text + self.more_settings)
         log = self.folder / f"{name}.log"
         process = self._start([str(BIN / "hibiscusd"), str(settings)], log)
         return EntryHost(name, process, log, {})
--- a/scripts/submitting.py
+++ b/scripts/submitting.py
@@ -48,11 +48,13 @@
         urls: Sequence[str],
         turn: int = 0,
         max_attempts: int = MAX_ATTEMPTS,
+        answer_timeout_s: float = ANSWER_TIMEOUT_S,
     ) -> None:
         self._name = name
         self._urls = list(urls)
         self._turn = turn
         self._max_attempts = max_attempts
+        self._answer_timeout_s = answer_timeout_s
 
     def submit(self, body: dict[str, Any], resubmits: bool) -> Submission:
         """Return the submission with its final answer, or without any."""
@@ -90,7 +92,7 @@
             submission.extra_answers.append(answer)
 
     def _take_id(self, url: str) -> str:
-        status, body = _post_json(f"{url}/v1/ids", {"count": 1})
+        status, body = _post_json(f"{url}/v1/ids", {"count": 1}, ANSWER_TIMEOUT_S)
         return body["ids"][0] if status == 200 and body["ids"] else ""
 
     def _post(self, url: str, submission: Submission) -> dict[str, Any] | None:
@@ -99,12 +101,17 @@
             "id": submission.job_id,
             "is_first_attempt": submission.sends_of_id == 0,
         }
-        status, answer = _post_json(f"{url}/v1/jobs", body)
+        status, answer = self._post_job(url, body)
         submission.sends_of_id += status is not None
         if status == 200:
             return answer
         return answer.get("answer")
 
+    def _post_job(
+        self, url: str, body: dict[str, Any]
+    ) -> tuple[int | None, dict[str, Any]]:
+        return _post_json(f"{url}/v1/jobs", body, self._answer_timeout_s)
+
     def _next_url(self) -> str:
         self._turn += 1
         return self._urls[self._turn % len(self._urls)]
@@ -116,14 +123,16 @@
     return answer["outcome"] == "not_run" and reason in ATTEMPT_REASONS
 
 
-def _post_json(url: str, body: dict[str, Any]) -> tuple[int | None, dict[str, Any]]:
+def _post_json(
+    url: str, body: dict[str, Any], timeout_s: float
+) -> tuple[int | None, dict[str, Any]]:
     """Return status and body of an answer.
 
     The status is 0 when no answer came, and ``None`` when nothing was sent.
     """
     parts = urlsplit(url)
     connection = http.client.HTTPConnection(
-        parts.hostname, parts.port, timeout=ANSWER_TIMEOUT_S
+        parts.hostname, parts.port, timeout=timeout_s
     )
     try:
         connection.connect()
