--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,13 @@
 bench-path: setup
 	$(PYTHON) -m benches.path
 
+policy: setup
+	$(PYTHON) -m benches.policy $(ARGUMENTS)
+
+.PHONY: bench-caller-api
+bench-caller-api: setup
+	$(PYTHON) -m benches.caller_api
+
 .PHONY: check-daemon
 check-daemon: setup
 	$(PYTHON) -m scripts.check_daemon
@@ -63,3 +70,6 @@
 .PHONY: bench-ids
 bench-ids: setup
 	$(PYTHON) -m benches.ids
+
+slopes: setup
+	$(PYTHON) -m benches.slopes $(ARGUMENTS)
--- a/scripts/histories/__main__.py
+++ b/scripts/histories/__main__.py
@@ -10,10 +10,12 @@
 import tempfile
 import traceback
 from collections import Counter
+from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 from scripts.histories.checking import Violation, check_history
+from scripts.histories.faults import FaultKind
 from scripts.histories.records import History
 from scripts.histories.running import run_history
 
@@ -24,7 +26,8 @@
     first = arguments.first_seed
     seeds = range(first, first + arguments.histories)
     with ThreadPoolExecutor(arguments.at_once) as pool:
-        results = list(pool.map(_run_and_check, seeds))
+        kinds = [FaultKind(arguments.only)] if arguments.only else tuple(FaultKind)
+        results = list(pool.map(lambda seed: _run_and_check(seed, kinds), seeds))
     errors = results.count(None)
     results = [result for result in results if result is not None]
     histories = [history for history, _ in results]
@@ -44,14 +47,18 @@
     parser.add_argument("--histories", type=int, default=50, help="how many to run")
     parser.add_argument("--first-seed", type=int, default=1)
     parser.add_argument("--at-once", type=int, default=3, help="how many at a time")
+    names = [kind.value for kind in FaultKind]
+    parser.add_argument("--only", choices=names, help="draw faults of one kind")
     return parser.parse_args()
 
 
-def _run_and_check(seed: int) -> tuple[History, list[Violation]] | None:
+def _run_and_check(
+    seed: int, kinds: Sequence[FaultKind]
+) -> tuple[History, list[Violation]] | None:
     """Return a run with its violations, or nothing when it could not be made."""
     try:
         with tempfile.TemporaryDirectory(prefix="hibiscus-history-") as folder:
-            history = run_history(seed, Path(folder))
+            history = run_history(seed, Path(folder), kinds)
     except Exception as error:
         traceback.print_exc()
         print(f"seed={seed} error={type(error).__name__}: {error}", flush=True)
--- a/scripts/histories/faults.py
+++ b/scripts/histories/faults.py
@@ -3,6 +3,7 @@
 __all__ = ["Fault", "FaultKind", "draw_faults"]
 
 import random
+from collections.abc import Sequence
 from enum import Enum
 
 import attrs
@@ -51,8 +52,10 @@
         )
 
 
-def draw_faults(seed: int, hosts: int, groups: int) -> list[Fault]:
-    """Return the faults of one history in the order of their time.
+def draw_faults(
+    seed: int, hosts: int, groups: int, kinds: Sequence[FaultKind] = tuple(FaultKind)
+) -> list[Fault]:
+    """Return the faults of one history, all of ``kinds``, in the order of their time.
 
     The first host is never killed or stopped, so that a caller finds one alive.
 
@@ -61,7 +64,8 @@
     """
     rng = random.Random(seed)
     faults = [
-        _draw(rng, hosts, groups) for _ in range(rng.randint(MIN_FAULTS, MAX_FAULTS))
+        _draw(rng, hosts, groups, kinds)
+        for _ in range(rng.randint(MIN_FAULTS, MAX_FAULTS))
     ]
     if rng.random() < 1 / 3:
         together_ms = faults[0].at_ms
@@ -69,8 +73,10 @@
     return sorted(faults, key=lambda fault: fault.at_ms)
 
 
-def _draw(rng: random.Random, hosts: int, groups: int) -> Fault:
-    kind = rng.choice(list(FaultKind))
+def _draw(
+    rng: random.Random, hosts: int, groups: int, kinds: Sequence[FaultKind]
+) -> Fault:
+    kind = rng.choice(kinds)
     at_ms = rng.randint(FIRST_FAULT_MS, LAST_FAULT_MS)
     duration_ms = rng.choice([200, 700, 1_500, 3_500])
     if kind in (FaultKind.KILL_HOST, FaultKind.STOP_HOST):
--- a/scripts/histories/running.py
+++ b/scripts/histories/running.py
@@ -4,11 +4,12 @@
 
 import random
 import time
+from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
-from scripts.histories.faults import Fault, draw_faults
+from scripts.histories.faults import Fault, FaultKind, draw_faults
 from scripts.histories.operators import Operators
 from scripts.histories.records import Attempt, History
 from scripts.histories.site import GROUPS, HOSTS, HistorySite, now_ms
@@ -54,11 +55,13 @@
         return names[0] if names else "replaced"
 
 
-def run_history(seed: int, folder: Path) -> History:
-    """Return the records of one run with the faults of ``seed``."""
+def run_history(
+    seed: int, folder: Path, kinds: Sequence[FaultKind] = tuple(FaultKind)
+) -> History:
+    """Return the records of one run with the faults of ``seed``, all of ``kinds``."""
     history = History(seed)
     site = HistorySite(folder, history)
-    faults = draw_faults(seed, HOSTS, GROUPS)
+    faults = draw_faults(seed, HOSTS, GROUPS, kinds)
     history.faults += [str(fault) for fault in faults]
     try:
         site.start_all()
