Let a home that wakes start nothing that it held

A home paused for longer than its peers wait was taken for lost, its targets were asked and restarted, and on waking it started what it still held, or what had reached it during the pause: 3 and 5 tasks started twice in two tests. A home now notices that it has not ticked for a second, refuses batches that reached it meanwhile, and gives back what waits for other owners. Both tests: none twice.

--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -105,7 +105,7 @@
         self._owner = Owner(name, self._planner)
         if queue is None:
             queue = ShareQueue(self._policy, run_times)
-        self._home = Home(queue, health)
+        self._home = Home(name, queue, health)
         self._forwarding = Forwarding()
         self._finished = FinishedJobs()
         self._callers: dict[str, str] = {}
--- a/hibiscusstack/dispatch/home.py
+++ b/hibiscusstack/dispatch/home.py
@@ -42,6 +42,7 @@
 
 MAX_START_ATTEMPTS = 4
 SILENCE_GRACE_MS = 10_000
+MAX_PAUSE_MS = 1_000
 LEAST_EXPECTED_MS = 1.0
 PROBE_AFTER_MS = 1_000
 PROBE_RUN_TIME_FACTOR = 4
@@ -68,10 +69,18 @@
     A task is sent to a target once. It goes to another target only with proof that
     the first never started it: nothing was written, a typed refusal, or the
     target's word over a new connection.
+
+    A home that was paused may have been taken for lost, and its targets asked and
+    restarted since. So on waking it starts nothing for other owners that it held or
+    that reached it during the pause, and gives it back.
     """
 
-    def __init__(self, queue: TaskQueue, health: TargetHealth | None = None) -> None:
+    def __init__(
+        self, name: HostName, queue: TaskQueue, health: TargetHealth | None = None
+    ) -> None:
         self.slots = SlotTable()
+        self._name = name
+        self._ticked_ms: int | None = None
         self._queue = queue
         self._health = health or UnlimitedHealth()
         self._batches = BatchTable()
@@ -134,6 +143,8 @@
 
     def place(self, owner: HostName, message: PlaceBatch, now_ms: int) -> list[Effect]:
         """Queue a batch and start what can start."""
+        if owner != self._name and self._was_paused(now_ms):
+            return self.query(owner, QueryBatch(message.batch), now_ms)
         is_new = self._batches.open(owner, message)
         if not is_new:
             return []
@@ -202,6 +213,9 @@
     def tick(self, now_ms: int) -> list[Effect]:
         """Expire what waits too long, ask again, and start what can start."""
         effects: list[Effect] = []
+        if self._was_paused(now_ms):
+            effects += self._give_back_others(now_ms)
+        self._ticked_ms = now_ms
         for entry in self._queue.expire(now_ms):
             self._settle(entry, _not_run(entry, Reason.DEADLINE))
             effects += self._report(entry.owner, entry.batch, now_ms)
@@ -214,12 +228,28 @@
 
     def _start_on(self, names: Iterable[str], now_ms: int) -> list[Effect]:
         effects: list[Effect] = []
-        if not len(self._queue):
+        if not len(self._queue) or self._was_paused(now_ms):
             return effects
         for name in self.slots.by_most_free(names, now_ms):
             effects += self._fill(name, now_ms)
         return effects
 
+    def _was_paused(self, now_ms: int) -> bool:
+        """Tell whether this process has not run for longer than it may."""
+        ticked_ms = self._ticked_ms
+        return ticked_ms is not None and now_ms - ticked_ms > MAX_PAUSE_MS
+
+    def _give_back_others(self, now_ms: int) -> list[Effect]:
+        """Return to the other owners all that waits here."""
+        effects: list[Effect] = []
+        for owner, batch in self._batches.all_open():
+            if owner == self._name:
+                continue
+            for entry in self._queue.remove_batch(owner, batch):
+                self._give_back(entry)
+            effects += self._report(owner, batch, now_ms)
+        return effects
+
     def _free_on(self, target: TargetInfo, now_ms: int) -> int:
         free = self.slots.free_on(target.name, now_ms)
         if not free:
--- a/hibiscusstack/dispatch/tests/fleets.py
+++ b/hibiscusstack/dispatch/tests/fleets.py
@@ -102,6 +102,7 @@
         self.peer_messages = Counter()
         self.dead: set[HostName] = set()
         self.cut: set[frozenset[HostName]] = set()
+        self._held_back: dict[HostName, list] = {}
         self._requests = itertools.count(1)
         self._events: list = []
         self._order = itertools.count()
@@ -130,6 +131,16 @@
             if name not in self.dead:
                 self._do(name, lambda engine: engine.peer_lost(lost))
 
+    def pause(self, host: int) -> None:
+        """Stop one host's process; what reaches it waits until it is resumed."""
+        self._held_back.setdefault(self.names[host], [])
+
+    def resume(self, host: int) -> None:
+        """Let a paused host act on all that reached it, before its next tick."""
+        name = self.names[host]
+        for call in self._held_back.pop(name, []):
+            self._do(name, call)
+
     def cut_link(self, first: int, second: int) -> None:
         """Drop every message between two hosts from now on."""
         self.cut.add(frozenset({self.names[first], self.names[second]}))
@@ -154,7 +165,8 @@
                 heapq.heappop(self._events)[2]()
             if self.clock.now_ms() % TICK_MS == 0:
                 for name in self.names:
-                    self._do(name, lambda engine: engine.tick())
+                    if name not in self._held_back:
+                        self._do(name, lambda engine: engine.tick())
             if self.clock.now_ms() >= end_ms:
                 return
 
@@ -200,6 +212,9 @@
     def _do(self, name: HostName, call) -> None:
         if name in self.dead:
             return
+        if name in self._held_back:
+            self._held_back[name].append(call)
+            return
         for effect in call(self.engines[name]):
             self._carry_out(name, effect)
 
--- a/hibiscusstack/dispatch/tests/test_engine.py
+++ b/hibiscusstack/dispatch/tests/test_engine.py
@@ -114,6 +114,42 @@
     assert fleet.answers[request].outcome is not Outcome.SUCCEEDED
 
 
+def lose_paused_home(fleet):
+    fleet.call(0, "peer_disconnected", fleet.names[1])
+    fleet.call(0, "peer_lost", fleet.names[1])
+    fleet.run(500)
+    for name in list(fleet.targets):
+        fleet.restart_target(name)
+    fleet.run(500)
+
+
+def test_a_home_that_wakes_starts_nothing_that_it_held():
+    fleet = Fleet(hosts=2, targets=4, slots=1)
+    request = fleet.submit(0, job_of(fleet.mint(0), *[400] * 12))
+    fleet.run(20)
+    fleet.pause(1)
+    lose_paused_home(fleet)
+    fleet.run(3_000)
+    fleet.resume(1)
+    fleet.run(10_000)
+    assert request in fleet.answers
+    assert fleet.started_twice() == 0
+
+
+def test_a_home_that_wakes_starts_nothing_that_arrived_meanwhile():
+    fleet = Fleet(hosts=2, targets=4, slots=1)
+    fleet.run(20)
+    fleet.pause(1)
+    request = fleet.submit(0, job_of(fleet.mint(0), *[400] * 12))
+    fleet.run(20)
+    lose_paused_home(fleet)
+    fleet.run(3_000)
+    fleet.resume(1)
+    fleet.run(10_000)
+    assert request in fleet.answers
+    assert fleet.started_twice() == 0
+
+
 def test_silent_target_ends_as_unknown_by_the_deadline():
     fleet = Fleet(hosts=1, targets=1)
     request = fleet.submit(0, job_of(fleet.mint(0), 100, timeout_ms=2_000))
--- a/hibiscusstack/dispatch/tests/test_engine_machine.py
+++ b/hibiscusstack/dispatch/tests/test_engine_machine.py
@@ -23,6 +23,7 @@
 TIMEOUT_MS = 2_000
 UNTIL_ALL_ANSWERED_MS = 30_000
 AT_ONCE_MS = 1_000
+PAUSE_MS = 2_000
 
 
 class EngineMachine(RuleBasedStateMachine):
@@ -35,6 +36,7 @@
         self.jobs = {}
         self.requests = {}
         self.cut = set()
+        self.paused = None
 
     def alive(self):
         """Return the hosts that were not killed."""
@@ -112,6 +114,35 @@
         """Begin a planned stop."""
         self.fleet.call(host, "drain")
 
+    @precondition(lambda self: self.paused is None and len(self.alive()) > 1)
+    @rule(host=HOST, is_lost=st.booleans())
+    def pause(self, host, is_lost):
+        """Pause a host for longer than it may, until others take it for lost."""
+        if host not in self.alive():
+            return
+        self.paused = host
+        self.fleet.pause(host)
+        name = self.fleet.names[host]
+        for other in self.alive():
+            if other != host:
+                self.fleet.call(other, "peer_disconnected", name)
+        self.fleet.run(PAUSE_MS)
+        for other in self.alive():
+            if other != host and is_lost:
+                self.fleet.call(other, "peer_lost", name)
+
+    @precondition(lambda self: self.paused is not None)
+    @rule()
+    def resume(self):
+        """Let the paused host act, and connect it again."""
+        host, self.paused = self.paused, None
+        if host not in self.alive():
+            return
+        self.fleet.resume(host)
+        for other in self.alive():
+            if other != host and not {(host, other), (other, host)} & self.cut:
+                self.fleet.mend_link(host, other)
+
     @rule(first=HOST, second=HOST)
     def cut_link(self, first, second):
         """Cut two hosts off from each other."""
@@ -205,6 +236,8 @@
         """Let time pass: every request at a living host is answered."""
         if not hasattr(self, "fleet"):
             return
+        if self.paused is not None:
+            self.resume()
         for _ in range(UNTIL_ALL_ANSWERED_MS // AT_ONCE_MS):
             if not self.unanswered():
                 break
