--- a/scripts/histories/site.py
+++ b/scripts/histories/site.py
@@ -62,6 +62,7 @@
         self.history = history
         self.groups: dict[int, str] = {}
         self._entries: dict[str, dict] = {}
+        self._stopping: set[int] = set()
         self._group_processes: dict[int, subprocess.Popen] = {}
 
     def start_all(self) -> None:
@@ -150,8 +151,9 @@
 
     def _stop_host(self, fault: Fault) -> None:
         host = self.hosts[host_name(fault.victim)]
-        if host.process.poll() is not None:
+        if host.process.poll() is not None or host.process.pid in self._stopping:
             return
+        self._stopping.add(host.process.pid)
         self.list_as_leaving(host)
         at_ms = now_ms()
         host.process.send_signal(signal.SIGTERM)
