--- a/hibiscusstack/dispatch/home.py
+++ b/hibiscusstack/dispatch/home.py
@@ -21,7 +21,7 @@
     TaskStates,
 )
 from hibiscusstack.dispatch.inquiry import Inquiry, Verdict
-from hibiscusstack.dispatch.interfaces import TargetHealth, UnlimitedHealth
+from hibiscusstack.dispatch.interfaces import TargetHealth
 from hibiscusstack.dispatch.jobs import task_id_of
 from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import (
@@ -75,14 +75,12 @@
     that reached it during the pause, and gives it back.
     """
 
-    def __init__(
-        self, name: HostName, queue: TaskQueue, health: TargetHealth | None = None
-    ) -> None:
+    def __init__(self, name: HostName, queue: TaskQueue, health: TargetHealth) -> None:
         self.slots = SlotTable()
         self._name = name
         self._ticked_ms: int | None = None
         self._queue = queue
-        self._health = health or UnlimitedHealth()
+        self._health = health
         self._batches = BatchTable()
         self._running: dict[str, _Running] = {}
         self._attempts: dict[str, int] = {}
