--- a/hibiscusstack/caller/resubmission.py
+++ b/hibiscusstack/caller/resubmission.py
@@ -39,7 +39,9 @@
         Reason.OWNERSHIP_UNPROVEN,
     }
 )
-OPEN_UNKNOWN_REASONS = frozenset({Reason.OWNER_UNREACHABLE, Reason.NO_ANSWER})
+OPEN_UNKNOWN_REASONS = frozenset(
+    {Reason.OWNER_UNREACHABLE, Reason.NO_ANSWER, Reason.NOT_READY}
+)
 HOPELESS_REASONS = frozenset({Reason.ID_EXPIRED, Reason.ID_NOT_ISSUED})
 RETRIED_REFUSALS = frozenset({"too-many-waiting", "not-ready", "draining"})
 
--- a/hibiscusstack/caller/tests/test_resubmission.py
+++ b/hibiscusstack/caller/tests/test_resubmission.py
@@ -89,3 +89,9 @@
 
 def test_a_host_that_refuses_connections_costs_no_id() -> None:
     assert isinstance(Submitting("j1").decide(NotSent("refused")), RetrySameId)
+
+
+def test_an_unknown_from_a_starting_host_leads_to_the_same_id_again():
+    submitting = Submitting("j1")
+    step = submitting.decide(Answered(outcome_unknown("j1", Reason.NOT_READY)))
+    assert isinstance(step, RetrySameId)
--- a/hibiscusstack/dispatch/tests/test_engine_machine.py
+++ b/hibiscusstack/dispatch/tests/test_engine_machine.py
@@ -29,10 +29,14 @@
 class EngineMachine(RuleBasedStateMachine):
     """Three hosts, six targets with two slots, and callers that resubmit."""
 
+    data_centres = 1
+
     @initialize()
     def boot_all(self):
         """Start every host."""
-        self.fleet = Fleet(hosts=HOSTS, targets=TARGETS, slots=2)
+        self.fleet = Fleet(
+            hosts=HOSTS, targets=TARGETS, slots=2, data_centres=self.data_centres
+        )
         self.jobs = {}
         self.requests = {}
         self.cut = set()
@@ -260,3 +264,15 @@
     derandomize=True, max_examples=200, stateful_step_count=40, deadline=None
 )
 TestEngineMachine = EngineMachine.TestCase
+
+
+class DataCentresMachine(EngineMachine):
+    """The same in two data centres, whose targets serve their own hosts only."""
+
+    data_centres = 2
+
+
+DataCentresMachine.TestCase.settings = settings(
+    derandomize=True, max_examples=100, stateful_step_count=40, deadline=None
+)
+TestDataCentresMachine = DataCentresMachine.TestCase
