--- a/Makefile
+++ b/Makefile
@@ -64,6 +64,13 @@
 check-daemon: setup
 	$(PYTHON) -m scripts.check_daemon
 
+histories: setup
+	$(PYTHON) -m scripts.histories
+
+.PHONY: bench-ids
+bench-ids: setup
+	$(PYTHON) -m benches.ids
+
 slopes: setup
 	$(PYTHON) -m benches.slopes $(ARGUMENTS)
 
--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -89,7 +89,7 @@
         self._policy = parts.in_force
         self._planner = Planner(name, parts)
         self._owner = Owner(name, self._planner)
-        self._home = Home(parts.queue, parts.health)
+        self._home = Home(name, parts.queue, parts.health)
         self._forwarding = Forwarding()
         self._finished = FinishedJobs()
         self._callers: dict[str, str] = {}
