--- a/benches/slopes/subjects.py
+++ b/benches/slopes/subjects.py
@@ -28,8 +28,15 @@
 
 OWN = HostName("dc1", "host-1", 1)
 HOSTS_PER_DATA_CENTRE = 8
-TASKS = 200
 JOBS = 20
+NO_TIMEOUT_MS = 1_000_000_000
+NO_LIMITS = """\
+[limits]
+max_queue_ms = 1000000000
+max_queued_tasks = 1000000000
+max_jobs_per_caller = 1000000000
+max_tasks_per_caller = 1000000000
+"""
 
 
 @attrs.frozen
@@ -54,7 +61,7 @@
 def make_engine(targets: int, peers: int = 0, data_centres: int = 1) -> Engine:
     """Return an engine with all parts of the policy, and its peers connected."""
     clock = ManualClock()
-    in_force = PolicyInForce()
+    in_force = PolicyInForce(read_policy(NO_LIMITS).ok)
     parts = make_policy_parts(in_force)
     engine = Engine(
         OWN,
@@ -228,7 +235,8 @@
     def build() -> object:
         engine = make_engine(targets=24)
         for number in range(jobs):
-            job = Job(engine.ids.mint(1)[0], "bench", make_tasks(20))
+            job_id = engine.ids.mint(1)[0]
+            job = Job(job_id, "bench", make_tasks(20), timeout_ms=NO_TIMEOUT_MS)
             engine.submit(number, job)
         return engine
 
@@ -275,7 +283,7 @@
         bytes_of_frames(make_batch, make_results),
     ),
     Subject("queue_memory", "bytes", "task", (1_000, 2_000, 4_000), bytes_of_queue),
-    Subject("job_memory", "bytes", "job", (50, 100, 200), bytes_of_owned),
+    Subject("job_memory", "bytes", "job", (100, 200, 400), bytes_of_owned),
     Subject("queue_time", "us", "team", (10, 50, 150, 300), time_of_queue),
     Subject("tick_time", "us", "target", (10, 20, 80, 160), time_of_ticks),
     Subject("target_memory", "bytes", "target", (24, 154, 500), bytes_of_targets),
--- a/hibiscusstack/dispatch/placement.py
+++ b/hibiscusstack/dispatch/placement.py
@@ -10,7 +10,7 @@
 from hibiscusstack.dispatch.messages import HostName
 
 RUN_TIME_PART = 0.5
-WAIT_PART = 0.1
+WAIT_PART = 0.3
 LEAST_EXPECTED_MS = 1.0
 ASSUMED_SLOTS = 8
 
