--- a/Makefile
+++ b/Makefile
@@ -66,3 +66,4 @@
 
 slopes: setup
 	$(PYTHON) -m benches.slopes $(ARGUMENTS)
+	$(PYTHON) -m benches.slopes.imports
--- a/benches/slopes/subjects.py
+++ b/benches/slopes/subjects.py
@@ -2,15 +2,17 @@
 
 __all__ = ["SUBJECTS", "Subject"]
 
+import json
 from collections.abc import Callable
 
 import attrs
 
 from benches.slopes.fitting import allocated_bytes, best_time_us
 from hibiscusstack.clock import ManualClock
-from hibiscusstack.dispatch.answers import Outcome, TaskResult
+from hibiscusstack.dispatch.answers import JobAnswer, Outcome, TaskResult
 from hibiscusstack.dispatch.effects import Effect, StartTask, TaskFinished
 from hibiscusstack.dispatch.engine import Engine
+from hibiscusstack.dispatch.finished import FinishedJobs
 from hibiscusstack.dispatch.ids import IdIssuer
 from hibiscusstack.dispatch.jobs import Job, Task
 from hibiscusstack.dispatch.messages import (
@@ -25,6 +27,7 @@
 from hibiscusstack.dispatch.queueing import QueuedTask
 from hibiscusstack.dispatch.targets import TargetInfo
 from hibiscusstack.host.codec import decode_message, encode_message
+from hibiscusstack.platform.live_list import decode_live_list
 
 OWN = HostName("dc1", "host-1", 1)
 HOSTS_PER_DATA_CENTRE = 8
@@ -243,6 +246,20 @@
     return allocated_bytes(build)
 
 
+def bytes_of_answers(jobs: int) -> float:
+    """Return the memory of the kept answers of jobs of 20 tasks."""
+
+    def build() -> object:
+        finished = FinishedJobs()
+        for number in range(jobs):
+            results = make_results(20).results
+            answer = JobAnswer(f"job-{number}", Outcome.SUCCEEDED, results)
+            finished.put("caller", answer, 0)
+        return finished
+
+    return allocated_bytes(build)
+
+
 def bytes_of_targets(targets: int) -> float:
     """Return the memory of an engine that knows some targets."""
     return allocated_bytes(lambda: make_engine(targets, HOSTS_PER_DATA_CENTRE - 1))
@@ -266,6 +283,32 @@
     return best_time_us(push_and_pop, 300)
 
 
+def make_live_list(hosts: int) -> bytes:
+    """Return the platform's answer with some targets."""
+    entries = [
+        {
+            "name": f"dc1-worker-{n:04}",
+            "role": "target",
+            "address": "10.1.2.3",
+            "port": 8000,
+            "data_centre": "dc1",
+            "rack": f"rack-{n // 8}",
+            "state": "live",
+            "slots": 8,
+            "connections": 64,
+            "labels": {"zone": "north"},
+        }
+        for n in range(hosts)
+    ]
+    return json.dumps({"version": 1, "hosts": entries}).encode()
+
+
+def time_of_live_list(hosts: int) -> float:
+    """Return the time of decoding the live list."""
+    body = make_live_list(hosts)
+    return best_time_us(lambda: decode_live_list(json.loads(body)))
+
+
 SUBJECTS = (
     Subject("engine_time", "us", "task", (1, 10, 50, 100, 200), time_of_jobs),
     Subject(
@@ -284,11 +327,12 @@
     ),
     Subject("queue_memory", "bytes", "task", (1_000, 2_000, 4_000), bytes_of_queue),
     Subject("job_memory", "bytes", "job", (100, 200, 400), bytes_of_owned),
+    Subject("answer_memory", "bytes", "job", (500, 1_000, 2_000), bytes_of_answers),
     Subject("queue_time", "us", "team", (10, 50, 150, 300), time_of_queue),
     Subject("tick_time", "us", "target", (10, 20, 80, 160), time_of_ticks),
     Subject("target_memory", "bytes", "target", (24, 154, 500), bytes_of_targets),
     Subject("match_time", "us", "target", (24, 154, 500, 2_000), time_of_first_match),
-    Subject("heartbeat_time", "us", "host", (7, 15, 31, 63), time_of_heartbeats),
+    Subject("heartbeat_time", "us", "host", (7, 31, 63, 103), time_of_heartbeats),
     Subject(
         "heartbeat_bytes",
         "bytes",
@@ -297,6 +341,21 @@
         bytes_of_frames(make_heartbeat),
     ),
     Subject("list_time", "us", "data_centre", (1, 3, 7, 13), time_of_new_list),
+    Subject("live_list_time", "us", "host", (154, 500, 2_000), time_of_live_list),
+    Subject(
+        "live_list_bytes",
+        "bytes",
+        "host",
+        (154, 500, 2_000),
+        lambda hosts: float(len(make_live_list(hosts))),
+    ),
+    Subject(
+        "peer_frame_time",
+        "us",
+        "target",
+        (4, 20, 80),
+        time_of_frames(make_heartbeat),
+    ),
     Subject("policy_time", "us", "team", (10, 50, 150), time_of_policy),
     Subject(
         "policy_bytes",
