--- a/hibiscusstack/dispatch/placement.py
+++ b/hibiscusstack/dispatch/placement.py
@@ -9,8 +9,9 @@
 from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import HostName
 
+SMALL_JOB_TASKS = 20
 RUN_TIME_PART = 0.5
-WAIT_PART = 0.3
+WAIT_PART = 0.4
 LEAST_EXPECTED_MS = 1.0
 ASSUMED_SLOTS = 8
 
@@ -60,11 +61,12 @@
     ranked: ``preferred`` first, as it costs no message, then by free slots and
     queue. As many of them are used, in that order, as make the last start early
     enough to be worth another home, which counts as much as ``RUN_TIME_PART`` of the
-    longest task and ``WAIT_PART`` of the wait on the preferred home alone. Each gets
-    what it can start by then. Each index needs at least one matching target that has
-    a home. ``load_for`` gives a home's load as work for
-    the named targets sees it, if it is known, and ``wait_ms`` tells from a load when
-    the next slot comes to work of this class.
+    longest task and ``WAIT_PART`` of the wait on the preferred home alone, and less
+    for jobs of more than ``SMALL_JOB_TASKS``. Each gets what it can start by then.
+
+    Each index needs at least one matching target that has a home. ``load_for`` gives
+    a home's load as work for the named targets sees it, if it is known, and
+    ``wait_ms`` tells from a load when the next slot comes to work of this class.
 
     >>> a = HostName("dc1", "a", 1)
     >>> split_over_homes(
@@ -127,7 +129,8 @@
     mean_ms = max(sum(expected_ms) / len(expected_ms), LEAST_EXPECTED_MS)
     total = len(expected_ms)
     best_ms, best_count = _last_start_ms(homes[:1], total, mean_ms), 1
-    charge_ms = RUN_TIME_PART * max(expected_ms) + WAIT_PART * best_ms
+    part = min(SMALL_JOB_TASKS / total, 1.0)
+    charge_ms = part * (RUN_TIME_PART * max(expected_ms) + WAIT_PART * best_ms)
     for count in range(2, len(homes) + 1):
         if best_ms <= charge_ms * (count - best_count):
             break
--- /dev/null
+++ b/hibiscusstack/dispatch/tests/test_placement.py
@@ -0,0 +1,125 @@
+"""Tests of homes and of the split of a job over them."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hibiscusstack.dispatch.homes import assign_homes
+from hibiscusstack.dispatch.loads import HomeLoad
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.dispatch.placement import split_over_homes
+
+HOMES = [HostName("dc1", name, 1) for name in ("a", "b", "c")]
+OWN = HOMES[0]
+TARGETS = [f"t{number}" for number in range(9)]
+HOME_OF = {name: HOMES[number // 3] for number, name in enumerate(TARGETS)}
+
+
+def load_of(free_slots=0, queued_ms=0):
+    return HomeLoad(free_slots, queued_ms, 3, slots=24)
+
+
+def split(count, loads, matches=None, run_time_ms=100.0):
+    matches = matches or {index: frozenset(TARGETS) for index in range(count)}
+    portions = split_over_homes(
+        matches,
+        HOME_OF,
+        lambda home, names: loads.get(home),
+        preferred=OWN,
+        expected_ms=dict.fromkeys(matches, run_time_ms),
+        wait_ms=lambda load: load.queued_ms / load.slots,
+    )
+    return {portion.home.name: len(portion.indexes) for portion in portions}
+
+
+def test_job_stays_at_its_owner_while_it_fits():
+    assert split(10, dict.fromkeys(HOMES, load_of(24))) == {"a": 10}
+
+
+def test_large_job_uses_free_slots_elsewhere():
+    assert split(60, dict.fromkeys(HOMES, load_of(20))) == {"a": 20, "b": 20, "c": 20}
+
+
+def test_small_job_uses_fewer_homes_than_a_large_one():
+    loads = dict.fromkeys(HOMES, load_of(2))
+    assert len(split(6, loads)) < len(split(200, loads))
+
+
+def test_short_wait_at_home_costs_less_than_messages():
+    loads = {HOMES[0]: load_of(0, 240), HOMES[1]: load_of(24), HOMES[2]: load_of(24)}
+    assert split(2, loads) == {"a": 2}
+
+
+def test_long_wait_at_home_sends_the_job_away():
+    loads = {HOMES[0]: load_of(0, 48_000), HOMES[1]: load_of(24), HOMES[2]: load_of(4)}
+    assert split(2, loads) == {"b": 2}
+
+
+def test_overflow_is_spread_so_that_all_end_together():
+    loads = dict.fromkeys(HOMES, load_of(0, 24_000))
+    counts = split(200, loads, run_time_ms=400.0)
+    assert set(counts) == {"a", "b", "c"}
+    assert max(counts.values()) - min(counts.values()) <= 2
+
+
+def test_free_slots_on_other_targets_do_not_count():
+    load = HomeLoad(8, 0, 3, slots=24, free_by_target=(8, 0, 0))
+    names = TARGETS[:3]
+    assert load.restricted(names, ["t1", "t2"]).free_slots == 0
+    assert load.restricted(names, ["t0"]).free_slots == 8
+    assert load.restricted(names, names).slots == 24
+
+
+def test_expected_batches_take_slots_of_their_own_targets():
+    load = HomeLoad(12, 0, 3, slots=24, free_by_target=(8, 2, 2))
+    after = load.with_batch(TARGETS[:3], ["t1", "t2"], "checks", 6, 600.0)
+    assert after.free_by_target == (8, 0, 0)
+    assert after.queued_ms == 200
+
+
+SETS = st.sampled_from([frozenset(TARGETS), frozenset(TARGETS[:3]), frozenset({"t8"})])
+LOADS = st.one_of(
+    st.none(), st.builds(load_of, st.integers(-5, 24), st.integers(0, 50_000))
+)
+
+
+@given(
+    st.dictionaries(st.integers(0, 199), SETS, min_size=1, max_size=50),
+    st.tuples(LOADS, LOADS, LOADS),
+)
+@settings(max_examples=200, deadline=None, derandomize=True)
+def test_every_task_is_placed_once_on_its_own_targets(matches, given_loads):
+    loads = dict(zip(HOMES, given_loads, strict=True))
+    portions = split_over_homes(
+        matches,
+        HOME_OF,
+        lambda home, names: loads[home],
+        preferred=OWN,
+        expected_ms={index: 10.0 + index for index in matches},
+        wait_ms=lambda load: load.queued_ms / load.slots,
+    )
+    placed = [index for portion in portions for index in portion.indexes]
+    assert sorted(placed) == sorted(matches)
+    for portion in portions:
+        for index in portion.indexes:
+            assert set(portion.targets) <= matches[index]
+        assert {HOME_OF[name] for name in portion.targets} == {portion.home}
+
+
+@pytest.mark.parametrize("hosts", [1, 2, 7])
+def test_homes_have_equal_counts(hosts):
+    names = [HostName("dc1", f"h{n}", 1) for n in range(hosts)]
+    homes = assign_homes([f"t{n}" for n in range(24)], names)
+    counts = [list(homes.values()).count(name) for name in names]
+    assert sum(counts) == 24
+    assert max(counts) <= -(-24 // hosts)
+
+
+def test_few_targets_move_when_a_host_leaves():
+    names = [HostName("dc1", f"h{n}", 1) for n in range(8)]
+    targets = [f"t{n}" for n in range(160)]
+    before = assign_homes(targets, names)
+    after = assign_homes(targets, names[1:])
+    moved = [t for t in targets if before[t] != after[t] and before[t] != names[0]]
+    assert len(moved) <= 40
+    assert assign_homes(list(reversed(targets)), names[::-1]) == before
