--- a/hibiscusstack/dispatch/policy.py
+++ b/hibiscusstack/dispatch/policy.py
@@ -65,9 +65,6 @@
     max_queued_tasks: int = 100_000
     max_jobs_per_caller: int = 1_000
     max_tasks_per_caller: int = 20_000
-    retry_part: float = 0.1
-    guard_processors_part: float = 0.95
-    guard_memory_part: float = 0.95
     eject_failure_part: float = 0.5
     max_ejected_part: float = 0.3
 
