--- a/Makefile
+++ b/Makefile
@@ -73,6 +73,7 @@
 
 slopes: setup
 	$(PYTHON) -m benches.slopes $(ARGUMENTS)
+	$(PYTHON) -m benches.slopes.imports
 
 .PHONY: check-client
 check-client: setup
--- a/benches/slopes/subjects.py
+++ b/benches/slopes/subjects.py
@@ -2,33 +2,38 @@
 
 __all__ = ["SUBJECTS", "Subject"]
 
+import json
 from collections.abc import Callable
 
 import attrs
 
+from benches.slopes.builders import (
+    HOSTS_PER_DATA_CENTRE,
+    NO_TIMEOUT_MS,
+    make_batch,
+    make_engine,
+    make_entry,
+    make_heartbeat,
+    make_live_list,
+    make_results,
+    make_targets,
+    make_tasks,
+    policy_text_of,
+    run_to_the_end,
+)
 from benches.slopes.fitting import allocated_bytes, best_time_us
-from hibiscusstack.clock import ManualClock
-from hibiscusstack.dispatch.answers import Outcome, TaskResult
-from hibiscusstack.dispatch.effects import Effect, StartTask, TaskFinished
-from hibiscusstack.dispatch.engine import Engine
-from hibiscusstack.dispatch.ids import IdIssuer
-from hibiscusstack.dispatch.jobs import Job, Task
+from hibiscusstack.dispatch.answers import JobAnswer, Outcome
+from hibiscusstack.dispatch.finished import FinishedJobs
+from hibiscusstack.dispatch.jobs import Job
 from hibiscusstack.dispatch.messages import (
-    BatchResults,
-    Heartbeat,
     HostName,
-    PlaceBatch,
 )
 from hibiscusstack.dispatch.policy import PolicyInForce, matching_targets
 from hibiscusstack.dispatch.policy_parts import make_policy_parts
 from hibiscusstack.dispatch.policy_text import read_policy
-from hibiscusstack.dispatch.queueing import QueuedTask
-from hibiscusstack.dispatch.targets import TargetInfo
 from hibiscusstack.host.codec import decode_message, encode_message
+from hibiscusstack.platform.live_list import decode_live_list
 
-OWN = HostName("dc1", "host-1", 1)
-HOSTS_PER_DATA_CENTRE = 8
-TASKS = 200
 JOBS = 20
 
 
@@ -43,46 +48,6 @@
     cost: Callable[[int], float]
 
 
-def make_targets(count: int, data_centre: str = "dc1") -> list[TargetInfo]:
-    """Return targets of one data centre."""
-    return [
-        TargetInfo(f"{data_centre}-worker-{n:04}", "127.0.0.1", 1, data_centre)
-        for n in range(count)
-    ]
-
-
-def make_engine(targets: int, peers: int = 0, data_centres: int = 1) -> Engine:
-    """Return an engine with all parts of the policy, and its peers connected."""
-    clock = ManualClock()
-    engine = Engine(OWN, clock, IdIssuer(OWN, clock, secret=bytes(16)))
-    for number in range(peers):
-        engine.peer_connected(HostName("dc1", f"peer-{number}", 1))
-    listed = make_targets(targets)
-    for other in range(2, data_centres + 1):
-        name = f"dc{other}"
-        listed += make_targets(targets, name)
-        for number in range(HOSTS_PER_DATA_CENTRE):
-            engine.peer_connected(HostName(name, f"peer-{number}", 1))
-    engine.targets_listed(listed)
-    return engine
-
-
-def run_to_the_end(engine: Engine, effects: list[Effect]) -> None:
-    """Answer every start at once."""
-    pending = list(effects)
-    while pending:
-        effect = pending.pop()
-        if isinstance(effect, StartTask):
-            result = TaskResult(effect.task.index, Outcome.SUCCEEDED, run_time_ms=100)
-            pending += engine.target_replied(effect, TaskFinished(result))
-
-
-def make_tasks(count: int) -> tuple[Task, ...]:
-    """Return tasks with a payload of about 50 bytes."""
-    payload = {"gate": "kairouan-17", "guard": "b-204", "turn": 12}
-    return tuple(Task(index, "gate_check", payload) for index in range(count))
-
-
 def time_of_jobs(tasks: int) -> float:
     """Return the time of one job with ``tasks`` tasks on this host alone."""
     engine = make_engine(targets=24)
@@ -95,28 +60,6 @@
     return best_time_us(run_job, JOBS)
 
 
-def make_batch(tasks: int) -> PlaceBatch:
-    """Return a batch on its way to a home with 20 targets."""
-    names = tuple(target.name for target in make_targets(20))
-    return PlaceBatch(1, "dc1~h1~7~0~0", make_tasks(tasks), names, 9_000, "c", "t", "k")
-
-
-def make_results(tasks: int) -> BatchResults:
-    """Return the results of a batch."""
-    results = tuple(
-        TaskResult(n, Outcome.SUCCEEDED, {"open": True, "until": "06:40"}, None, 90)
-        for n in range(tasks)
-    )
-    classes = tuple((f"class-{n}", 10_000) for n in range(4))
-    return BatchResults(1, results, (), False, 10, 40_000, classes, (1,) * 20)
-
-
-def make_heartbeat(targets: int) -> Heartbeat:
-    """Return the heartbeat of a home with some targets."""
-    classes = tuple((f"class-{n}", 10_000) for n in range(4))
-    return Heartbeat(9, False, 30, 40_000, targets, 160, 0, classes, (1,) * targets)
-
-
 def time_of_frames(*makers: Callable[[int], object]) -> Callable[[int], float]:
     """Return the cost of encoding and decoding each message once."""
 
@@ -163,16 +106,6 @@
     return best_time_us(lambda: engine.targets_listed(listed))
 
 
-def policy_text_of(teams: int) -> str:
-    """Return a policy with five classes and some teams."""
-    classes = "".join(
-        f"[class c{n}]\nwork = kind = k{n}\nurgency = {n}\nguaranteed_part = 0.15\n"
-        for n in range(5)
-    )
-    lines = [f"[team team-{n}]\nquota_part = 2\nmax_queued = 500" for n in range(teams)]
-    return classes + "\n".join(lines) + "\n"
-
-
 def time_of_policy(teams: int) -> float:
     """Return the time of reading a policy with some teams."""
     text = policy_text_of(teams)
@@ -189,14 +122,6 @@
     )
 
 
-def make_entry(number: int, team: str, batch: int) -> QueuedTask:
-    """Return a waiting task with a payload of its own."""
-    task = attrs.evolve(make_tasks(1)[0], payload={"gate": f"gate-{number}"})
-    targets = frozenset(target.name for target in make_targets(20))
-    name = f"dc1~host-1~1~{batch:x}/{number}/{batch}"
-    return QueuedTask(OWN, batch, name, task, targets, team, "c1", 0, 60_000)
-
-
 def bytes_of_queue(tasks: int) -> float:
     """Return the memory of a home's queue with batches of 20."""
     targets = frozenset(target.name for target in make_targets(20))
@@ -217,13 +142,28 @@
     def build() -> object:
         engine = make_engine(targets=24)
         for number in range(jobs):
-            job = Job(engine.ids.mint(1)[0], "bench", make_tasks(20))
+            job_id = engine.ids.mint(1)[0]
+            job = Job(job_id, "bench", make_tasks(20), timeout_ms=NO_TIMEOUT_MS)
             engine.submit(number, job)
         return engine
 
     return allocated_bytes(build)
 
 
+def bytes_of_answers(jobs: int) -> float:
+    """Return the memory of the kept answers of jobs of 20 tasks."""
+
+    def build() -> object:
+        finished = FinishedJobs()
+        for number in range(jobs):
+            results = make_results(20).results
+            answer = JobAnswer(f"job-{number}", Outcome.SUCCEEDED, results)
+            finished.put("caller", answer, 0)
+        return finished
+
+    return allocated_bytes(build)
+
+
 def bytes_of_targets(targets: int) -> float:
     """Return the memory of an engine that knows some targets."""
     return allocated_bytes(lambda: make_engine(targets, HOSTS_PER_DATA_CENTRE - 1))
@@ -247,6 +187,12 @@
     return best_time_us(push_and_pop, 300)
 
 
+def time_of_live_list(hosts: int) -> float:
+    """Return the time of decoding the live list."""
+    body = make_live_list(hosts)
+    return best_time_us(lambda: decode_live_list(json.loads(body)))
+
+
 SUBJECTS = (
     Subject("engine_time", "us", "task", (1, 10, 50, 100, 200), time_of_jobs),
     Subject(
@@ -264,12 +210,13 @@
         bytes_of_frames(make_batch, make_results),
     ),
     Subject("queue_memory", "bytes", "task", (1_000, 2_000, 4_000), bytes_of_queue),
-    Subject("job_memory", "bytes", "job", (50, 100, 200), bytes_of_owned),
+    Subject("job_memory", "bytes", "job", (100, 200, 400), bytes_of_owned),
+    Subject("answer_memory", "bytes", "job", (500, 1_000, 2_000), bytes_of_answers),
     Subject("queue_time", "us", "team", (10, 50, 150, 300), time_of_queue),
     Subject("tick_time", "us", "target", (10, 20, 80, 160), time_of_ticks),
     Subject("target_memory", "bytes", "target", (24, 154, 500), bytes_of_targets),
     Subject("match_time", "us", "target", (24, 154, 500, 2_000), time_of_first_match),
-    Subject("heartbeat_time", "us", "host", (7, 15, 31, 63), time_of_heartbeats),
+    Subject("heartbeat_time", "us", "host", (7, 31, 63, 103), time_of_heartbeats),
     Subject(
         "heartbeat_bytes",
         "bytes",
@@ -278,6 +225,21 @@
         bytes_of_frames(make_heartbeat),
     ),
     Subject("list_time", "us", "data_centre", (1, 3, 7, 13), time_of_new_list),
+    Subject("live_list_time", "us", "host", (154, 500, 2_000), time_of_live_list),
+    Subject(
+        "live_list_bytes",
+        "bytes",
+        "host",
+        (154, 500, 2_000),
+        lambda hosts: float(len(make_live_list(hosts))),
+    ),
+    Subject(
+        "peer_frame_time",
+        "us",
+        "target",
+        (4, 20, 80),
+        time_of_frames(make_heartbeat),
+    ),
     Subject("policy_time", "us", "team", (10, 50, 150), time_of_policy),
     Subject(
         "policy_bytes",
