--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,9 @@
 bench-path: setup
 	$(PYTHON) -m benches.path
 
+policy: setup
+	$(PYTHON) -m benches.policy $(ARGUMENTS)
+
 .PHONY: bench-caller-api
 bench-caller-api: setup
 	$(PYTHON) -m benches.caller_api
@@ -64,3 +67,6 @@
 .PHONY: check-client
 check-client: setup
 	$(PYTHON) -m scripts.check_client
+
+slopes: setup
+	$(PYTHON) -m benches.slopes $(ARGUMENTS)
--- a/hibiscusstack/dispatch/tests/fleets.py
+++ b/hibiscusstack/dispatch/tests/fleets.py
@@ -33,6 +33,7 @@
 from hibiscusstack.dispatch.ids import IdIssuer
 from hibiscusstack.dispatch.jobs import Job, Task
 from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.dispatch.policy_parts import make_policy_parts
 from hibiscusstack.dispatch.targets import TargetInfo
 
 LATENCY_MS = 1
@@ -98,6 +99,7 @@
         ]
         self.targets = {info.name: ScriptedTarget(info) for info in infos}
         self.answers: dict[int, JobAnswer] = {}
+        self.submitted_to: dict[int, int] = {}
         self.peer_messages = Counter()
         self.dead: set[HostName] = set()
         self.cut: set[frozenset[HostName]] = set()
@@ -109,6 +111,7 @@
     def submit(self, host: int, job: Job) -> int:
         """Hand a job to one host and return the number of the request."""
         request = next(self._requests)
+        self.submitted_to[request] = host
         self._do(self.names[host], lambda engine: engine.submit(request, job))
         return request
 
@@ -181,7 +184,8 @@
     def _engine(self, name: HostName, fields: dict) -> Engine:
         made = {key: make() for key, make in fields.items()}
         ids = IdIssuer(name, self.clock, secret=name.name.encode().ljust(16))
-        return Engine(name, self.clock, ids, **made)
+        parts = attrs.evolve(make_policy_parts(), **made)
+        return Engine(name, self.clock, ids, parts)
 
     def _connect_all(self, infos: list[TargetInfo]) -> None:
         for name in self.engines:
