Keep full garbage collections off the path of callers

Raising the thresholds alone helped only in part. What exists at the start is now frozen, full collections come when the host is idle or after half an hour, and a kept span is one flat tuple, which a collection does not visit.

--- a/hibiscusstack/daemon/daemon.py
+++ b/hibiscusstack/daemon/daemon.py
@@ -28,6 +28,7 @@
 )
 from hibiscusstack.daemon.configuration import ConfigurationKeeper
 from hibiscusstack.daemon.dispatcher import Dispatcher
+from hibiscusstack.daemon.garbage import GarbageCollector
 from hibiscusstack.daemon.hops import PeerHops
 from hibiscusstack.daemon.incarnation import choose_incarnation
 from hibiscusstack.daemon.job_service import HostJobService
@@ -62,6 +63,7 @@
         self._name = HostName(
             settings.host.data_centre, settings.host.name, choose_incarnation()
         )
+        self._garbage = GarbageCollector(self._clock)
         self._reported_ms = 0
         self._ticked_ms = 0
         self._timers: list = []
@@ -196,6 +198,7 @@
     def _begin(self, _: None) -> None:
         self._reported_ms = self._clock.now_ms()
         self._mesh.start()
+        self._garbage.start()
         self._call_every(TICK_INTERVAL_MS, self._tick)
         self._call_every(CONFIGURATION_INTERVAL_MS, self._tick_configuration)
         self._call_every(self._settings.platform.poll_interval_ms, self._live_list.poll)
@@ -235,6 +238,9 @@
         self._metrics.gauge(Metric.JOBS_WAITING, self._dispatcher.waiting)
         self._metrics.gauge(Metric.PEERS_CONNECTED, len(self._mesh.peers()))
         self._metrics.flush()
+        collected_ms = self._garbage.collect_when_due(self._is_idle())
+        if collected_ms is not None:
+            self._metrics.time(Metric.COLLECTION_MS, collected_ms)
 
     def _close(self, cause: StopCause) -> None:
         for timer in self._timers:
--- a/hibiscusstack/telemetry/metrics.py
+++ b/hibiscusstack/telemetry/metrics.py
@@ -48,6 +48,12 @@
         "offset",
         "The version of the configuration in force.",
     )
+    COLLECTION_MS = (
+        "loop.collection_ms",
+        "timer",
+        "ms",
+        "How long a full garbage collection took.",
+    )
     LOOP_DELAY_MS = ("loop.delay_ms", "timer", "ms", "How late the loop runs a timer.")
 
     def __init__(self, label: str, kind: str, unit: str, doc: str) -> None:
--- a/hibiscusstack/telemetry/traces.py
+++ b/hibiscusstack/telemetry/traces.py
@@ -29,6 +29,8 @@
 
 _TRACEPARENT = re.compile(r"00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})")
 
+_PackedSpan = tuple[str | int, ...]
+
 
 @attrs.frozen
 class SpanRecord:
@@ -50,7 +52,7 @@
     def __init__(self, max_spans: int) -> None:
         self._max_spans = max_spans
         self._order: deque[str] = deque()
-        self._by_job: dict[str, deque[ReadableSpan]] = {}
+        self._by_job: dict[str, deque[_PackedSpan]] = {}
 
     def on_start(self, span: Span, parent_context: Context | None = None) -> None:
         """Do nothing: a span is kept once it has ended."""
@@ -60,7 +62,7 @@
         job_id = str((span.attributes or {}).get(JOB_ATTRIBUTE, ""))
         if not job_id:
             return
-        self._by_job.setdefault(job_id, deque()).append(span)
+        self._by_job.setdefault(job_id, deque()).append(_pack(span))
         self._order.append(job_id)
         if len(self._order) > self._max_spans:
             self._drop_oldest()
@@ -68,7 +70,7 @@
     def spans_of(self, job_id: str) -> tuple[SpanRecord, ...]:
         """Return the kept spans of one job in the order of their starts."""
         spans = self._by_job.get(job_id, ())
-        records = [_record_of(job_id, span) for span in spans]
+        records = [_unpack(job_id, span) for span in spans]
         return tuple(sorted(records, key=lambda record: record.start_ms))
 
     def _drop_oldest(self) -> None:
@@ -163,21 +165,33 @@
     return set_span_in_context(NonRecordingSpan(parent), Context())
 
 
-def _record_of(job_id: str, span: ReadableSpan) -> SpanRecord:
+def _pack(span: ReadableSpan) -> _PackedSpan:
+    """Return a span as one flat tuple, which garbage collection need not visit."""
     context = span.get_span_context()
     parent = span.parent
-    attributes = {
-        key: str(value)
-        for key, value in (span.attributes or {}).items()
-        if key != JOB_ATTRIBUTE
-    }
+    packed = [
+        span.name,
+        context.trace_id,
+        context.span_id,
+        0 if parent is None else parent.span_id,
+        span.start_time,
+        span.end_time,
+    ]
+    for key, value in (span.attributes or {}).items():
+        if key != JOB_ATTRIBUTE:
+            packed += (key, str(value))
+    return tuple(packed)
+
+
+def _unpack(job_id: str, packed: _PackedSpan) -> SpanRecord:
+    name, trace_id, span_id, parent_id, start_ns, end_ns, *pairs = packed
     return SpanRecord(
         job_id=job_id,
-        name=span.name,
-        trace_id=format_trace_id(context.trace_id),
-        span_id=format_span_id(context.span_id),
-        parent_id="" if parent is None else format_span_id(parent.span_id),
-        start_ms=span.start_time / NANOSECONDS_PER_MS,
-        duration_ms=(span.end_time - span.start_time) / NANOSECONDS_PER_MS,
-        attributes=attributes,
+        name=name,
+        trace_id=format_trace_id(trace_id),
+        span_id=format_span_id(span_id),
+        parent_id=format_span_id(parent_id) if parent_id else "",
+        start_ms=start_ns / NANOSECONDS_PER_MS,
+        duration_ms=(end_ns - start_ns) / NANOSECONDS_PER_MS,
+        attributes=dict(zip(pairs[::2], pairs[1::2], strict=True)),
     )
