--- a/scripts/histories/checking.py
+++ b/scripts/histories/checking.py
@@ -116,7 +116,12 @@
         for attempt in history.attempts:
             is_later = attempt.host == stop.host and attempt.ended_ms >= stop.at_ms
             if is_later and attempt.status == 0 and not attempt.has_waited_in_vain:
-                yield Promise.GRACEFUL_STOP, f"{attempt.job_id} was cut off"
+                detail = (
+                    f"{attempt.job_id} at {stop.host} was cut off, begun"
+                    f" {attempt.began_ms - stop.at_ms} ms after the stop and ended"
+                    f" {attempt.ended_ms - attempt.began_ms} ms later"
+                )
+                yield Promise.GRACEFUL_STOP, detail
 
 
 def _check_in_force(history: History) -> Found:
