--- a/hibiscusstack/dispatch/tests/test_engine.py
+++ b/hibiscusstack/dispatch/tests/test_engine.py
@@ -6,6 +6,7 @@
 from hibiscusstack.dispatch.jobs import Job, Task
 from hibiscusstack.dispatch.policy_text import read_policy
 from hibiscusstack.dispatch.tests.fleets import Fleet, job_of, kendra_fleet
+from hibiscusstack.dispatch.views import QueueSnapshot
 
 
 def outcomes_of(answer):
@@ -35,8 +36,7 @@
     fleet.submit(0, job_of(fleet.mint(0), 50, 50, 50))
     fleet.run(20)
     (engine,) = fleet.engines.values()
-    queue = engine.view_queue()
-    assert (queue.tasks, queue.queued_ms) == (2, 100)
+    assert engine.view_queue() == [QueueSnapshot("default", "default", 2, 100)]
 
 
 def test_resubmission_elsewhere_joins_the_first():
@@ -111,6 +111,42 @@
     assert fleet.answers[request].outcome is not Outcome.SUCCEEDED
 
 
+def lose_paused_home(fleet):
+    fleet.call(0, "peer_disconnected", fleet.names[1])
+    fleet.call(0, "peer_lost", fleet.names[1])
+    fleet.run(500)
+    for name in list(fleet.targets):
+        fleet.restart_target(name)
+    fleet.run(500)
+
+
+def test_a_home_that_wakes_starts_nothing_that_it_held():
+    fleet = Fleet(hosts=2, targets=4, slots=1)
+    request = fleet.submit(0, job_of(fleet.mint(0), *[400] * 12))
+    fleet.run(20)
+    fleet.pause(1)
+    lose_paused_home(fleet)
+    fleet.run(3_000)
+    fleet.resume(1)
+    fleet.run(10_000)
+    assert request in fleet.answers
+    assert fleet.started_twice() == 0
+
+
+def test_a_home_that_wakes_starts_nothing_that_arrived_meanwhile():
+    fleet = Fleet(hosts=2, targets=4, slots=1)
+    fleet.run(20)
+    fleet.pause(1)
+    request = fleet.submit(0, job_of(fleet.mint(0), *[400] * 12))
+    fleet.run(20)
+    lose_paused_home(fleet)
+    fleet.run(3_000)
+    fleet.resume(1)
+    fleet.run(10_000)
+    assert request in fleet.answers
+    assert fleet.started_twice() == 0
+
+
 def test_silent_target_ends_as_unknown_by_the_deadline():
     fleet = Fleet(hosts=1, targets=1)
     request = fleet.submit(0, job_of(fleet.mint(0), 100, timeout_ms=2_000))
