Let an idle home take over what waits at a busy one

Cause: tasks stay with the home that they were placed with, so after a wrong split, or when a host leaves, one home has a queue and another free slots. An idle home now asks the home with the longest wait; that gives tasks back to their owners, who place them anew, once each, so no promise between homes is needed.

--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -48,12 +48,14 @@
     Message,
     PlaceBatch,
     QueryBatch,
+    RequestWork,
 )
 from hibiscusstack.dispatch.owner import Owner
 from hibiscusstack.dispatch.planning import Planner
 from hibiscusstack.dispatch.policy import Policy, labelled
 from hibiscusstack.dispatch.policy_parts import PolicyParts, make_policy_parts
 from hibiscusstack.dispatch.targets import TargetInfo
+from hibiscusstack.dispatch.transfer import WorkTransfer
 from hibiscusstack.dispatch.views import QueueSnapshot, TargetSnapshot
 
 DRAINING_RETRY_AFTER_MS = 0
@@ -90,6 +92,7 @@
         self._planner = Planner(name, parts)
         self._owner = Owner(name, self._planner)
         self._home = Home(name, parts.queue, parts.health)
+        self._transfer = WorkTransfer(name)
         self._forwarding = Forwarding()
         self._finished = FinishedJobs()
         self._callers: dict[str, str] = {}
@@ -106,6 +109,7 @@
             BatchResults: self._take_results,
             ForwardJob: self._take_forwarded,
             ForwardAnswer: self._forwarding.answered,
+            RequestWork: self._home.give_work,
             CancelJob: self._owner.cancel_forwarded,
             Heartbeat: self._hear,
         }
@@ -257,6 +261,7 @@
         effects = self._home.tick(now_ms)
         effects += self._owner.tick(now_ms)
         effects += self._forwarding.tick(now_ms)
+        effects += self._transfer.tick(self._planner.loads, now_ms)
         return self._run(effects)
 
     def _accept(self, waiter: _Waiter, job: Job) -> list[Effect]:
--- a/hibiscusstack/dispatch/home.py
+++ b/hibiscusstack/dispatch/home.py
@@ -30,6 +30,7 @@
     HostName,
     PlaceBatch,
     QueryBatch,
+    RequestWork,
 )
 from hibiscusstack.dispatch.queueing import QueuedTask, TaskQueue
 from hibiscusstack.dispatch.slots import (
@@ -179,6 +180,20 @@
                 self._batches.give_back(owner, batch, entry.task.index)
         return []
 
+    def give_work(
+        self, asking: HostName, message: RequestWork, now_ms: int
+    ) -> list[Effect]:
+        """Return waiting tasks to their owners, which know the idle home's load."""
+        most = min(message.free_slots, len(self._queue) // 2)
+        batches = set()
+        for entry in self._queue.take_movable(most):
+            self._give_back(entry)
+            batches.add((entry.owner, entry.batch))
+        effects: list[Effect] = []
+        for owner, batch in sorted(batches):
+            effects += self._report(owner, batch, now_ms)
+        return effects
+
     def give_back_queued(self, now_ms: int) -> list[Effect]:
         """Return all that waits to its owners, unstarted; for a planned stop."""
         effects: list[Effect] = []
@@ -417,6 +432,7 @@
         enqueued_ms=now_ms,
         deadline_ms=now_ms + message.timeout_ms,
         traceparent=message.traceparent,
+        may_move=message.may_move,
     )
 
 
--- a/hibiscusstack/dispatch/messages.py
+++ b/hibiscusstack/dispatch/messages.py
@@ -18,6 +18,7 @@
     "PlaceBatch",
     "QueryBatch",
     "RecordsPage",
+    "RequestWork",
 ]
 
 import attrs
@@ -100,6 +101,7 @@
     The home may start them on ``targets`` only, so that the owner knows whom to ask
     should the home be lost. ``batch`` grows within the owner's incarnation, and every
     batch up to ``closed_through`` is one that the owner will not ask about again.
+    With ``may_move`` the home may give tasks back for an idle home to take.
     """
 
     batch: int
@@ -111,6 +113,7 @@
     team: str
     class_name: str
     closed_through: int = 0
+    may_move: bool = True
     traceparent: str = ""
 
 
@@ -151,6 +154,13 @@
     batch: int
 
 
+@attrs.frozen
+class RequestWork:
+    """An idle home's wish for tasks that wait at a busy one."""
+
+    free_slots: int
+
+
 @attrs.frozen
 class FetchConfiguration:
     """A request for the configuration records after ``after_offset``."""
@@ -175,6 +185,7 @@
     | BatchResults
     | QueryBatch
     | CancelBatch
+    | RequestWork
     | FetchConfiguration
     | RecordsPage
 )
--- a/hibiscusstack/dispatch/owner.py
+++ b/hibiscusstack/dispatch/owner.py
@@ -207,6 +207,7 @@
             team=job.team,
             class_name=owned.class_name,
             closed_through=next(iter(self._placements)) - 1,
+            may_move=all(owned.placed_count[i] == 1 for i in portion.indexes),
             traceparent=job.traceparent,
         )
         return SendPeer(portion.home, message)
--- a/hibiscusstack/dispatch/queueing.py
+++ b/hibiscusstack/dispatch/queueing.py
@@ -31,6 +31,7 @@
     enqueued_ms: int
     deadline_ms: int
     traceparent: str = ""
+    may_move: bool = False
 
 
 class TaskQueue(Protocol):
@@ -45,6 +46,9 @@
     def remove_batch(self, owner: HostName, batch: int) -> list[QueuedTask]:
         """Take out every waiting task of one batch."""
 
+    def take_movable(self, most: int) -> list[QueuedTask]:
+        """Take out up to ``most`` tasks that may go to another home."""
+
     def expire(self, now_ms: int) -> list[QueuedTask]:
         """Take out every task that can no longer finish before its deadline."""
 
--- a/hibiscusstack/dispatch/shares.py
+++ b/hibiscusstack/dispatch/shares.py
@@ -131,6 +131,31 @@
         self._close(found)
         return [entry for _, _, entry in entries]
 
+    def take_movable(self, most: int) -> list[QueuedTask]:
+        """Take out up to ``most`` tasks that may go to another home.
+
+        Whole batches are taken first, oldest first, and a part of one at the end.
+        The cost is the number of batches that are looked at.
+        """
+        taken: list[QueuedTask] = []
+        for key in list(self._batches):
+            batch = self._batches[key]
+            if len(taken) >= most:
+                break
+            if batch.entries[0][2].may_move:
+                taken += self._take_from(batch, most - len(taken))
+        return taken
+
+    def _take_from(self, batch: WaitingBatch, most: int) -> list[QueuedTask]:
+        if len(batch.entries) <= most:
+            return self.remove_batch(*batch.key)
+        taken = []
+        for _ in range(most):
+            negative_ms, _, entry = heapq.heappop(batch.entries)
+            self._count(batch, -negative_ms, -1)
+            taken.append(entry)
+        return taken
+
     def expire(self, now_ms: int) -> list[QueuedTask]:
         """Take out every batch that can no longer finish before its deadline.
 
--- a/hibiscusstack/host/codec.py
+++ b/hibiscusstack/host/codec.py
@@ -31,6 +31,7 @@
     9: messages.FetchConfiguration,
     10: messages.RecordsPage,
     11: messages.QueryBatch,
+    12: messages.RequestWork,
 }
 _WRITERS = {cls: (tag, compile_writer(cls)) for tag, cls in _TAGS.items()}
 _READERS = {tag: compile_reader(cls) for tag, cls in _TAGS.items()}
