--- a/Makefile
+++ b/Makefile
@@ -76,6 +76,7 @@
 	$(PYTHON) -m benches.slopes.imports
 
 
+
 .PHONY: check-client
 check-client: setup
 	$(PYTHON) -m scripts.check_client
--- /dev/null
+++ b/hibiscusstack/dispatch/tests/test_home_health.py
@@ -0,0 +1,54 @@
+"""Tests of what a home tells of its targets' health."""
+
+import pytest
+
+from hibiscusstack.dispatch.answers import Outcome, TaskResult
+from hibiscusstack.dispatch.effects import StartTask, TaskFinished
+from hibiscusstack.dispatch.health import HealthTable
+from hibiscusstack.dispatch.home import Home
+from hibiscusstack.dispatch.jobs import Task
+from hibiscusstack.dispatch.messages import CancelBatch, PlaceBatch
+from hibiscusstack.dispatch.queueing import FifoQueue
+from hibiscusstack.dispatch.tests.builders import OWNER, TARGET, make_policy
+
+
+class RecordingHealth(HealthTable):
+    """Remembers what it was told besides."""
+
+    def __init__(self) -> None:
+        super().__init__(make_policy(""))
+        self.records: list[tuple[str, bool]] = []
+
+    def record(
+        self, target: str, is_success: bool, run_time_ms: int, now_ms: int
+    ) -> None:
+        """Remember one end."""
+        self.records.append((target, is_success))
+
+
+def start_one(health):
+    home = Home(FifoQueue(), health)
+    home.replace_targets([TARGET], frozenset({"w1"}), 0)
+    task = Task(0, "check")
+    batch = PlaceBatch(1, "j1", (task,), ("w1",), 5_000, "c", "t", "k")
+    (start,) = home.place(OWNER, batch, 0)
+    assert isinstance(start, StartTask)
+    return home, start
+
+
+@pytest.mark.parametrize("outcome", [Outcome.SUCCEEDED, Outcome.FAILED])
+def test_end_of_a_task_counts_for_its_target(outcome):
+    health = RecordingHealth()
+    home, start = start_one(health)
+    home.replied("w1", start.task_id, TaskFinished(TaskResult(0, outcome)), 100)
+    assert health.records == [("w1", outcome is Outcome.SUCCEEDED)]
+
+
+def test_task_that_was_stopped_for_a_cancel_counts_for_nothing():
+    health = RecordingHealth()
+    home, start = start_one(health)
+    home.cancel(OWNER, CancelBatch(1), 10)
+    stopped = TaskFinished(TaskResult(0, Outcome.FAILED))
+    home.replied("w1", start.task_id, stopped, 20)
+    assert health.records == []
+    assert home.running_count == 0
