--- a/hibiscusstack/dispatch/tests/test_home_health.py
+++ b/hibiscusstack/dispatch/tests/test_home_health.py
@@ -8,8 +8,7 @@
 from hibiscusstack.dispatch.home import Home
 from hibiscusstack.dispatch.jobs import Task
 from hibiscusstack.dispatch.messages import CancelBatch, PlaceBatch
-from hibiscusstack.dispatch.queueing import FifoQueue
-from hibiscusstack.dispatch.tests.builders import OWNER, TARGET, make_policy
+from hibiscusstack.dispatch.tests.builders import OWNER, TARGET, make_policy, make_queue
 
 
 class RecordingHealth(HealthTable):
@@ -27,7 +26,7 @@
 
 
 def start_one(health):
-    home = Home(FifoQueue(), health)
+    home = Home(make_queue(), health)
     home.replace_targets([TARGET], frozenset({"w1"}), 0)
     task = Task(0, "check")
     batch = PlaceBatch(1, "j1", (task,), ("w1",), 5_000, "c", "t", "k")
