--- a/hibiscusstack/dispatch/tests/test_home_health.py
+++ b/hibiscusstack/dispatch/tests/test_home_health.py
@@ -26,7 +26,7 @@
 
 
 def start_one(health):
-    home = Home(make_queue(), health)
+    home = Home(OWNER, make_queue(), health)
     home.replace_targets([TARGET], frozenset({"w1"}), 0)
     task = Task(0, "check")
     batch = PlaceBatch(1, "j1", (task,), ("w1",), 5_000, "c", "t", "k")
