--- a/Makefile
+++ b/Makefile
@@ -75,8 +75,6 @@
 	$(PYTHON) -m benches.slopes $(ARGUMENTS)
 	$(PYTHON) -m benches.slopes.imports
 
-
-
 .PHONY: check-client
 check-client: setup
 	$(PYTHON) -m scripts.check_client
