--- a/hibiscusstack/dispatch/home.py
+++ b/hibiscusstack/dispatch/home.py
@@ -334,7 +334,11 @@
         entry = running.entry
         self._remove(running)
         is_success = result.outcome is Outcome.SUCCEEDED
-        self._record_health(running, is_success, now_ms, result.run_time_ms)
+        is_given_up = not self._batches.is_open(
+            entry.owner, entry.batch, entry.task.index
+        )
+        if not is_given_up:
+            self._record_health(running, is_success, now_ms, result.run_time_ms)
         self._queue.record_run(entry, max(now_ms - running.started_ms, 0))
         self._settle(entry, attrs.evolve(result, index=entry.task.index))
         if not is_success:
