Give an owner's queue back when the connection to it ends

Cause: the specification of starts needs a lease between owner and home, and the code had none. A home cut off from an owner went on with its queue while the owner asked the targets and placed the same tasks elsewhere; the stop that the targets remembered stood in the way, unless a target restarted meanwhile.

A home now gives the queue of an owner back as soon as the connection ends, and a peer is lost, so that its targets are asked, only after the time in which it notices the silence by itself.

--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -187,6 +187,7 @@
     def peer_disconnected(self, peer: HostName) -> list[Effect]:
         """Act on the end of a connection to a peer that may come back."""
         self._forwarding.disconnected(peer)
+        self._home.owner_away(peer)
         self._disconnected.add(peer)
         return self._run(self._assign_homes())
 
@@ -196,7 +197,7 @@
         self._disconnected.discard(peer)
         now_ms = self._clock.now_ms()
         effects = self._forwarding.lost(peer)
-        effects += self._home.owner_lost(peer, now_ms)
+        self._home.owner_away(peer)
         effects += self._owner.home_lost(peer, now_ms)
         return self._run(effects + self._assign_homes())
 
--- a/hibiscusstack/dispatch/home.py
+++ b/hibiscusstack/dispatch/home.py
@@ -173,12 +173,15 @@
         description = self._batches.describe(owner, message.batch)
         return [SendPeer(owner, self._with_load(description, now_ms))]
 
-    def owner_lost(self, owner: HostName, now_ms: int) -> list[Effect]:
-        """Give back all that waits for an owner that is gone."""
+    def owner_away(self, owner: HostName) -> None:
+        """Give back all that waits for an owner that is not connected.
+
+        Such an owner places the tasks elsewhere once it takes this host for lost, so
+        none of them may start here. It learns of them when it asks again.
+        """
         for batch in self._batches.open_batches_of(owner):
             for entry in self._queue.remove_batch(owner, batch):
                 self._batches.give_back(owner, batch, entry.task.index)
-        return []
 
     def give_work(
         self, asking: HostName, message: RequestWork, now_ms: int
--- a/hibiscusstack/dispatch/tests/test_engine.py
+++ b/hibiscusstack/dispatch/tests/test_engine.py
@@ -325,3 +325,23 @@
     request = fleet.submit(0, job_of(fleet.mint(0), *[100] * 32))
     fleet.run(130)
     assert fleet.answers[request].outcome is Outcome.SUCCEEDED
+
+
+def test_a_home_cut_off_from_an_owner_starts_none_of_its_queue():
+    fleet = Fleet(hosts=2, targets=4, slots=1)
+    fleet.run(5)
+    fleet.submit(1, job_of(fleet.mint(1), 300, 300))
+    fleet.run(5)
+    request = fleet.submit(0, job_of(fleet.mint(0), *[100] * 24))
+    fleet.run(20)
+    fleet.cut_link(0, 1)
+    fleet.call(0, "peer_disconnected", fleet.names[1])
+    fleet.call(1, "peer_disconnected", fleet.names[0])
+    fleet.call(0, "peer_lost", fleet.names[1])
+    fleet.run(5)
+    for view in fleet.engines[fleet.names[1]].view_targets():
+        if view.home == fleet.names[1] and view.running:
+            fleet.restart_target(view.target.name)
+    fleet.run(6_000)
+    assert fleet.answers[request].outcome is Outcome.SUCCEEDED
+    assert fleet.started_twice() == 0
--- a/hibiscusstack/host/liveness.py
+++ b/hibiscusstack/host/liveness.py
@@ -42,3 +42,12 @@
         if peer is not None and self.is_far(peer):
             return self._timing.far_silence_ms
         return self._timing.silence_ms
+
+    def lost_after_ms(self, peer: HostName) -> int:
+        """Return how long a peer may be without a connection before it is lost.
+
+        By then the peer has noticed the silence as well, and given up the work that
+        it held for this host.
+        """
+        noticed_ms = self.longest_silence_ms(peer) + self._timing.heartbeat_ms
+        return max(self._timing.lost_after_ms, noticed_ms)
--- a/hibiscusstack/host/mesh.py
+++ b/hibiscusstack/host/mesh.py
@@ -71,13 +71,13 @@
         self._timing = timing or MeshTiming()
         self._max_unsent_bytes = max_unsent_bytes
         self._book = AddressBook(seeds, rng or random.Random())
-        self._sessions: SessionTable[Connection] = SessionTable(
-            hello.sender, self._timing.lost_after_ms
-        )
         self._links: dict[Connection, _Link] = {}
         self._liveness = Liveness(
             self._timing, hello.sender.data_centre, clock.now_ms()
         )
+        self._sessions: SessionTable[Connection] = SessionTable(
+            hello.sender, self._liveness.lost_after_ms
+        )
         self._beating = _looping_call(reactor, self._beat)
         self._dialling = _looping_call(reactor, self._dial_due)
 
--- a/hibiscusstack/host/sessions.py
+++ b/hibiscusstack/host/sessions.py
@@ -8,6 +8,7 @@
     "SessionTable",
 ]
 
+from collections.abc import Callable
 from enum import Enum
 from typing import Generic, TypeVar
 
@@ -62,12 +63,13 @@
 class SessionTable(Generic[C]):
     """The sessions of one host with its peers, at most one connection for each.
 
-    A peer whose connection closed stays known until ``lost_after_ms`` have passed
-    without a new one. Two connections dialled at the same time from both ends are
-    settled alike at both ends: the one dialled by the host that sorts first stays.
+    A peer whose connection closed stays known until as many milliseconds have passed
+    without a new one as ``lost_after_ms`` says for it. Two connections dialled at the
+    same time from both ends are settled alike at both ends: the one dialled by the
+    host that sorts first stays.
     """
 
-    def __init__(self, own: HostName, lost_after_ms: int) -> None:
+    def __init__(self, own: HostName, lost_after_ms: Callable[[HostName], int]) -> None:
         self._own = own
         self._lost_after_ms = lost_after_ms
         self._sessions: dict[tuple[str, str], _Session[C]] = {}
@@ -104,7 +106,8 @@
             session.hello.sender
             for session in self._sessions.values()
             if session.connection is None
-            and now_ms - session.closed_at_ms >= self._lost_after_ms
+            and now_ms - session.closed_at_ms
+            >= self._lost_after_ms(session.hello.sender)
         ]
         for peer in lost:
             del self._sessions[_key(peer)]
--- a/hibiscusstack/host/tests/test_sessions.py
+++ b/hibiscusstack/host/tests/test_sessions.py
@@ -17,7 +17,7 @@
 
 
 def table_with(peer, is_dialer):
-    table = SessionTable(OWN, lost_after_ms=1_000)
+    table = SessionTable(OWN, lost_after_ms=lambda peer: 1_000)
     assert table.greet("first", hello_of(peer), is_dialer) == HelloAccepted()
     return table
 
@@ -35,7 +35,7 @@
     ],
 )
 def test_a_hello_that_is_never_accepted(hello, refusal):
-    table = SessionTable(OWN, lost_after_ms=1_000)
+    table = SessionTable(OWN, lost_after_ms=lambda peer: 1_000)
     assert table.greet("c", hello, is_dialer=True) == HelloRefused(refusal)
     assert table.connections() == []
 
