Ask for the live list with the known version

Cause: every host read the whole list once a second. A conditional request (RFC 9110) is answered with 105 bytes while nothing has changed; a platform that doesn't know it sends the list as before.

--- a/hibiscusstack/daemon/live_list.py
+++ b/hibiscusstack/daemon/live_list.py
@@ -34,14 +34,14 @@
         if self._is_asking:
             return None
         self._is_asking = True
-        listed = self._client.fetch()
+        listed = self._client.fetch(self._version)
         listed.addCallbacks(self._take, self._fail)
         return listed
 
-    def _take(self, live_list: LiveList) -> None:
+    def _take(self, live_list: LiveList | None) -> None:
         self._is_asking = False
         self._is_failing = False
-        if live_list.version == self._version:
+        if live_list is None or live_list.version == self._version:
             return
         self._version = live_list.version
         own = [t for t in live_list.targets if t.data_centre == self._data_centre]
--- a/hibiscusstack/platform/http.py
+++ b/hibiscusstack/platform/http.py
@@ -21,6 +21,8 @@
 _MAX_CONNECTIONS = 4
 _MAX_ANSWER_BYTES = 16 << 20
 _PEER = "platform"
+_OK = 200
+_NOT_MODIFIED = 304
 
 T = TypeVar("T")
 
@@ -57,19 +59,31 @@
 
         Fails with ``UnavailableError`` and nothing else: no answer in time, another
         status, an answer that is too long, or one that ``decode`` refuses by raising
-        ``DecodeError``. ``options`` go to treq.
+        ``DecodeError``. ``options`` go to treq. See also :meth:`request_if_changed`.
         """
-        answered = self._client.request(
-            method,
-            f"{self._base_address}{path}",
-            unbuffered=True,
-            allow_redirects=False,
-            **options,
-        )
+        answered = self._send(method, path, **options)
         answered.addCallback(_read_body, status)
         answered.addCallback(lambda data: decode(_decode_object(data)))
-        answered.addTimeout(self._timeout_ms / 1000, self._reactor)
-        return answered.addErrback(self._unavailable)
+        return self._bounded(answered)
+
+    def request_if_changed(
+        self, path: str, etag: str, decode: Callable[[dict[str, Any]], T]
+    ) -> Deferred[T | None]:
+        """Return the decoded answer to a GET, or ``None`` if it is still ``etag``.
+
+        A server that doesn't know conditional requests (RFC 9110, section 13) sends
+        the whole answer each time. Fails as :meth:`request` does.
+        """
+
+        def read(response: IResponse) -> Deferred[T | None]:
+            if response.code == _NOT_MODIFIED:
+                return _read_body(response, _NOT_MODIFIED).addCallback(lambda _: None)
+            body = _read_body(response, _OK)
+            return body.addCallback(lambda data: decode(_decode_object(data)))
+
+        headers = {"If-None-Match": [etag]} if etag else {}
+        answered = self._send("GET", path, headers=headers)
+        return self._bounded(answered.addCallback(read))
 
     def close(self) -> Deferred[None]:
         """Close the idle connections."""
@@ -77,6 +91,19 @@
             return succeed(None)
         return self._pool.closeCachedConnections()
 
+    def _send(self, method: str, path: str, **options: Any) -> Deferred[IResponse]:
+        return self._client.request(
+            method,
+            f"{self._base_address}{path}",
+            unbuffered=True,
+            allow_redirects=False,
+            **options,
+        )
+
+    def _bounded(self, answered: Deferred[T]) -> Deferred[T]:
+        answered.addTimeout(self._timeout_ms / 1000, self._reactor)
+        return answered.addErrback(self._unavailable)
+
     def _make_client(self) -> HTTPClient:
         self._pool = HTTPConnectionPool(self._reactor)
         self._pool.retryAutomatically = False
--- a/hibiscusstack/platform/live_list.py
+++ b/hibiscusstack/platform/live_list.py
@@ -14,7 +14,6 @@
 from hibiscusstack.platform.checks import require_count, require_list, require_text
 from hibiscusstack.platform.http import PlatformHttp
 
-_OK = 200
 _MAX_PORT = 65_535
 _IS_LEAVING = {"live": False, "leaving": True}
 
@@ -46,14 +45,18 @@
 
 
 class LiveListClient:
-    """Fetches the live list."""
+    """Fetches the live list, and its whole text only when it has changed."""
 
     def __init__(self, http: PlatformHttp) -> None:
         self._http = http
 
-    def fetch(self) -> Deferred[LiveList]:
-        """Return the list, or fail with ``UnavailableError``."""
-        return self._http.request("GET", "/v1/hosts", _OK, decode_live_list)
+    def fetch(self, known_version: int | None = None) -> Deferred[LiveList | None]:
+        """Return the list, or ``None`` if it is still the known version.
+
+        Fails with ``UnavailableError``.
+        """
+        etag = "" if known_version is None else f'"{known_version}"'
+        return self._http.request_if_changed("/v1/hosts", etag, decode_live_list)
 
 
 def decode_live_list(body: dict[str, Any]) -> LiveList:
--- a/hibiscusstack/platform/tests/test_live_list.py
+++ b/hibiscusstack/platform/tests/test_live_list.py
@@ -125,3 +125,19 @@
     assert fetched_names() == ["t1"]
     clock.advance(3)
     assert fetched_names() == ["t1", "t2"]
+
+
+def test_a_list_that_is_known_is_not_sent_again():
+    treq = StubTreq(platform_application(Clock()).resource())
+    client = LiveListClient(PlatformHttp(Clock(), BASE, 3_000, treq))
+    treq.put(f"{BASE}/control/hosts", json={"hosts": [entry_of("t1")]})
+    fetched: list[LiveList | None] = []
+    client.fetch().addCallback(fetched.append)
+    treq.flush()
+    client.fetch(fetched[0].version).addCallback(fetched.append)
+    treq.put(f"{BASE}/control/hosts", json={"hosts": [entry_of("t2")]})
+    treq.flush()
+    client.fetch(fetched[0].version).addCallback(fetched.append)
+    treq.flush()
+    assert fetched[1] is None
+    assert [target.name for target in fetched[2].targets] == ["t1", "t2"]
--- a/hibiscusstack_standins/platform.py
+++ b/hibiscusstack_standins/platform.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
-from twisted.web.http import Request
+from twisted.web.http import CACHED, Request
 
 from hibiscusstack.exceptions import InvalidInputError
 from hibiscusstack_standins.faults import PlatformFaults, faults_from_json
@@ -101,10 +101,14 @@
         version = self.live_list.update(body.get("hosts", []), body.get("remove", []))
         return answer_json(request, 200, {"version": version})
 
-    def show_hosts(self, request: Request) -> int | Deferred:
+    def show_hosts(self, request: Request) -> bytes | int | Deferred:
         if self.faults.list_outage:
             return _fail(request, self.faults.list_outage)
-        return answer_json(request, 200, self.live_list.read(self.faults.list_lag_ms))
+        shown = self.live_list.read(self.faults.list_lag_ms)
+        etag = f'"{shown["version"]}"'.encode()
+        if request.setETag(etag) is CACHED:
+            return b""
+        return answer_json(request, 200, shown)
 
     def append(self, request: Request, stream: str) -> int | Deferred:
         if self.faults.log_outage:
@@ -145,7 +149,7 @@
         return answer_problem(request, 400, "bad_request")
 
     @app.route("/v1/hosts", methods=["GET"])
-    def show_hosts(request: Request) -> int | Deferred:
+    def show_hosts(request: Request) -> bytes | int | Deferred:
         return platform.show_hosts(request)
 
     @app.route("/v1/streams/<stream>/records", methods=["POST"])
