Lose no verdict when a question to a target is sent

Cause: found by reading. Asking a target about a task also gave up on overdue questions and threw those verdicts away, so their tasks held a slot for ever, and at an owner their jobs waited for the deadline. Sending and giving up are now two calls.

--- a/hibiscusstack/dispatch/home.py
+++ b/hibiscusstack/dispatch/home.py
@@ -236,8 +236,8 @@
             self._settle(entry, _not_run(entry, Reason.DEADLINE))
             effects += self._report(entry.owner, entry.batch, now_ms)
         effects += self._probe_overdue(now_ms)
-        requests, verdicts = self._inquiry.tick(now_ms)
-        effects += requests
+        verdicts = self._inquiry.give_up(now_ms)
+        effects += self._inquiry.requests_due(now_ms)
         effects += self._conclude(verdicts, now_ms)
         self._batches.forget_old(now_ms)
         return effects + self._start_on(self.slots.names(), now_ms)
@@ -303,8 +303,7 @@
         self._inquiry.ask(
             entry.task_id, entry.task.index, targets, running.started_ms, give_up_ms
         )
-        requests, _ = self._inquiry.tick(now_ms)
-        return list(requests)
+        return list(self._inquiry.requests_due(now_ms))
 
     def _probe_overdue(self, now_ms: int) -> list[Effect]:
         effects: list[Effect] = []
--- a/hibiscusstack/dispatch/inquiry.py
+++ b/hibiscusstack/dispatch/inquiry.py
@@ -62,7 +62,7 @@
         since_ms: int,
         give_up_ms: int,
     ) -> None:
-        """Open a question; ``tick`` sends it, and gives up at ``give_up_ms``.
+        """Open a question, to be given up on at ``give_up_ms``.
 
         ``since_ms`` is the earliest time at which the task may have been sent.
         """
@@ -79,9 +79,8 @@
         for target in question.pending:
             self._forget(target, task_id)
 
-    def tick(self, now_ms: int) -> tuple[list[StopTasks], list[Verdict]]:
-        """Return the requests that are due and the verdicts given up on."""
-        verdicts = self._give_up(now_ms)
+    def requests_due(self, now_ms: int) -> list[StopTasks]:
+        """Return the requests that are to be sent now."""
         effects = []
         for target, task_ids in self._by_target.items():
             is_due = self._next_ask_ms.get(target, now_ms) <= now_ms
@@ -90,7 +89,14 @@
             chosen = tuple(sorted(task_ids)[:MAX_TASKS_PER_REQUEST])
             self._in_flight[target] = chosen
             effects.append(StopTasks(target, chosen))
-        return effects, verdicts
+        return effects
+
+    def give_up(self, now_ms: int) -> list[Verdict]:
+        """Close the overdue questions and return that their answers are unknown."""
+        overdue = [q for q in self._questions.values() if q.give_up_ms <= now_ms]
+        for question in overdue:
+            self.close(question.task_id)
+        return [Verdict(question.task_id) for question in overdue]
 
     def answered(self, states: TaskStates, now_ms: int) -> list[Verdict]:
         """Return the verdicts that a target's answer settles."""
@@ -138,12 +144,6 @@
         is_proven = not question.is_unprovable
         return Verdict(question.task_id, is_never_started=is_proven)
 
-    def _give_up(self, now_ms: int) -> list[Verdict]:
-        overdue = [q for q in self._questions.values() if q.give_up_ms <= now_ms]
-        for question in overdue:
-            self.close(question.task_id)
-        return [Verdict(question.task_id) for question in overdue]
-
     def _forget(self, target: str, task_id: str) -> None:
         task_ids = self._by_target.get(target)
         if task_ids is None:
--- a/hibiscusstack/dispatch/owner.py
+++ b/hibiscusstack/dispatch/owner.py
@@ -155,8 +155,7 @@
         for placement in self._placements.values():
             if placement.home == home and not placement.is_recovering:
                 self._recover(placement, now_ms)
-        requests, _ = self._inquiry.tick(now_ms)
-        return list(requests)
+        return list(self._inquiry.requests_due(now_ms))
 
     def targets_answered(self, states: TaskStates, now_ms: int) -> list[Effect]:
         """Take in a target's word about tasks of a lost home."""
@@ -169,8 +168,8 @@
         while self._alarms and self._alarms[0][0] <= now_ms:
             _, job_id = heapq.heappop(self._alarms)
             effects += self._alarm(job_id, now_ms)
-        requests, verdicts = self._inquiry.tick(now_ms)
-        effects += requests
+        verdicts = self._inquiry.give_up(now_ms)
+        effects += self._inquiry.requests_due(now_ms)
         return effects + self._conclude(verdicts, now_ms)
 
     def _place(self, owned: _OwnedJob, matches: Matches, now_ms: int) -> list[Effect]:
