--- a/hibiscusstack/operator/arguments.py
+++ b/hibiscusstack/operator/arguments.py
@@ -189,7 +189,7 @@
         default=default,
         required=default is None,
         metavar="NAME",
-        help=f"who submits (default: ${CALLER_VARIABLE})",
+        help=f"the caller of jobs that name none (default: ${CALLER_VARIABLE})",
     )
 
 
