Give work back to its owner in one place, also after a refusal

Cause: found by reading. Four loops gave a batch's waiting tasks back, two of them without forgetting the tasks' start attempts; one function does it now. And a task that a target refused after its owner had gone away was queued again and started, although what waits for such an owner must go back: the rule now holds where a task is queued anew, not only at the moment of the disconnection. The new test saw a second start before.

Drops slots.total_free, which nothing calls, and a refusal that was built twice over.

--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -10,7 +10,6 @@
 from hibiscusstack.clock import Clock
 from hibiscusstack.dispatch.answers import (
     JobAnswer,
-    Outcome,
     Reason,
     not_run,
     outcome_unknown,
@@ -180,6 +179,7 @@
         """Act on a new connection to a peer, the first one or a later one."""
         self._peers.setdefault(peer, None)
         self._disconnected.discard(peer)
+        self._home.owner_back(peer)
         effects = self._forwarding.connected(peer)
         effects += self._owner.home_connected(peer)
         return self._run(effects + self._assign_homes())
@@ -426,4 +426,4 @@
     if isinstance(refusal, IdExpired) and not refusal.is_proven_unclaimed:
         detail = "the id expired too long ago to tell whether it was used"
         return outcome_unknown(job_id, reason, detail)
-    return JobAnswer(job_id, Outcome.NOT_RUN, problem=not_run(job_id, reason).problem)
+    return not_run(job_id, reason)
--- a/hibiscusstack/dispatch/home.py
+++ b/hibiscusstack/dispatch/home.py
@@ -88,6 +88,7 @@
         self._attempts: dict[str, int] = {}
         self._inquiry = Inquiry()
         self._own_targets: frozenset[str] = frozenset()
+        self._away: set[HostName] = set()
 
     @property
     def is_idle(self) -> bool:
@@ -179,9 +180,13 @@
         Such an owner places the tasks elsewhere once it takes this host for lost, so
         none of them may start here. It learns of them when it asks again.
         """
+        self._away.add(owner)
         for batch in self._batches.open_batches_of(owner):
-            for entry in self._queue.remove_batch(owner, batch):
-                self._batches.give_back(owner, batch, entry.task.index)
+            self._give_back_queued(owner, batch)
+
+    def owner_back(self, owner: HostName) -> None:
+        """Let tasks of an owner that is connected again wait and start here."""
+        self._away.discard(owner)
 
     def give_work(
         self, asking: HostName, message: RequestWork, now_ms: int
@@ -201,8 +206,7 @@
         """Return all that waits to its owners, unstarted; for a planned stop."""
         effects: list[Effect] = []
         for owner, batch in self._batches.all_open():
-            for entry in self._queue.remove_batch(owner, batch):
-                self._batches.give_back(owner, batch, entry.task.index)
+            self._give_back_queued(owner, batch)
             effects += self._report(owner, batch, now_ms)
         return effects
 
@@ -261,8 +265,7 @@
         for owner, batch in self._batches.all_open():
             if owner == self._name:
                 continue
-            for entry in self._queue.remove_batch(owner, batch):
-                self._give_back(entry)
+            self._give_back_queued(owner, batch)
             effects += self._report(owner, batch, now_ms)
         return effects
 
@@ -353,7 +356,8 @@
     ) -> list[Effect]:
         self._remove(running)
         entry = running.entry
-        must_return = not self._pause_after(running.target, reply, now_ms)
+        may_retry = self._pause_after(running.target, reply, now_ms)
+        must_return = not may_retry or entry.owner in self._away
         is_counted = not _is_busy(reply)
         attempts = self._attempts.pop(entry.task_id, 1) + is_counted
         is_open = self._batches.is_open(entry.owner, entry.batch, entry.task.index)
@@ -401,6 +405,10 @@
         for entry in self._queue.remove_batch(owner, batch):
             self._settle(entry, _not_run(entry, reason))
 
+    def _give_back_queued(self, owner: HostName, batch: int) -> None:
+        for entry in self._queue.remove_batch(owner, batch):
+            self._give_back(entry)
+
     def _give_back(self, entry: QueuedTask) -> None:
         self._attempts.pop(entry.task_id, None)
         self._batches.give_back(entry.owner, entry.batch, entry.task.index)
--- a/hibiscusstack/dispatch/slots.py
+++ b/hibiscusstack/dispatch/slots.py
@@ -69,7 +69,3 @@
         free = [(self.free_on(name, now_ms), name) for name in names]
         able = sorted((-count, name) for count, name in free if count)
         return [name for _, name in able]
-
-    def total_free(self, names: Iterable[str], now_ms: int) -> int:
-        """Return how many tasks the named targets can take now."""
-        return sum(self.free_on(name, now_ms) for name in names)
--- a/hibiscusstack/dispatch/tests/test_engine.py
+++ b/hibiscusstack/dispatch/tests/test_engine.py
@@ -3,9 +3,11 @@
 import pytest
 
 from hibiscusstack.dispatch.answers import Outcome, Reason
+from hibiscusstack.dispatch.effects import StartTask, TaskRefused
 from hibiscusstack.dispatch.jobs import Job, Task
+from hibiscusstack.dispatch.messages import PlaceBatch, QueryBatch
 from hibiscusstack.dispatch.policy_text import read_policy
-from hibiscusstack.dispatch.tests.fleets import Fleet, job_of, kendra_fleet
+from hibiscusstack.dispatch.tests.fleets import Fleet, job_of, kendra_fleet, run_times
 from hibiscusstack.dispatch.views import QueueSnapshot
 
 
@@ -345,3 +347,19 @@
     fleet.run(6_000)
     assert fleet.answers[request].outcome is Outcome.SUCCEEDED
     assert fleet.started_twice() == 0
+
+
+def test_a_task_refused_after_its_owner_went_away_is_not_started_again():
+    fleet = Fleet(hosts=2, targets=2)
+    owner, home = fleet.names
+    engine = fleet.engines[home]
+    batch = PlaceBatch(
+        1, "job", run_times(100), ("t0", "t1"), 5_000, "guard", "team", "default"
+    )
+    (start,) = engine.receive(owner, batch)
+    engine.peer_disconnected(owner)
+    engine.target_replied(start, TaskRefused("busy"))
+    fleet.clock.advance(100)
+    assert not [e for e in engine.tick() if isinstance(e, StartTask)]
+    (answer,) = engine.receive(owner, QueryBatch(1))
+    assert answer.message.returned == (0,)
