--- /dev/null
+++ b/hibiscusstack/http/tests/test_deadline.py
@@ -0,0 +1,67 @@
+"""Tests of the deadline."""
+
+from twisted.internet.testing import MemoryReactorClock
+
+from hibiscusstack.http.deadline import Deadline
+
+
+class _Watch:
+    """Collects when a deadline expired."""
+
+    def __init__(self) -> None:
+        self.reactor = MemoryReactorClock()
+        self.expired: list[float] = []
+        self.deadline = Deadline(self.reactor, self.note)
+
+    def note(self) -> None:
+        self.expired.append(self.reactor.seconds())
+
+    def run(self, steps: int) -> None:
+        self.reactor.pump([0.5] * steps)
+
+
+def test_expires_once():
+    watch = _Watch()
+    watch.deadline.set(1_000)
+    watch.run(10)
+    assert watch.expired == [1.0]
+    assert not watch.reactor.getDelayedCalls()
+
+
+def test_later_time_replaces_an_earlier_one():
+    watch = _Watch()
+    watch.deadline.set(1_000)
+    watch.run(1)
+    watch.deadline.set(2_000)
+    watch.run(10)
+    assert watch.expired == [2.5]
+
+
+def test_earlier_time_replaces_a_later_one():
+    watch = _Watch()
+    watch.deadline.set(3_000)
+    watch.deadline.set(1_000)
+    watch.run(10)
+    assert watch.expired == [1.0]
+
+
+def test_cleared_deadline_does_not_expire_and_can_be_set_again():
+    watch = _Watch()
+    watch.deadline.set(1_000)
+    watch.deadline.clear()
+    watch.run(1)
+    watch.deadline.set(1_000)
+    watch.run(1)
+    assert watch.expired == []
+    watch.run(1)
+    assert watch.expired == [1.5]
+
+
+def test_cancelled_deadline_leaves_no_call():
+    watch = _Watch()
+    watch.deadline.set(1_000)
+    watch.deadline.cancel()
+    watch.deadline.cancel()
+    assert not watch.reactor.getDelayedCalls()
+    watch.run(4)
+    assert watch.expired == []
