--- a/hibiscusstack/clock.py
+++ b/hibiscusstack/clock.py
@@ -1,6 +1,6 @@
 """Clocks that count in milliseconds."""
 
-__all__ = ["Clock", "ManualClock", "SystemClock"]
+__all__ = ["BoottimeClock", "Clock", "ManualClock", "SystemClock"]
 
 import time
 from typing import Protocol
@@ -48,3 +48,15 @@
         if duration_ms < 0:
             raise ValueError(f"a clock cannot go back by {-duration_ms} ms")
         self.time_ms += duration_ms
+
+
+class BoottimeClock:
+    """The clock of this machine that also counts the time for which it was suspended.
+
+    Leases and promises to others are kept by this one: a host that was suspended has
+    let them lapse, although its monotonic clock has not moved.
+    """
+
+    def now_ms(self) -> int:
+        """Return the time since the machine was started, in milliseconds."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
--- a/hibiscusstack/daemon/assembly.py
+++ b/hibiscusstack/daemon/assembly.py
@@ -29,7 +29,8 @@
 from hibiscusstack.host import Mesh, MeshEvents, MeshTiming, TcpNetwork
 from hibiscusstack.platform import LiveListClient, LogClient, PlatformHttp
 from hibiscusstack.settings import Settings
-from hibiscusstack.telemetry import StatsdMetrics, Tracer, build_tracer
+from hibiscusstack.telemetry.metrics import StatsdMetrics
+from hibiscusstack.telemetry.traces import Tracer, build_tracer
 
 SECRET_BYTES = 32
 
--- a/hibiscusstack/daemon/daemon.py
+++ b/hibiscusstack/daemon/daemon.py
@@ -41,7 +41,7 @@
 from hibiscusstack.operator.api import OperatorApi
 from hibiscusstack.settings import Settings
 from hibiscusstack.target import TargetClient
-from hibiscusstack.telemetry import Metric
+from hibiscusstack.telemetry.metrics import Metric
 
 TICK_INTERVAL_MS = 20
 IDLE_TICK_INTERVAL_MS = 100
--- a/hibiscusstack/daemon/dispatcher.py
+++ b/hibiscusstack/daemon/dispatcher.py
@@ -26,7 +26,7 @@
 from hibiscusstack.dispatch.messages import Heartbeat, HostName, Message
 from hibiscusstack.dispatch.policy import Policy
 from hibiscusstack.dispatch.targets import TargetInfo
-from hibiscusstack.telemetry import Metric, Metrics
+from hibiscusstack.telemetry.metrics import Metric, Metrics
 
 Send = Callable[[HostName, Message], bool]
 
--- a/hibiscusstack/daemon/hops.py
+++ b/hibiscusstack/daemon/hops.py
@@ -13,7 +13,7 @@
     Message,
     PlaceBatch,
 )
-from hibiscusstack.telemetry import Tracer, traceparent_of
+from hibiscusstack.telemetry.traces import Tracer, traceparent_of
 
 
 @attrs.define
--- a/hibiscusstack/daemon/job_service.py
+++ b/hibiscusstack/daemon/job_service.py
@@ -23,7 +23,8 @@
 from hibiscusstack.dispatch.ids import parse_issued_id
 from hibiscusstack.dispatch.jobs import Job
 from hibiscusstack.exceptions import InvalidInputError
-from hibiscusstack.telemetry import Metric, Metrics, Tracer, traceparent_of
+from hibiscusstack.telemetry.metrics import Metric, Metrics
+from hibiscusstack.telemetry.traces import Tracer, traceparent_of
 
 NOT_READY_RETRY_MS = 1_000
 
--- a/hibiscusstack/daemon/main.py
+++ b/hibiscusstack/daemon/main.py
@@ -14,7 +14,7 @@
 from hibiscusstack.daemon.lifecycle import StopCause
 from hibiscusstack.exceptions import SettingsError
 from hibiscusstack.settings import Settings, read_settings
-from hibiscusstack.telemetry import start_logging
+from hibiscusstack.telemetry.logs import start_logging
 
 EXIT_FAULTY_SETTINGS = 2
 
--- a/hibiscusstack/daemon/operator_service.py
+++ b/hibiscusstack/daemon/operator_service.py
@@ -23,7 +23,7 @@
     SpanView,
     TargetView,
 )
-from hibiscusstack.telemetry import SpanRing
+from hibiscusstack.telemetry.traces import SpanRing
 
 
 class HostOperatorService:
--- /dev/null
+++ b/hibiscusstack/daemon/pool_edge.py
@@ -0,0 +1,121 @@
+"""The life of a host of pools: start, following the log, and the planned stop."""
+
+__all__ = ["PoolEdge", "PoolEdgeParts"]
+
+from collections.abc import Callable, Sequence
+
+import attrs
+from eliot import log_message
+
+from hibiscusstack.daemon.pool_host import PoolHost
+from hibiscusstack.exceptions import DecodeError
+from hibiscusstack.http.server import HttpServer
+from hibiscusstack.pool.following import TopicFollower
+from hibiscusstack.pool.interfaces import KeyedLog, KeyedRecord
+from hibiscusstack.pool.routes import RouteTable
+from hibiscusstack.pool.service import PoolService
+from hibiscusstack.pool.targets import ListedTarget
+
+CONFIGURATION_TOPIC = "configuration"
+TARGETS_TOPIC = "targets"
+CONFIGURATION_WAIT_MS = 1_000
+TARGETS_PAUSE_MS = 400
+IDLE_TARGETS_PAUSE_MS = 1_500
+LEAVE_MS = 2_300
+LAST_MS = 5_300
+CHECK_MS = 50
+
+
+@attrs.frozen
+class PoolEdgeParts:
+    """The surroundings of a host; each server with the address to listen at."""
+
+    log: KeyedLog
+    decode_routes: Callable[[KeyedRecord], RouteTable | None]
+    decode_target: Callable[[KeyedRecord], ListedTarget]
+    callers: tuple[HttpServer, str]
+    balancer: tuple[HttpServer, str]
+
+
+class PoolEdge:
+    """One process: a host, its servers and what it reads from the log."""
+
+    def __init__(
+        self, reactor, host: PoolHost, service: PoolService, parts: PoolEdgeParts
+    ) -> None:
+        self._reactor = reactor
+        self._host = host
+        self._service = service
+        self._parts = parts
+        self._listed: dict[str, ListedTarget] = {}
+        self._waited_ms = 0
+        self._routes = TopicFollower(
+            reactor,
+            parts.log,
+            CONFIGURATION_TOPIC,
+            self._take_routes,
+            wait_ms=CONFIGURATION_WAIT_MS,
+        )
+        self._targets = TopicFollower(
+            reactor,
+            parts.log,
+            TARGETS_TOPIC,
+            self._take_targets,
+            wait_ms=0,
+            pause_ms=TARGETS_PAUSE_MS,
+        )
+
+    def start(self) -> None:
+        """Listen, and begin to follow the log."""
+        for server, address in (self._parts.callers, self._parts.balancer):
+            ip, _, port = address.rpartition(":")
+            server.listen(ip, int(port))
+        self._host.start()
+        self._routes.start()
+        self._targets.start()
+
+    def stop_requested(self) -> None:
+        """Leave the balancer, finish what is in progress, then end."""
+        if self._host.is_draining:
+            return
+        log_message("pool:draining")
+        self._host.drain()
+        self._parts.callers[0].drain()
+        self._reactor.callLater(CHECK_MS / 1000, self._stop_when_idle)
+
+    def _stop_when_idle(self) -> None:
+        self._waited_ms += CHECK_MS
+        is_idle = not self._parts.callers[0].open_requests
+        is_left = self._waited_ms >= LEAVE_MS and not self._host.coordinator
+        if (is_idle and is_left) or self._waited_ms >= LAST_MS:
+            log_message("pool:stopped", open=self._parts.callers[0].open_requests)
+            self._reactor.stop()
+            return
+        self._reactor.callLater(CHECK_MS / 1000, self._stop_when_idle)
+
+    def _take_routes(self, records: Sequence[KeyedRecord], is_whole: bool) -> None:
+        for record in records:
+            try:
+                routes = self._parts.decode_routes(record)
+            except DecodeError as error:
+                log_message("pool:routes_refused", level="error", cause=str(error))
+                continue
+            if routes is not None:
+                self._service.replace_routes(routes)
+
+    def _take_targets(self, records: Sequence[KeyedRecord], is_whole: bool) -> None:
+        if is_whole:
+            self._listed.clear()
+        for record in records:
+            self._listed.pop(record.key, None)
+            if record.value is None:
+                continue
+            try:
+                self._listed[record.key] = self._parts.decode_target(record)
+            except DecodeError as error:
+                log_message("pool:target_refused", level="debug", cause=str(error))
+        self._host.replace_targets(self._listed.values())
+        is_coordinator = self._host.coordinator is not None
+        self._targets.pause_ms = (
+            TARGETS_PAUSE_MS if is_coordinator else IDLE_TARGETS_PAUSE_MS
+        )
--- /dev/null
+++ b/hibiscusstack/daemon/pool_host.py
@@ -0,0 +1,350 @@
+"""A host of pools: receives jobs, and coordinates while it holds the term."""
+
+__all__ = ["PoolHost", "PoolHostSettings"]
+
+import random
+from collections.abc import Iterable, Sequence
+
+import attrs
+from eliot import log_message
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IReactorCore
+from twisted.internet.task import LoopingCall
+from twisted.python.failure import Failure
+
+from hibiscusstack.clock import Clock
+from hibiscusstack.dispatch.messages import Hello, HostName, Message
+from hibiscusstack.exceptions import DecodeError
+from hibiscusstack.host import Mesh, MeshTiming, PeerAddress, TcpNetwork
+from hibiscusstack.pool.coordinator import Coordinator
+from hibiscusstack.pool.election import Election, Term
+from hibiscusstack.pool.following import TopicFollower
+from hibiscusstack.pool.host_records import (
+    TERM_KEY,
+    HostRecord,
+    decode_host,
+    decode_term,
+    encode_host,
+    encode_term,
+    host_key,
+)
+from hibiscusstack.pool.interfaces import Appended, AppendRefused, KeyedLog, KeyedRecord
+from hibiscusstack.pool.messages import (
+    CancelSubmission,
+    PoolHeartbeat,
+    SubmissionAnswer,
+    SubmitPoolJob,
+)
+from hibiscusstack.pool.orders import TargetOrders
+from hibiscusstack.pool.receiving import Receiver
+from hibiscusstack.pool.targets import ListedTarget
+
+HOSTS_TOPIC = "hosts"
+HOSTS_WAIT_MS = 2_000
+TICK_MS = 10
+
+
+@attrs.frozen
+class PoolHostSettings:
+    """Who this host is, and the durations that govern its peers.
+
+    A peer that stays away for ``owner_grace_ms`` after its connection ended has lost
+    its callers, so its work is stopped. ``patience_ms`` is how long the holder of the
+    term may be unheard before another host claims the next.
+    """
+
+    name: HostName
+    address: str
+    port: int
+    heartbeat_ms: int = 150
+    silence_ms: int = 550
+    owner_grace_ms: int = 250
+    patience_ms: int = 200
+    longest_pause_ms: int = 700
+    connect_timeout_ms: int = 400
+
+
+class PoolHost:
+    """One host of a site whose targets keep leases.
+
+    It lists itself in the log, meets its peers, elects the coordinator with them and
+    is the coordinator while the newest term is its own.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: PoolHostSettings,
+        reactor: IReactorCore,
+        clock: Clock,
+        log: KeyedLog,
+        orders: TargetOrders,
+    ) -> None:
+        self.is_draining = False
+        self.coordinator: Coordinator | None = None
+        self.receiver = Receiver(clock, self._send)
+        self._settings = settings
+        self._reactor = reactor
+        self._clock = clock
+        self._log = log
+        self._orders = orders
+        self._targets: tuple[ListedTarget, ...] = ()
+        self._election = Election(settings.name, settings.patience_ms)
+        self._hears: dict[HostName, PoolHeartbeat] = {}
+        self._away_since_ms: dict[HostName, float] = {}
+        self._ticked_ms = clock.now_ms()
+        self._hosts: dict[str, HostRecord] = {}
+        self._mesh = Mesh(
+            hello=Hello(settings.name, settings.address, settings.port),
+            events=self,
+            network=TcpNetwork(reactor, settings.connect_timeout_ms),
+            reactor=reactor,
+            clock=clock,
+            timing=MeshTiming(
+                heartbeat_ms=settings.heartbeat_ms,
+                silence_ms=settings.silence_ms,
+                far_heartbeat_ms=settings.heartbeat_ms,
+                far_silence_ms=settings.silence_ms,
+                lost_after_ms=settings.silence_ms,
+            ),
+            rng=random.Random(settings.name.incarnation),
+        )
+        self._follower = TopicFollower(
+            reactor,
+            log,
+            HOSTS_TOPIC,
+            self._take_records,
+            wait_ms=HOSTS_WAIT_MS,
+            on_end=self._election.note_end,
+        )
+        self._ticking = LoopingCall(self._tick)
+        self._ticking.clock = reactor
+
+    @property
+    def term(self) -> Term | None:
+        """The newest term that this host knows."""
+        return self._election.term
+
+    def start(self) -> Deferred[None]:
+        """Listen for peers, list this host and begin to work."""
+        return self._mesh.listen().addCallback(self._begin)
+
+    def stop(self) -> None:
+        """Close the connections to the peers, and order nothing any more."""
+        if self._ticking.running:
+            self._ticking.stop()
+        self._follower.stop()
+        self._mesh.stop()
+
+    def drain(self) -> None:
+        """Take no more jobs, and let another host coordinate."""
+        self.is_draining = True
+        self._mesh.send_heartbeats()
+
+    def replace_targets(self, targets: Iterable[ListedTarget]) -> None:
+        """Take over a newer list of targets."""
+        self._targets = tuple(targets)
+        if self.coordinator is not None:
+            self.coordinator.replace_targets(self._targets)
+
+    def is_serving(self) -> bool:
+        """Tell whether a job received now would reach the coordinator."""
+        term = self._election.term
+        return term is not None and self._hears_holder() and not self.is_draining
+
+    def heartbeat(self) -> PoolHeartbeat:
+        """Return what peers have to know of this host."""
+        term = self._election.term
+        return PoolHeartbeat(
+            term=term.offset if term else -1,
+            holder=term.holder if term else None,
+            hears_holder=self._hears_staying_holder(),
+            is_draining=self.is_draining,
+        )
+
+    def peer_connected(self, peer: HostName) -> None:
+        """Hand jobs over if the peer is the coordinator."""
+        self._away_since_ms.pop(peer, None)
+        self._find_coordinator()
+
+    def peer_disconnected(self, peer: HostName) -> None:
+        """Wait for the peer for a while; then its work is stopped."""
+        self._hears.pop(peer, None)
+        self._away_since_ms.setdefault(peer, self._clock.now_ms())
+        self._find_coordinator()
+
+    def peer_lost(self, peer: HostName) -> None:
+        """Stop the work of a peer that is gone."""
+        self._away_since_ms.pop(peer, None)
+        if self.coordinator is not None:
+            self.coordinator.owner_lost(peer)
+
+    def peer_message(self, sender: HostName, message: Message) -> None:
+        """Act on one message of a peer."""
+        if isinstance(message, PoolHeartbeat):
+            self._hears[sender] = message
+            if message.holder is not None:
+                self._take_term(Term(message.term, message.holder))
+        elif isinstance(message, SubmissionAnswer):
+            self.receiver.answered(sender, message)
+        elif self.coordinator is None:
+            return
+        elif isinstance(message, SubmitPoolJob):
+            self.coordinator.submit(sender, message)
+        elif isinstance(message, CancelSubmission):
+            self.coordinator.cancel(sender, message.submission)
+
+    def _begin(self, _: object) -> None:
+        self._mesh.start()
+        self._follower.start()
+        self._list_itself()
+        self._ticking.start(TICK_MS / 1000, now=False)
+
+    def _list_itself(self) -> None:
+        settings = self._settings
+        record = HostRecord(settings.name, settings.address, settings.port)
+        key = host_key(settings.name)
+        appended = self._log.append(HOSTS_TOPIC, key, encode_host(record))
+        appended.addErrback(self._list_again)
+
+    def _list_again(self, failure: Failure) -> None:
+        log_message("pool:listing_failed", cause=failure.getErrorMessage())
+        self._reactor.callLater(0.5, self._list_itself)
+
+    def _take_records(self, records: Sequence[KeyedRecord], is_whole: bool) -> None:
+        if is_whole:
+            self._hosts.clear()
+        for record in records:
+            try:
+                self._take_record(record)
+            except DecodeError as error:
+                log_message("pool:record_refused", level="warning", cause=str(error))
+        addresses = [
+            PeerAddress(host.address, host.port)
+            for host in self._hosts.values()
+            if host.name != self._settings.name
+        ]
+        self._mesh.replace_listed(addresses)
+
+    def _take_record(self, record: KeyedRecord) -> None:
+        holder = decode_term(record)
+        if holder is not None:
+            self._take_term(Term(record.offset, holder))
+            return
+        host = decode_host(record)
+        if host is not None:
+            self._hosts[record.key] = host
+        elif record.value is None:
+            self._hosts.pop(record.key, None)
+
+    def _take_term(self, term: Term) -> None:
+        if not self._election.note_term(term):
+            return
+        log_message("pool:term", token=term.offset, holder=term.holder.name)
+        if self.coordinator is not None:
+            self.coordinator.step_down()
+            self.coordinator = None
+        if self._election.is_holder:
+            self._coordinate(term)
+        self._mesh.send_heartbeats()
+        self._find_coordinator()
+
+    def _coordinate(self, term: Term) -> None:
+        self.coordinator = Coordinator(
+            token=term.offset + 1,
+            clock=self._clock,
+            orders=self._orders,
+            send_answer=self._answer,
+        )
+        self.coordinator.replace_targets(self._targets)
+
+    def _hears_holder(self) -> bool:
+        term = self._election.term
+        if term is None:
+            return False
+        if term.holder == self._settings.name:
+            return self.coordinator is not None
+        return self._mesh.silent_ms(term.holder) is not None
+
+    def _hears_staying_holder(self) -> bool:
+        """Tell whether the holder is heard and does not want to hand over."""
+        term = self._election.term
+        if term is None or not self._hears_holder():
+            return False
+        if term.holder == self._settings.name:
+            return not self.is_draining
+        beat = self._hears.get(term.holder)
+        return beat is None or not beat.is_draining
+
+    def _find_coordinator(self) -> None:
+        term = self._election.term
+        holder = term.holder if term and self._hears_holder() else None
+        self.receiver.coordinator_changed(holder)
+
+    def _send(self, to: HostName, message: SubmitPoolJob | CancelSubmission) -> bool:
+        if to != self._settings.name:
+            return self._mesh.send(to, message).is_ok()
+        if self.coordinator is None:
+            return False
+        if isinstance(message, SubmitPoolJob):
+            self.coordinator.submit(to, message)
+        else:
+            self.coordinator.cancel(to, message.submission)
+        return True
+
+    def _answer(self, owner: HostName, answer: SubmissionAnswer) -> None:
+        if owner == self._settings.name:
+            self._reactor.callLater(0, self.receiver.answered, owner, answer)
+        else:
+            self._mesh.send(owner, answer)
+
+    def _tick(self) -> None:
+        now_ms = self._clock.now_ms()
+        paused_ms, self._ticked_ms = now_ms - self._ticked_ms, now_ms
+        if paused_ms > self._settings.longest_pause_ms:
+            self._resume_after(paused_ms)
+        for peer, since_ms in list(self._away_since_ms.items()):
+            if now_ms - since_ms > self._settings.owner_grace_ms:
+                self.peer_lost(peer)
+        self._claim_if_due(now_ms)
+        if self.coordinator is not None:
+            self.coordinator.tick()
+        self.receiver.tick()
+
+    def _resume_after(self, paused_ms: float) -> None:
+        """Give up the term: its leases have lapsed, and others may have taken over."""
+        log_message("pool:paused", level="warning", for_ms=int(paused_ms))
+        if self.coordinator is not None:
+            self.coordinator.step_down()
+            self.coordinator = None
+        self._election.resign()
+        self.receiver.refuse_all("host was paused")
+
+    def _claim_if_due(self, now_ms: float) -> None:
+        if self.is_draining:
+            return
+        term = self._election.term
+        known = term.offset if term else -1
+        hears = {
+            peer: beat.hears_holder and beat.term >= known
+            for peer, beat in self._hears.items()
+            if not beat.is_draining
+        }
+        hears_holder = self._hears_staying_holder()
+        if not self._election.should_claim(now_ms, hears_holder, hears):
+            return
+        end = self._election.end
+        log_message("pool:claiming", at=end)
+        value = encode_term(self._settings.name)
+        claimed = self._log.append(HOSTS_TOPIC, TERM_KEY, value, at=end)
+        claimed.addCallbacks(self._claimed, self._claim_failed)
+
+    def _claimed(self, result: Appended | AppendRefused) -> None:
+        if isinstance(result, Appended):
+            self._take_term(Term(result.offset, self._settings.name))
+        else:
+            self._election.claim_settled()
+
+    def _claim_failed(self, failure: Failure) -> None:
+        log_message("pool:claim_failed", cause=failure.getErrorMessage())
+        self._election.claim_settled()
--- a/hibiscusstack/daemon/targets.py
+++ b/hibiscusstack/daemon/targets.py
@@ -23,7 +23,8 @@
 )
 from hibiscusstack.dispatch.targets import TargetInfo
 from hibiscusstack.target import TargetClient
-from hibiscusstack.telemetry import Metric, Metrics, Tracer, traceparent_of
+from hibiscusstack.telemetry.metrics import Metric, Metrics
+from hibiscusstack.telemetry.traces import Tracer, traceparent_of
 
 _METRIC_OF_REPLY = {
     TaskFinished: Metric.TASKS_FINISHED,
--- a/hibiscusstack/daemon/tests/test_dispatcher.py
+++ b/hibiscusstack/daemon/tests/test_dispatcher.py
@@ -29,7 +29,8 @@
     PlaceBatch,
 )
 from hibiscusstack.dispatch.targets import TargetInfo
-from hibiscusstack.telemetry import StatsdMetrics, build_tracer
+from hibiscusstack.telemetry.metrics import StatsdMetrics
+from hibiscusstack.telemetry.traces import build_tracer
 
 OWN = HostName("dc1", "h1", 1)
 PEER = HostName("dc1", "h2", 1)
--- a/hibiscusstack/exceptions.py
+++ b/hibiscusstack/exceptions.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "DecodeError",
+    "ExpiredError",
     "HibiscusError",
     "InvalidInputError",
     "NotSentError",
@@ -77,5 +78,13 @@
         super().__init__(f"{peer} is unavailable: {cause}")
 
 
+class ExpiredError(HibiscusError):
+    """Records were asked for that the log no longer has; ``first`` is the oldest."""
+
+    def __init__(self, first: int) -> None:
+        self.first = first
+        super().__init__(f"records before {first} have expired")
+
+
 class NotSentError(UnavailableError):
     """A peer could not be reached, and it is proven that nothing was sent to it."""
--- a/hibiscusstack/host/codec.py
+++ b/hibiscusstack/host/codec.py
@@ -15,6 +15,7 @@
 from hibiscusstack.dispatch.messages import Message
 from hibiscusstack.exceptions import DecodeError, InvalidInputError
 from hibiscusstack.host.structuring import compile_reader, compile_writer
+from hibiscusstack.pool import messages as pool_messages
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 MAX_DEPTH = 32
@@ -32,6 +33,10 @@
     10: messages.RecordsPage,
     11: messages.QueryBatch,
     12: messages.RequestWork,
+    13: pool_messages.PoolHeartbeat,
+    14: pool_messages.SubmitPoolJob,
+    15: pool_messages.SubmissionAnswer,
+    16: pool_messages.CancelSubmission,
 }
 _WRITERS = {cls: (tag, compile_writer(cls)) for tag, cls in _TAGS.items()}
 _READERS = {tag: compile_reader(cls) for tag, cls in _TAGS.items()}
--- /dev/null
+++ b/hibiscusstack/pool/__init__.py
@@ -0,0 +1,1 @@
+"""Pools of targets that keep leases: jobs, their coordinator and its election."""
--- /dev/null
+++ b/hibiscusstack/pool/coordinator.py
@@ -0,0 +1,630 @@
+"""The coordinator of a pool: gives all orders to its targets while its term lasts."""
+
+__all__ = ["Coordinator", "SendAnswer"]
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+
+from eliot import log_message
+
+from hibiscusstack.clock import Clock
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.pool.held_target import HeldTarget, Phase, Run, RunState
+from hibiscusstack.pool.jobs import NO_RESOURCES
+from hibiscusstack.pool.messages import JobEnd, SubmissionAnswer, SubmitPoolJob
+from hibiscusstack.pool.ordering import JobQueue
+from hibiscusstack.pool.orders import (
+    FencedOut,
+    HoldOrder,
+    HoldReply,
+    NotReached,
+    Refused,
+    ReplyLost,
+    RunEnd,
+    Started,
+    StartOrder,
+    StopOrder,
+    Stopped,
+    TargetOrders,
+)
+from hibiscusstack.pool.placing import choose_target
+from hibiscusstack.pool.targets import ListedTarget
+from hibiscusstack.pool.timing import CoordinatorTiming
+from hibiscusstack.pool.work import (
+    ActiveJob,
+    PoolTask,
+    TaskState,
+    parse_task_name,
+    task_name,
+)
+
+SendAnswer = Callable[[HostName, SubmissionAnswer], None]
+
+_DONE = "done"
+_FAILED = "failed"
+_RETRY_MS = 1_000
+_MOST_MISFITS = 12
+_OVERDUE_FACTOR = 3.0
+_OVERDUE_SLACK_MS = 120
+
+
+class Coordinator:
+    """Orders all work of one term at the targets of the pools.
+
+    ``token`` is the fencing token of the term. Replies of targets, messages of hosts
+    and the passing of time come in as calls; orders go out through ``orders``, answers
+    through ``send_answer``. A task is started again only once its earlier run is known
+    to have ended, or the lease that it ran under has surely lapsed.
+    """
+
+    def __init__(
+        self,
+        *,
+        token: int,
+        clock: Clock,
+        orders: TargetOrders,
+        send_answer: SendAnswer,
+        timing: CoordinatorTiming | None = None,
+    ) -> None:
+        self.token = token
+        self.is_deposed = False
+        self._clock = clock
+        self._orders = orders
+        self._send_answer = send_answer
+        self._timing = timing or CoordinatorTiming()
+        self._targets: dict[str, HeldTarget] = {}
+        self._jobs: dict[str, ActiveJob] = {}
+        self._by_submission: dict[tuple[HostName, int], ActiveJob] = {}
+        self._ending: Counter[str] = Counter()
+        self._queue = JobQueue()
+        self._began_ms = clock.now_ms()
+
+    @property
+    def job_count(self) -> int:
+        """The number of jobs in progress."""
+        return len(self._jobs)
+
+    def targets(self) -> list[HeldTarget]:
+        """Return what is known of each target."""
+        return list(self._targets.values())
+
+    def replace_targets(self, listed: Iterable[ListedTarget]) -> None:
+        """Take over a newer list of targets."""
+        now_ms = self._clock.now_ms()
+        by_name = {target.name: target for target in listed}
+        for name, state in list(self._targets.items()):
+            target = by_name.get(name)
+            if target is None:
+                if state.unlisted_since_ms is None:
+                    state.unlisted_since_ms = now_ms
+            elif target.born_ms != state.listing.born_ms:
+                self._end_life(state, "restarted")
+            else:
+                state.unlisted_since_ms = None
+                state.listing = target
+        for name, target in by_name.items():
+            if name not in self._targets:
+                self._targets[name] = HeldTarget(target, self._timing)
+                self._hold(self._targets[name])
+        self._place()
+
+    def submit(self, owner: HostName, message: SubmitPoolJob) -> None:
+        """Take a job from the host that received it.
+
+        A job that is known already is joined: it stays one job.
+        """
+        now_ms = self._clock.now_ms()
+        submission = (owner, message.submission)
+        if submission in self._by_submission:
+            return
+        job = self._jobs.get(message.job.job_id)
+        if job is None:
+            received_ms = now_ms - message.waited_ms
+            job = ActiveJob(message.job, received_ms, message.is_resubmitted)
+            self._jobs[message.job.job_id] = job
+        job.submissions.append(submission)
+        self._by_submission[submission] = job
+        if job.is_complete:
+            self._close(job, JobEnd.COMPLETED)
+            return
+        self._enqueue(job)
+        self._place()
+
+    def cancel(self, owner: HostName, submission: int) -> None:
+        """Forget a submission, and stop its job if nobody else waits for it."""
+        job = self._by_submission.pop((owner, submission), None)
+        if job is None:
+            return
+        job.submissions.remove((owner, submission))
+        if not job.submissions:
+            self._close(job, JobEnd.REFUSED, "cancelled")
+            self._place()
+
+    def owner_lost(self, owner: HostName) -> None:
+        """Stop all work for a host that is gone: its callers will send it again."""
+        for host, submission in list(self._by_submission):
+            if host == owner:
+                self.cancel(host, submission)
+
+    def step_down(self) -> None:
+        """Give no further orders, since a later term has begun."""
+        if self.is_deposed:
+            return
+        self.is_deposed = True
+        log_message("pool:stepped_down", token=self.token, jobs=len(self._jobs))
+
+    def start_replied(
+        self,
+        name: str,
+        born_ms: int,
+        order: StartOrder,
+        reply: Started | Refused | FencedOut | NotReached | ReplyLost,
+    ) -> None:
+        """Act on the reply to a start."""
+        state = self._state(name, born_ms)
+        if state is None:
+            return
+        now_ms = self._clock.now_ms()
+        run = state.runs.get((order.task, order.run))
+        if isinstance(reply, FencedOut):
+            self._fence(state)
+        elif isinstance(reply, Started):
+            state.note_clock(reply.clock_ms, now_ms)
+            if run is not None and run.state is RunState.STARTING:
+                run.state = RunState.RUNNING
+            if run is not None:
+                run.known_ms = now_ms
+        elif run is None or run.state is not RunState.STARTING:
+            return
+        elif isinstance(reply, ReplyLost):
+            self._note_trouble(state, now_ms, reply.cause)
+            self._stop(state, run)
+        else:
+            self._start_failed(state, run, reply, now_ms)
+        self._place()
+
+    def stop_replied(
+        self,
+        name: str,
+        born_ms: int,
+        order: StopOrder,
+        reply: Stopped | Refused | FencedOut | NotReached | ReplyLost,
+    ) -> None:
+        """Act on the reply to a stop."""
+        state = self._state(name, born_ms)
+        if state is None:
+            return
+        now_ms = self._clock.now_ms()
+        if isinstance(reply, FencedOut):
+            self._fence(state)
+            return
+        run = state.runs.get((order.task, order.run))
+        if run is None or not isinstance(reply, Stopped):
+            return
+        state.note_clock(reply.clock_ms, now_ms)
+        if run.stopped_ms is None:
+            run.stopped_ms = now_ms
+            self._look(state)
+
+    def hold_replied(
+        self,
+        name: str,
+        born_ms: int,
+        order: HoldOrder,
+        reply: HoldReply | Refused | FencedOut | NotReached | ReplyLost,
+    ) -> None:
+        """Act on the reply to a hold, and send the next one."""
+        state = self._state(name, born_ms)
+        if state is None:
+            return
+        now_ms = self._clock.now_ms()
+        is_look = order.wait_ms == 0
+        sent_ms = state.look_sent_ms if is_look else state.hold_sent_ms
+        if is_look:
+            state.look_sent_ms = None
+        else:
+            state.hold_sent_ms = None
+        if isinstance(reply, HoldReply):
+            self._take_lists(state, reply, sent_ms, now_ms)
+        elif isinstance(reply, FencedOut):
+            self._fence(state)
+        else:
+            self._hold_failed(state, reply, now_ms)
+        if state.hold_sent_ms is None and now_ms >= state.next_hold_ms:
+            self._hold(state)
+        self._place()
+
+    def tick(self) -> None:
+        """Act on the passing of time; to be called every few milliseconds."""
+        if self.is_deposed:
+            return
+        now_ms = self._clock.now_ms()
+        for state in list(self._targets.values()):
+            self._tick_target(state, now_ms)
+        self._queue.demote_late(now_ms)
+        for job in self._queue.hopeless(now_ms):
+            self._close(job, JobEnd.REFUSED, "no room in time")
+        self._place()
+
+    def _state(self, name: str, born_ms: int) -> HeldTarget | None:
+        state = self._targets.get(name)
+        if self.is_deposed or state is None or state.listing.born_ms != born_ms:
+            return None
+        return state
+
+    def _hold(self, state: HeldTarget) -> None:
+        """Send the next hold, which extends the lease of a target that answers."""
+        now_ms = self._clock.now_ms()
+        is_held = state.phase is Phase.HELD
+        is_sound = state.silent_since_ms is None and state.clock_offset_ms is not None
+        until_ms = state.extend_lease(now_ms) if is_held and is_sound else None
+        timing = self._timing
+        wait_ms = timing.hold_wait_ms if is_held else timing.clearing_wait_ms
+        state.hold_sent_ms = now_ms
+        order = HoldOrder(self.token, state.processed_through, wait_ms, until_ms)
+        self._orders.hold(state.listing, order)
+
+    def _look(self, state: HeldTarget) -> None:
+        """Ask for the lists at once, beside a hold that waits."""
+        if state.look_sent_ms is not None:
+            return
+        state.look_sent_ms = self._clock.now_ms()
+        order = HoldOrder(self.token, state.processed_through, 0)
+        self._orders.hold(state.listing, order)
+
+    def _take_lists(
+        self, state: HeldTarget, reply: HoldReply, sent_ms: float, now_ms: float
+    ) -> None:
+        if reply.born_ms is not None and reply.born_ms != state.listing.born_ms:
+            self._end_life(state, "another life answered")
+            return
+        state.note_clock(reply.clock_ms, now_ms)
+        state.silent_since_ms = None
+        for end in reply.ended:
+            if end.number > state.processed_through:
+                state.processed_through = end.number
+                self._run_ended(state, end, now_ms)
+        active = set(reply.active)
+        for key in active:
+            if key not in state.runs:
+                self._take_unknown(state, key, now_ms)
+        for key, run in list(state.runs.items()):
+            if key in active:
+                self._confirm(state, run, now_ms)
+            elif (
+                run.known_ms is not None
+                and run.known_ms < sent_ms
+                or run.stopped_ms is not None
+                and run.stopped_ms < sent_ms
+            ):
+                self._vanished(state, run, now_ms)
+        self._advance(state, now_ms)
+
+    def _confirm(self, state: HeldTarget, run: Run, now_ms: float) -> None:
+        run.known_ms = now_ms
+        if run.state is RunState.STARTING:
+            run.state = RunState.RUNNING
+
+    def _take_unknown(
+        self, state: HeldTarget, key: tuple[str, int], now_ms: float
+    ) -> None:
+        """Adopt a run of a job that is known and waits for it; list any other."""
+        name, number = key
+        parsed = parse_task_name(name)
+        job = self._jobs.get(parsed[0]) if parsed else None
+        task = job.tasks.get(parsed[1]) if job else None
+        if task is not None and task.state is TaskState.WAITING and task in job.ready:
+            run = Run(
+                name, number, job, task, task.step.needs, RunState.RUNNING, now_ms
+            )
+            self._activate(job, task, now_ms)
+            task.next_run = max(task.next_run, number + 1)
+        else:
+            run = Run(name, number, None, None, NO_RESOURCES, RunState.RUNNING, now_ms)
+            if parsed:
+                self._ending[parsed[0]] += 1
+        run.known_ms = now_ms
+        state.add(run)
+
+    def _advance(self, state: HeldTarget, now_ms: float) -> None:
+        """Move a target on towards being held."""
+        if state.phase is Phase.LOOKING:
+            state.phase = Phase.CLEARING
+        if state.phase is not Phase.CLEARING and state.phase is not Phase.HELD:
+            return
+        strangers = [run for run in state.runs.values() if run.job is None]
+        if state.phase is Phase.HELD or self._is_adoption_over(now_ms):
+            for run in strangers:
+                if run.state is not RunState.STOPPING:
+                    self._stop(state, run)
+        if state.phase is Phase.CLEARING and not strangers:
+            state.phase = Phase.HELD
+
+    def _is_adoption_over(self, now_ms: float) -> bool:
+        return now_ms >= self._began_ms + self._timing.adoption_ms
+
+    def _run_ended(self, state: HeldTarget, end: RunEnd, now_ms: float) -> None:
+        run = state.runs.get((end.task, end.run))
+        if run is None:
+            self._credit_earlier_end(end)
+            return
+        state.remove(run)
+        job, task = run.job, run.task
+        if job is None or task is None:
+            self._note_gone(run)
+            return
+        if end.how == _DONE:
+            self._note_done(state, run, now_ms)
+        elif end.how == _FAILED:
+            self._note_failed(state, run, now_ms)
+        else:
+            self._requeue(run, now_ms)
+
+    def _credit_earlier_end(self, end: RunEnd) -> None:
+        """Count an end that an earlier coordinator has not acknowledged."""
+        parsed = parse_task_name(end.task)
+        job = self._jobs.get(parsed[0]) if parsed else None
+        task = job.tasks.get(parsed[1]) if job else None
+        if task is None:
+            return
+        task.next_run = max(task.next_run, end.run + 1)
+        if end.how == _DONE and task in job.ready:
+            job.ready.remove(task)
+            job.note_done(task)
+            self._complete_if_done(job)
+
+    def _note_done(self, state: HeldTarget, run: Run, now_ms: float) -> None:
+        state.health.note_success()
+        job, task = run.job, run.task
+        job.active_count -= 1
+        job.note_done(task)
+        if job.job.job_id not in self._jobs:
+            return
+        self._complete_if_done(job)
+        if job.ready:
+            self._enqueue(job)
+
+    def _complete_if_done(self, job: ActiveJob) -> None:
+        if job.is_complete:
+            self._close(job, JobEnd.COMPLETED)
+
+    def _note_failed(self, state: HeldTarget, run: Run, now_ms: float) -> None:
+        state.paused_until_ms = max(
+            state.paused_until_ms, state.health.note_failure(now_ms)
+        )
+        run.task.failures += 1
+        run.task.barred.add(state.listing.name)
+        if run.task.failures >= run.job.job.max_attempts:
+            run.job.active_count -= 1
+            self._close(run.job, JobEnd.FAILED, "a task failed too often")
+            return
+        self._requeue(run, now_ms)
+
+    def _vanished(self, state: HeldTarget, run: Run, now_ms: float) -> None:
+        """Take a run that its target lists no longer as ended."""
+        state.remove(run)
+        if run.job is None:
+            self._note_gone(run)
+        else:
+            self._requeue(run, now_ms)
+
+    def _note_gone(self, run: Run) -> None:
+        parsed = parse_task_name(run.name)
+        if parsed is None:
+            return
+        self._ending[parsed[0]] -= 1
+        if self._ending[parsed[0]] <= 0:
+            del self._ending[parsed[0]]
+
+    def _requeue(self, run: Run, now_ms: float) -> None:
+        """Let the task of a run that ended without a result run again."""
+        job, task = run.job, run.task
+        job.active_count -= 1
+        task.state = TaskState.WAITING
+        if self._jobs.get(job.job.job_id) is not job:
+            return
+        job.ready.insert(0, task)
+        self._enqueue(job)
+
+    def _enqueue(self, job: ActiveJob) -> None:
+        if job.ready:
+            self._queue.add(job, self._clock.now_ms())
+
+    def _start_failed(
+        self, state: HeldTarget, run: Run, reply: Refused | NotReached, now_ms: float
+    ) -> None:
+        state.remove(run)
+        if isinstance(reply, NotReached):
+            self._note_trouble(state, now_ms, reply.cause)
+        elif reply.reason == "room":
+            state.paused_until_ms = now_ms + 20
+            self._look(state)
+        elif reply.reason == "instance":
+            self._note_trouble(state, now_ms, reply.reason)
+            self._look(state)
+        elif reply.reason == "late":
+            state.clock_offset_ms = None
+            self._look(state)
+        elif reply.reason == "unhealthy":
+            pause_ms = state.health.note_fault(now_ms)
+            state.paused_until_ms = max(state.paused_until_ms, pause_ms)
+        elif reply.reason != "old":
+            log_message("pool:start_refused", level="warning", reason=reply.reason)
+            run.job.active_count -= 1
+            if self._jobs.get(run.job.job.job_id) is run.job:
+                self._close(run.job, JobEnd.FAILED, f"target: {reply.reason}")
+            return
+        self._requeue(run, now_ms)
+
+    def _note_trouble(self, state: HeldTarget, now_ms: float, cause: str) -> None:
+        """Look at a target that did not answer before it gets more work."""
+        if state.silent_since_ms is None:
+            state.silent_since_ms = now_ms
+            log_message("pool:target_silent", target=state.listing.name, cause=cause)
+        self._look(state)
+
+    def _hold_failed(
+        self, state: HeldTarget, reply: Refused | NotReached | ReplyLost, now_ms: float
+    ) -> None:
+        if state.silent_since_ms is None:
+            state.silent_since_ms = now_ms
+            log_message(
+                "pool:target_silent",
+                target=state.listing.name,
+                cause=getattr(reply, "cause", None) or reply.reason,
+            )
+        state.next_hold_ms = now_ms + self._timing.order_retry_ms
+
+    def _stop(self, state: HeldTarget, run: Run) -> None:
+        """Order the end of a run, until the target confirms it."""
+        run.state = RunState.STOPPING
+        run.stop_sent_ms = self._clock.now_ms()
+        order = StopOrder(run.name, run.number, self.token)
+        self._orders.stop(state.listing, order)
+
+    def _fence(self, state: HeldTarget) -> None:
+        if state.phase is not Phase.FENCED:
+            state.phase = Phase.FENCED
+            log_message("pool:target_fenced", target=state.listing.name)
+
+    def _tick_target(self, state: HeldTarget, now_ms: float) -> None:
+        timing = self._timing
+        if state.lapse_ms <= now_ms and state.silent_since_ms is not None:
+            self._lapse(state, now_ms)
+        if state.phase is Phase.FENCED and state.lapse_ms <= now_ms:
+            self._lapse(state, now_ms)
+            return
+        for run in list(state.runs.values()):
+            if run.state is RunState.STOPPING:
+                if (
+                    run.stopped_ms is None
+                    and now_ms - run.stop_sent_ms >= timing.order_retry_ms
+                ):
+                    self._stop(state, run)
+            elif run.job is not None and self._is_overdue(run, now_ms):
+                self._give_up_run(state, run, now_ms)
+        if state.hold_sent_ms is None and now_ms >= state.next_hold_ms:
+            self._hold(state)
+        unlisted_ms = state.unlisted_since_ms
+        is_gone = unlisted_ms is not None and now_ms - unlisted_ms > timing.unlisted_ms
+        if is_gone and (not state.runs or state.silent_since_ms is not None):
+            self._end_life(state, "not listed any more")
+
+    def _is_overdue(self, run: Run, now_ms: float) -> bool:
+        expected_ms = run.task.step.estimate_ms
+        limit_ms = _OVERDUE_FACTOR * expected_ms + _OVERDUE_SLACK_MS
+        return now_ms - run.started_ms > limit_ms
+
+    def _give_up_run(self, state: HeldTarget, run: Run, now_ms: float) -> None:
+        """Stop a run that hangs, to make it elsewhere."""
+        run.task.barred.add(state.listing.name)
+        pause_ms = state.health.note_fault(now_ms)
+        state.paused_until_ms = max(state.paused_until_ms, pause_ms)
+        log_message(
+            "pool:run_overdue",
+            target=state.listing.name,
+            task=run.name,
+            ran_ms=int(now_ms - run.started_ms),
+            estimate_ms=run.task.step.estimate_ms,
+        )
+        self._stop(state, run)
+
+    def _lapse(self, state: HeldTarget, now_ms: float) -> None:
+        """Take all runs of a target whose lease has surely ended as ended."""
+        for run in list(state.runs.values()):
+            self._vanished(state, run, now_ms)
+
+    def _end_life(self, state: HeldTarget, cause: str) -> None:
+        """Forget a life of a target that is over, with all that ran there."""
+        now_ms = self._clock.now_ms()
+        log_message("pool:target_gone", target=state.listing.name, cause=cause)
+        del self._targets[state.listing.name]
+        self._orders.forget(state.listing)
+        self._lapse(state, now_ms)
+
+    def _close(self, job: ActiveJob, end: JobEnd, cause: str = "") -> None:
+        """Answer everyone who waits for a job, and stop what still runs of it."""
+        self._jobs.pop(job.job.job_id, None)
+        self._queue.discard(job)
+        retry_ms = _RETRY_MS if end is JobEnd.REFUSED else 0
+        for owner, submission in job.submissions:
+            self._by_submission.pop((owner, submission), None)
+            answer = SubmissionAnswer(submission, end, cause, retry_ms)
+            self._send_answer(owner, answer)
+        job.submissions.clear()
+        if not job.active_count:
+            return
+        for state in self._targets.values():
+            for run in list(state.runs.values()):
+                if run.job is job:
+                    self._abandon(state, run)
+
+    def _abandon(self, state: HeldTarget, run: Run) -> None:
+        run.job.active_count -= 1
+        run.job = run.task = None
+        self._ending[parse_task_name(run.name)[0]] += 1
+        if run.state is not RunState.STOPPING:
+            self._stop(state, run)
+
+    def _place(self) -> None:
+        """Start waiting tasks, in the order of the queue, where there is room."""
+        if self.is_deposed or not len(self._queue):
+            return
+        now_ms = self._clock.now_ms()
+        usable = [state for state in self._targets.values() if state.may_start(now_ms)]
+        misfits = 0
+        for job in list(self._queue.in_order()):
+            if misfits >= _MOST_MISFITS:
+                return
+            if self._must_wait(job, now_ms):
+                continue
+            misfits += not self._place_job(job, usable, now_ms)
+
+    def _must_wait(self, job: ActiveJob, now_ms: float) -> bool:
+        """Tell whether an earlier run of the job may still be going on somewhere."""
+        if job.job.job_id in self._ending:
+            return True
+        if not job.is_resubmitted:
+            return False
+        settled_ms = self._began_ms + self._timing.lapse_bound_ms(
+            self._timing.longest_lease_ms
+        )
+        if now_ms >= settled_ms:
+            return False
+        looking = any(
+            state.phase in (Phase.LOOKING, Phase.CLEARING)
+            for state in self._targets.values()
+        )
+        return looking or not self._targets
+
+    def _place_job(
+        self, job: ActiveJob, usable: list[HeldTarget], now_ms: float
+    ) -> bool:
+        """Start tasks of one job; return whether none of them waits for room."""
+        for task in list(job.ready):
+            state = choose_target(job, task, usable, now_ms)
+            if state is None:
+                return False
+            self._start(state, job, task, now_ms)
+        if not job.ready:
+            self._queue.discard(job)
+        return True
+
+    def _activate(self, job: ActiveJob, task: PoolTask, now_ms: float) -> None:
+        task.state = TaskState.ACTIVE
+        job.ready.remove(task)
+        job.active_count += 1
+        if job.first_start_ms is None:
+            job.first_start_ms = now_ms
+
+    def _start(
+        self, state: HeldTarget, job: ActiveJob, task: PoolTask, now_ms: float
+    ) -> None:
+        self._activate(job, task, now_ms)
+        name = task_name(job.job.job_id, task.key)
+        number, task.next_run = task.next_run, task.next_run + 1
+        run = Run(name, number, job, task, task.step.needs, RunState.STARTING, now_ms)
+        state.add(run)
+        until_ms = state.extend_lease(now_ms)
+        order = StartOrder(name, number, job.job.payload, until_ms, self.token)
+        self._orders.start(state.listing, order)
--- /dev/null
+++ b/hibiscusstack/pool/following.py
@@ -0,0 +1,103 @@
+"""Following a keyed topic: the newest records first, then each that comes."""
+
+__all__ = ["TopicFollower"]
+
+from collections.abc import Callable, Sequence
+
+from eliot import log_message
+from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IDelayedCall, IReactorTime
+from twisted.python.failure import Failure
+
+from hibiscusstack.exceptions import ExpiredError
+from hibiscusstack.pool.interfaces import KeyedLog, KeyedPage, KeyedRecord
+
+TakeRecords = Callable[[Sequence[KeyedRecord], bool], None]
+
+FIRST_PAUSE_MS = 100
+LONGEST_PAUSE_MS = 800
+
+
+class TopicFollower:
+    """Reads one topic for good.
+
+    ``take`` gets the records in order; its second argument says that they are the
+    newest of all keys, in place of everything before. ``wait_ms`` is how long a read
+    waits for a record, ``pause_ms`` how long to wait between two reads.
+    """
+
+    def __init__(
+        self,
+        reactor: IReactorTime,
+        log: KeyedLog,
+        topic: str,
+        take: TakeRecords,
+        *,
+        wait_ms: int,
+        pause_ms: int = 0,
+        on_end: Callable[[int], None] | None = None,
+    ) -> None:
+        self.pause_ms = pause_ms
+        self.is_in_touch = False
+        self._reactor = reactor
+        self._log = log
+        self._topic = topic
+        self._take = take
+        self._wait_ms = wait_ms
+        self._on_end = on_end
+        self._offset: int | None = None
+        self._failures = 0
+        self._timer: IDelayedCall | None = None
+        self._is_stopped = False
+
+    def start(self) -> None:
+        """Begin to read."""
+        self._read()
+
+    def stop(self) -> None:
+        """Read no more."""
+        self._is_stopped = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+    def _read(self) -> None:
+        if self._is_stopped:
+            return
+        if self._offset is None:
+            answered: Deferred[KeyedPage] = self._log.read_newest(self._topic)
+            answered.addCallback(self._took, True)
+        else:
+            answered = self._log.read_from(self._topic, self._offset, self._wait_ms)
+            answered.addCallback(self._took, False)
+        answered.addErrback(self._failed)
+
+    def _took(self, page: KeyedPage, is_whole: bool) -> None:
+        if self._is_stopped:
+            return
+        self._failures = 0
+        self.is_in_touch = True
+        self._offset = page.end
+        if page.records or is_whole:
+            self._take(page.records, is_whole)
+        if self._on_end is not None:
+            self._on_end(page.end)
+        self._read_after(self.pause_ms)
+
+    def _failed(self, failure: Failure) -> None:
+        if failure.check(ExpiredError):
+            self._offset = None
+            self._read_after(0)
+            return
+        if not self._failures:
+            log_message(
+                "pool:log_unavailable",
+                topic=self._topic,
+                cause=failure.getErrorMessage(),
+            )
+        self._failures += 1
+        self.is_in_touch = False
+        self._read_after(min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2**self._failures))
+
+    def _read_after(self, pause_ms: float) -> None:
+        if not self._is_stopped:
+            self._timer = self._reactor.callLater(pause_ms / 1000, self._read)
--- /dev/null
+++ b/hibiscusstack/pool/held_target.py
@@ -0,0 +1,127 @@
+"""What a coordinator knows of one life of a target."""
+
+__all__ = ["HeldTarget", "Phase", "Run", "RunState"]
+
+from enum import Enum
+
+import attrs
+
+from hibiscusstack.pool.health import TargetHealth
+from hibiscusstack.pool.jobs import NO_RESOURCES, Resources
+from hibiscusstack.pool.targets import ListedTarget
+from hibiscusstack.pool.timing import CoordinatorTiming
+from hibiscusstack.pool.work import ActiveJob, PoolTask
+
+RunKey = tuple[str, int]
+
+
+class Phase(Enum):
+    """How far the takeover of a target is.
+
+    ``LOOKING``: an earlier coordinator may still give orders. ``CLEARING``: it is
+    fenced out, and runs that nobody here asked for are being stopped. ``HELD``: the
+    target runs this coordinator's work only. ``FENCED``: a later one has taken it.
+    """
+
+    LOOKING = "looking"
+    CLEARING = "clearing"
+    HELD = "held"
+    FENCED = "fenced"
+
+
+class RunState(Enum):
+    """What is known of a run at its target."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@attrs.define(eq=False)
+class Run:
+    """One run of a task. ``job`` is nothing for a run that nobody here asked for."""
+
+    name: str
+    number: int
+    job: ActiveJob | None
+    task: PoolTask | None
+    needs: Resources
+    state: RunState
+    started_ms: float
+    known_ms: float | None = None
+    stop_sent_ms: float | None = None
+    stopped_ms: float | None = None
+
+    def was_known_before(self, sent_ms: float) -> bool:
+        """Tell whether the target had this run, or its stop, by ``sent_ms``."""
+        readings = (self.known_ms, self.stopped_ms)
+        return any(ms is not None and ms < sent_ms for ms in readings)
+
+
+@attrs.define(eq=False)
+class HeldTarget:
+    """One life of a target. Times are on the clock of this host.
+
+    ``lapse_ms`` is when the lease has surely ended, whichever of the extensions sent
+    so far arrived. ``clock_offset_ms`` is what the target's clock is ahead, at least.
+    """
+
+    listing: ListedTarget
+    timing: CoordinatorTiming
+    phase: Phase = Phase.LOOKING
+    runs: dict[RunKey, Run] = attrs.field(factory=dict)
+    used: Resources = NO_RESOURCES
+    processed_through: int = 0
+    clock_offset_ms: float | None = None
+    lapse_ms: float = 0.0
+    hold_sent_ms: float | None = None
+    look_sent_ms: float | None = None
+    next_hold_ms: float = 0.0
+    silent_since_ms: float | None = None
+    unlisted_since_ms: float | None = None
+    paused_until_ms: float = 0.0
+    health: TargetHealth = attrs.field(factory=TargetHealth)
+
+    @property
+    def free(self) -> Resources:
+        """Return the room that no run takes."""
+        return self.listing.capacity.minus(self.used)
+
+    def may_start(self, now_ms: float) -> bool:
+        """Tell whether new work may be started here."""
+        return (
+            self.phase is Phase.HELD
+            and not self.listing.is_leaving
+            and self.silent_since_ms is None
+            and self.unlisted_since_ms is None
+            and now_ms >= self.paused_until_ms
+        )
+
+    def add(self, run: Run) -> None:
+        """Count a run and its share of the room."""
+        self.runs[run.name, run.number] = run
+        self.used = self.used.plus(run.needs)
+
+    def remove(self, run: Run) -> None:
+        """Forget a run that has ended."""
+        del self.runs[run.name, run.number]
+        self.used = self.used.minus(run.needs)
+
+    def note_clock(self, clock_ms: int | None, now_ms: float) -> None:
+        """Take over a reading of the target's clock that has just arrived."""
+        if clock_ms is None:
+            return
+        offset_ms = clock_ms - now_ms
+        known = self.clock_offset_ms
+        if known is None or offset_ms > known:
+            self.clock_offset_ms = offset_ms
+        else:
+            # The clocks drift apart, so an old reading must not count for ever.
+            self.clock_offset_ms = known + (offset_ms - known) / 16
+
+    def extend_lease(self, now_ms: float) -> int:
+        """Return the lease's new end on the target's clock, counted as sent."""
+        lease_ms = self.timing.lease_ms
+        lapse_ms = now_ms + self.timing.lapse_bound_ms(lease_ms)
+        self.lapse_ms = max(self.lapse_ms, lapse_ms)
+        return int(now_ms + self.clock_offset_ms + lease_ms)
--- /dev/null
+++ b/hibiscusstack/pool/host_records.py
@@ -0,0 +1,85 @@
+"""The records that hosts keep in the log: where each is, and the terms."""
+
+__all__ = [
+    "HostRecord",
+    "TERM_KEY",
+    "decode_host",
+    "decode_term",
+    "encode_host",
+    "encode_term",
+    "host_key",
+]
+
+import json
+from typing import Any
+
+import attrs
+
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.exceptions import DecodeError
+from hibiscusstack.pool.interfaces import KeyedRecord
+
+TERM_KEY = "term"
+_HOST_PREFIX = "host/"
+
+
+@attrs.frozen
+class HostRecord:
+    """Where one run of a host accepts its peers."""
+
+    name: HostName
+    address: str
+    port: int
+
+
+def host_key(name: HostName) -> str:
+    """Return the key under which a host is listed.
+
+    >>> host_key(HostName("dc1", "a", 7))
+    'host/dc1/a'
+    """
+    return f"{_HOST_PREFIX}{name.data_centre}/{name.name}"
+
+
+def encode_host(record: HostRecord) -> bytes:
+    """Return the value of a host's record."""
+    return json.dumps(
+        [*_name_values(record.name), record.address, record.port]
+    ).encode()
+
+
+def decode_host(record: KeyedRecord) -> HostRecord | None:
+    """Return the host that a record lists, or nothing for another kind of record.
+
+    Raises :class:`~hibiscusstack.exceptions.DecodeError` for a value that is broken.
+    """
+    if not record.key.startswith(_HOST_PREFIX) or record.value is None:
+        return None
+    values = _load(record, (str, str, int, str, int))
+    return HostRecord(HostName(*values[:3]), values[3], values[4])
+
+
+def encode_term(holder: HostName) -> bytes:
+    """Return the value of the record that begins a term."""
+    return json.dumps(_name_values(holder)).encode()
+
+
+def decode_term(record: KeyedRecord) -> HostName | None:
+    """Return the holder of the term that a record begins, or nothing."""
+    if record.key != TERM_KEY or record.value is None:
+        return None
+    return HostName(*_load(record, (str, str, int)))
+
+
+def _name_values(name: HostName) -> list[str | int]:
+    return [name.data_centre, name.name, name.incarnation]
+
+
+def _load(record: KeyedRecord, types: tuple[type, ...]) -> list[Any]:
+    try:
+        values = json.loads(record.value)
+    except (ValueError, RecursionError):
+        raise DecodeError(record.key, "JSON", record.value[:80]) from None
+    if not isinstance(values, list) or tuple(map(type, values)) != types:
+        raise DecodeError(record.key, "a host record", values)
+    return values
--- /dev/null
+++ b/hibiscusstack/pool/jobs.py
@@ -0,0 +1,101 @@
+"""Jobs for pools of targets, as plain data."""
+
+__all__ = ["NO_RESOURCES", "PoolJob", "Resources", "Step", "TaskKey"]
+
+import attrs
+
+TaskKey = tuple[int, int]
+"""The step of a task and its index within the step."""
+
+
+@attrs.frozen
+class Resources:
+    """What a task needs or a target has; ``cpu_milli`` in thousandths of a core.
+
+    >>> Resources(500, 64).fits(Resources(1_000, 128))
+    True
+    """
+
+    cpu_milli: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def fits(self, room: "Resources") -> bool:
+        """Tell whether ``room`` has enough of everything."""
+        return (
+            self.cpu_milli <= room.cpu_milli
+            and self.memory_mb <= room.memory_mb
+            and self.accelerators <= room.accelerators
+        )
+
+    def plus(self, other: "Resources") -> "Resources":
+        """Return the sum of both."""
+        return Resources(
+            self.cpu_milli + other.cpu_milli,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def minus(self, other: "Resources") -> "Resources":
+        """Return what is left without ``other``."""
+        return Resources(
+            self.cpu_milli - other.cpu_milli,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+
+NO_RESOURCES = Resources()
+
+
+@attrs.frozen
+class Step:
+    """``count`` tasks that are alike, to run after all tasks of the steps ``after``.
+
+    ``requires`` is a label that the target must have, ``data_rack`` the rack where
+    the tasks run fastest, and ``anti_affinity`` the most tasks of the step on one
+    target (0: any number).
+    """
+
+    count: int
+    needs: Resources
+    estimate_ms: int = 0
+    after: tuple[int, ...] = ()
+    requires: str = ""
+    data_rack: str = ""
+    anti_affinity: int = 0
+
+
+@attrs.frozen
+class PoolJob:
+    """A job for the targets of one pool, answered when its last task has ended.
+
+    ``priority`` 0 goes first. The job aims to end within ``stretch`` times its
+    longest chain of estimates and ``target_latency_ms``.
+    """
+
+    job_id: str
+    pool: str
+    payload: str
+    steps: tuple[Step, ...]
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_latency_ms: int = 0
+
+    def chain_ms(self) -> int:
+        """Return the estimated time of the longest chain of steps.
+
+        >>> slow, quick = Step(2, Resources(), 30), Step(1, Resources(), 5, (0,))
+        >>> PoolJob("j", "p", "", (slow, quick)).chain_ms()
+        35
+        """
+        ends: list[int] = []
+        for step in self.steps:
+            start = max((ends[i] for i in step.after), default=0)
+            ends.append(start + step.estimate_ms)
+        return max(ends, default=0)
+
+    def objective_ms(self) -> float:
+        """Return the time in which the job should be answered."""
+        return self.stretch * self.chain_ms() + self.target_latency_ms
--- /dev/null
+++ b/hibiscusstack/pool/orders.py
@@ -0,0 +1,139 @@
+"""Orders to targets that keep leases, and their replies."""
+
+__all__ = [
+    "FencedOut",
+    "HoldOrder",
+    "HoldReply",
+    "NotReached",
+    "Refused",
+    "ReplyLost",
+    "RunEnd",
+    "StartOrder",
+    "Started",
+    "StopOrder",
+    "Stopped",
+    "TargetOrders",
+]
+
+from typing import Protocol
+
+import attrs
+
+from hibiscusstack.pool.targets import ListedTarget
+
+
+@attrs.frozen
+class StartOrder:
+    """Start ``run`` of ``task``; the lease then lasts until ``until_ms``.
+
+    Times are on the target's clock.
+    """
+
+    task: str
+    run: int
+    payload: str
+    until_ms: int
+    token: int
+
+
+@attrs.frozen
+class StopOrder:
+    """Stop ``run`` of ``task``, also if it has not arrived yet."""
+
+    task: str
+    run: int
+    token: int
+
+
+@attrs.frozen
+class HoldOrder:
+    """Extend the lease, forget ends and list what runs and what has ended.
+
+    The reply waits up to ``wait_ms`` for an end. Without ``until_ms`` the lease is
+    left as it is.
+    """
+
+    token: int
+    acked_through: int
+    wait_ms: int
+    until_ms: int | None = None
+
+
+@attrs.frozen
+class RunEnd:
+    """The end of one run; ``number`` counts the ends of one life of a target."""
+
+    number: int
+    task: str
+    run: int
+    how: str
+
+
+@attrs.frozen
+class Started:
+    """The run is there."""
+
+    clock_ms: int
+
+
+@attrs.frozen
+class Stopped:
+    """The run ends within the time of a stop, and can't start any more."""
+
+    clock_ms: int
+
+
+@attrs.frozen
+class HoldReply:
+    """What runs on a target and which ends it remembers."""
+
+    clock_ms: int
+    born_ms: int | None
+    active: tuple[tuple[str, int], ...]
+    ended: tuple[RunEnd, ...]
+
+
+@attrs.frozen
+class Refused:
+    """The order was not carried out, for a typed reason."""
+
+    reason: str
+    clock_ms: int | None = None
+
+
+@attrs.frozen
+class FencedOut:
+    """The target has seen a higher token."""
+
+
+@attrs.frozen
+class NotReached:
+    """Nothing was written, so the order was not carried out."""
+
+    cause: str
+
+
+@attrs.frozen
+class ReplyLost:
+    """No reply came; the order may be carried out, at once or later."""
+
+    cause: str
+
+
+OrderFailure = Refused | FencedOut | NotReached | ReplyLost
+
+
+class TargetOrders(Protocol):
+    """Sends orders; each reply comes back through the coordinator's methods."""
+
+    def start(self, target: ListedTarget, order: StartOrder) -> None:
+        """Send a start."""
+
+    def stop(self, target: ListedTarget, order: StopOrder) -> None:
+        """Send a stop."""
+
+    def hold(self, target: ListedTarget, order: HoldOrder) -> None:
+        """Send a hold."""
+
+    def forget(self, target: ListedTarget) -> None:
+        """Close the connections to a target that is gone."""
--- /dev/null
+++ b/hibiscusstack/pool/receiving.py
@@ -0,0 +1,122 @@
+"""The jobs that callers wait for at one host, on their way to the coordinator."""
+
+__all__ = ["ReceivedJob", "Receiver", "SendToCoordinator"]
+
+from collections.abc import Callable
+
+import attrs
+
+from hibiscusstack.clock import Clock
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.pool.jobs import PoolJob
+from hibiscusstack.pool.messages import (
+    CancelSubmission,
+    JobEnd,
+    SubmissionAnswer,
+    SubmitPoolJob,
+)
+
+SendToCoordinator = Callable[[HostName, SubmitPoolJob | CancelSubmission], bool]
+
+RETRY_MS = 1_000
+_PATIENCE_PART = 0.24
+
+
+@attrs.define(eq=False)
+class ReceivedJob:
+    """A job that a caller waits for. ``answer`` is called once, at its end."""
+
+    job: PoolJob
+    received_ms: float
+    deadline_ms: float | None
+    answer: Callable[[SubmissionAnswer], None]
+    sent_to: HostName | None = None
+    was_sent: bool = False
+
+
+class Receiver:
+    """Hands each job to the coordinator, and on to the next one after a change.
+
+    A job without a coordinator waits for a quarter of its objective at most, so that
+    its caller can try elsewhere in time.
+    """
+
+    def __init__(self, clock: Clock, send: SendToCoordinator) -> None:
+        self._clock = clock
+        self._send = send
+        self._coordinator: HostName | None = None
+        self._jobs: dict[int, ReceivedJob] = {}
+        self._next = 0
+
+    def __len__(self) -> int:
+        return len(self._jobs)
+
+    def submit(self, received: ReceivedJob) -> int:
+        """Take a job and return the number of its submission."""
+        self._next += 1
+        self._jobs[self._next] = received
+        self._forward(self._next, received)
+        return self._next
+
+    def caller_gone(self, submission: int) -> None:
+        """Forget a job for which nobody waits any more."""
+        received = self._jobs.pop(submission, None)
+        if received is not None:
+            self._cancel(submission, received)
+
+    def coordinator_changed(self, coordinator: HostName | None) -> None:
+        """Hand all jobs to a new coordinator, or keep them while there is none."""
+        self._coordinator = coordinator
+        for submission, received in list(self._jobs.items()):
+            if received.sent_to != coordinator:
+                self._cancel(submission, received)
+                received.sent_to = None
+                self._forward(submission, received)
+
+    def answered(self, sender: HostName, message: SubmissionAnswer) -> None:
+        """Pass on the answer of the coordinator that has the job."""
+        received = self._jobs.get(message.submission)
+        if received is None or received.sent_to != sender:
+            return
+        del self._jobs[message.submission]
+        received.answer(message)
+
+    def refuse_all(self, cause: str) -> None:
+        """Answer everyone that waits with a refusal."""
+        for submission in list(self._jobs):
+            self._refuse(submission, cause)
+
+    def tick(self) -> None:
+        """Give up what has waited too long."""
+        now_ms = self._clock.now_ms()
+        for submission, received in list(self._jobs.items()):
+            if received.deadline_ms is not None and now_ms >= received.deadline_ms:
+                self._cancel(submission, received)
+                self._refuse(submission, "deadline")
+            elif received.sent_to is None:
+                waited_ms = now_ms - received.received_ms
+                if waited_ms >= _PATIENCE_PART * received.job.objective_ms():
+                    self._refuse(submission, "no coordinator")
+                else:
+                    self._forward(submission, received)
+
+    def _forward(self, submission: int, received: ReceivedJob) -> None:
+        if self._coordinator is None:
+            return
+        waited_ms = int(self._clock.now_ms() - received.received_ms)
+        message = SubmitPoolJob(submission, received.job, waited_ms, received.was_sent)
+        received.sent_to = self._coordinator
+        if self._send(self._coordinator, message):
+            received.was_sent = True
+        elif submission in self._jobs:
+            received.sent_to = None
+
+    def _cancel(self, submission: int, received: ReceivedJob) -> None:
+        if received.sent_to is not None:
+            self._send(received.sent_to, CancelSubmission(submission))
+
+    def _refuse(self, submission: int, cause: str) -> None:
+        received = self._jobs.pop(submission, None)
+        if received is not None:
+            answer = SubmissionAnswer(submission, JobEnd.REFUSED, cause, RETRY_MS)
+            received.answer(answer)
--- /dev/null
+++ b/hibiscusstack/pool/routes.py
@@ -0,0 +1,65 @@
+"""Routes: which pool runs the jobs of which host name and path prefix."""
+
+__all__ = ["HttpBounds", "Route", "RouteTable"]
+
+from collections.abc import Iterable
+
+import attrs
+
+
+@attrs.frozen
+class Route:
+    """A queue of jobs with its terms; see :class:`~hibiscusstack.pool.jobs.PoolJob`."""
+
+    name: str
+    host: str
+    prefix: str
+    pool: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_latency_ms: int = 0
+    timeout_ms: int = 0
+    needs_advice: bool = False
+
+
+@attrs.frozen
+class HttpBounds:
+    """The bounds on callers' requests that the configuration sets."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 262_144
+    header_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
+class RouteTable:
+    """One version of the routes.
+
+    >>> table = RouteTable(7, [Route("r", "a.example", "/x/", "p")])
+    >>> table.find("a.example", "/x/5c0e").name
+    'r'
+    >>> table.find("a.example", "/y/5c0e") is None
+    True
+    """
+
+    def __init__(
+        self, version: int, routes: Iterable[Route], bounds: HttpBounds | None = None
+    ) -> None:
+        self.version = version
+        self.bounds = bounds or HttpBounds()
+        self._by_host: dict[str, list[Route]] = {}
+        for route in routes:
+            self._by_host.setdefault(route.host.lower(), []).append(route)
+        for found in self._by_host.values():
+            found.sort(key=lambda route: len(route.prefix), reverse=True)
+
+    def __len__(self) -> int:
+        return sum(len(found) for found in self._by_host.values())
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that ``path`` begins with."""
+        for route in self._by_host.get(host.lower(), ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
--- /dev/null
+++ b/hibiscusstack/pool/work.py
@@ -0,0 +1,116 @@
+"""The jobs that a coordinator works on, and what is known of each task."""
+
+__all__ = ["ActiveJob", "PoolTask", "TaskState", "parse_task_name", "task_name"]
+
+from enum import Enum
+
+import attrs
+
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.pool.jobs import PoolJob, Step, TaskKey
+
+Submission = tuple[HostName, int]
+
+
+class TaskState(Enum):
+    """Where a task stands."""
+
+    WAITING = "waiting"
+    ACTIVE = "active"
+    DONE = "done"
+
+
+@attrs.define(eq=False)
+class PoolTask:
+    """One task; ``barred`` names the targets on which it failed or hung."""
+
+    key: TaskKey
+    step: Step
+    state: TaskState = TaskState.WAITING
+    failures: int = 0
+    next_run: int = 1
+    barred: set[str] = attrs.field(factory=set)
+
+
+@attrs.define(eq=False)
+class ActiveJob:
+    """A job in progress, with everyone who waits for its answer.
+
+    Times are on the clock of this host. ``tasks`` holds every task, ``ready`` those
+    that may start now, in order.
+    """
+
+    job: PoolJob
+    received_ms: float
+    is_resubmitted: bool
+    submissions: list[Submission] = attrs.field(factory=list)
+    tasks: dict[TaskKey, PoolTask] = attrs.field(factory=dict)
+    ready: list[PoolTask] = attrs.field(factory=list)
+    open_by_step: list[int] = attrs.field(factory=list)
+    active_count: int = 0
+    first_start_ms: float | None = None
+    objective_ms: float = 0.0
+    chain_ms: float = 0.0
+
+    def __attrs_post_init__(self) -> None:
+        """Lay out all tasks, and make those ready that wait for no step."""
+        self.chain_ms = self.job.chain_ms()
+        self.objective_ms = self.job.objective_ms()
+        for number, step in enumerate(self.job.steps):
+            self.open_by_step.append(step.count)
+            for index in range(step.count):
+                task = PoolTask((number, index), step)
+                self.tasks[task.key] = task
+        for number in range(len(self.job.steps)):
+            self._make_ready_if_due(number)
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether every task is done."""
+        return not any(self.open_by_step)
+
+    @property
+    def latest_start_ms(self) -> float:
+        """Return when the job has to start to end within its objective."""
+        return self.received_ms + self.objective_ms - self.chain_ms
+
+    def note_done(self, task: PoolTask) -> None:
+        """Count a task as done, and make ready what waited for its step."""
+        task.state = TaskState.DONE
+        number = task.key[0]
+        self.open_by_step[number] -= 1
+        if self.open_by_step[number]:
+            return
+        for later, step in enumerate(self.job.steps):
+            if number in step.after:
+                self._make_ready_if_due(later)
+
+    def _make_ready_if_due(self, number: int) -> None:
+        step = self.job.steps[number]
+        if any(self.open_by_step[earlier] for earlier in step.after):
+            return
+        for index in range(step.count):
+            task = self.tasks[number, index]
+            if task.state is TaskState.WAITING and task not in self.ready:
+                self.ready.append(task)
+
+
+def task_name(job_id: str, key: TaskKey) -> str:
+    """Return the name of a task in orders.
+
+    >>> task_name("5c0e", (1, 17))
+    '5c0e.0.1.17'
+    """
+    return f"{job_id}.0.{key[0]}.{key[1]}"
+
+
+def parse_task_name(name: str) -> tuple[str, TaskKey] | None:
+    """Return the job and the key of a task, or nothing for another kind of name.
+
+    >>> parse_task_name("5c0e.0.1.17")
+    ('5c0e', (1, 17))
+    """
+    parts = name.rsplit(".", 3)
+    if len(parts) != 4 or not (parts[2].isdecimal() and parts[3].isdecimal()):
+        return None
+    return parts[0], (int(parts[2]), int(parts[3]))
--- a/hibiscusstack/telemetry/tests/test_metrics.py
+++ b/hibiscusstack/telemetry/tests/test_metrics.py
@@ -3,7 +3,7 @@
 import socket
 from pathlib import Path
 
-from hibiscusstack.telemetry import Metric, StatsdMetrics, describe_metrics
+from hibiscusstack.telemetry.metrics import Metric, StatsdMetrics, describe_metrics
 
 
 def test_metrics_arrive_with_their_names():
--- a/hibiscusstack/telemetry/tests/test_traces.py
+++ b/hibiscusstack/telemetry/tests/test_traces.py
@@ -1,6 +1,6 @@
 """Spans of jobs and their parents."""
 
-from hibiscusstack.telemetry import build_tracer, traceparent_of
+from hibiscusstack.telemetry.traces import build_tracer, traceparent_of
 
 PARENT = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
 SAMPLED = 1
