Call the clients of the log and the live list records

Cause: a folder `platform/` at the root will hold an adapter for the users' platform. `hibiscusstack/platform/` is something else: the product's own clients of its append-only log and of its live list. Two places of one name send a reader to the wrong one.

Ruled out: renaming the settings section `[platform]`, its keys, the logged events `platform:live_list` and `platform:live_list_failed`, or the class `PlatformHttp`. The first three are public, and the class does talk to the platform. Nothing is left at the old path.

--- a/benches/slopes/subjects.py
+++ b/benches/slopes/subjects.py
@@ -32,7 +32,7 @@
 from hibiscusstack.dispatch.policy_parts import make_policy_parts
 from hibiscusstack.dispatch.policy_text import read_policy
 from hibiscusstack.host.codec import decode_message, encode_message
-from hibiscusstack.platform.live_list import decode_live_list
+from hibiscusstack.records.live_list import decode_live_list
 
 JOBS = 20
 
--- a/hibiscusstack/daemon/assembly.py
+++ b/hibiscusstack/daemon/assembly.py
@@ -27,7 +27,7 @@
 from hibiscusstack.dispatch.ids import IdIssuer
 from hibiscusstack.dispatch.messages import Hello, HostName
 from hibiscusstack.host import Mesh, MeshEvents, MeshTiming, TcpNetwork
-from hibiscusstack.platform import LiveListClient, LogClient, PlatformHttp
+from hibiscusstack.records import LiveListClient, LogClient, PlatformHttp
 from hibiscusstack.settings import Settings
 from hibiscusstack.telemetry import StatsdMetrics, Tracer, build_tracer
 
--- a/hibiscusstack/daemon/configuration.py
+++ b/hibiscusstack/daemon/configuration.py
@@ -30,7 +30,7 @@
 )
 from hibiscusstack.dispatch.policy_text import read_policy
 from hibiscusstack.dispatch.publication import PublicationDecided
-from hibiscusstack.platform import LogClient
+from hibiscusstack.records import LogClient
 
 
 class ConfigurationKeeper:
--- a/hibiscusstack/daemon/live_list.py
+++ b/hibiscusstack/daemon/live_list.py
@@ -8,7 +8,7 @@
 
 from hibiscusstack.daemon.dispatcher import Dispatcher
 from hibiscusstack.host import Mesh, PeerAddress
-from hibiscusstack.platform import LiveList, LiveListClient
+from hibiscusstack.records import LiveList, LiveListClient
 
 
 class LiveListPoller:
--- a/hibiscusstack/platform/live_list.py
+++ b/hibiscusstack/records/live_list.py
@@ -11,8 +11,8 @@
 
 from hibiscusstack.dispatch.targets import TargetInfo
 from hibiscusstack.exceptions import DecodeError
-from hibiscusstack.platform.checks import require_count, require_list, require_text
-from hibiscusstack.platform.http import PlatformHttp
+from hibiscusstack.records.checks import require_count, require_list, require_text
+from hibiscusstack.records.http import PlatformHttp
 
 _MAX_PORT = 65_535
 _IS_LEAVING = {"live": False, "leaving": True}
--- a/hibiscusstack/platform/log.py
+++ b/hibiscusstack/records/log.py
@@ -9,8 +9,8 @@
 from twisted.internet.defer import Deferred
 
 from hibiscusstack.exceptions import DecodeError
-from hibiscusstack.platform.checks import require_count, require_list, require_text
-from hibiscusstack.platform.http import PlatformHttp
+from hibiscusstack.records.checks import require_count, require_list, require_text
+from hibiscusstack.records.http import PlatformHttp
 
 _CREATED = 201
 _OK = 200
--- a/hibiscusstack/platform/tests/test_live_list.py
+++ b/hibiscusstack/records/tests/test_live_list.py
@@ -9,13 +9,13 @@
 from twisted.internet.task import Clock
 
 from hibiscusstack.exceptions import DecodeError
-from hibiscusstack.platform import (
+from hibiscusstack.records import (
     DispatcherInfo,
     LiveList,
     LiveListClient,
     PlatformHttp,
 )
-from hibiscusstack.platform.live_list import decode_live_list
+from hibiscusstack.records.live_list import decode_live_list
 from hibiscusstack_standins.platform import platform_application
 
 BASE = "http://10.0.0.9:80"
--- a/hibiscusstack/platform/tests/test_log.py
+++ b/hibiscusstack/records/tests/test_log.py
@@ -10,8 +10,8 @@
 from twisted.internet.task import Clock
 
 from hibiscusstack.exceptions import DecodeError, UnavailableError
-from hibiscusstack.platform import LogClient, LogPage, PlatformHttp
-from hibiscusstack.platform.log import decode_page
+from hibiscusstack.records import LogClient, LogPage, PlatformHttp
+from hibiscusstack.records.log import decode_page
 from hibiscusstack_standins.platform import platform_application
 
 BASE = "http://10.0.0.9:80"
