Divide the decision code into families

Cause: `dispatch/` was one flat folder of 42 modules over ten levels of imports, so its tree did not tell where a change belongs. It is eight families now, each with its tests and one line on what is found there. From the lowest: submission, configuration, policy, observation, queueing, planning, homes, owners. Words that all share (answers, effects, jobs, loads, messages, targets, views) stay where they were, below the families; the engine stays above them. Modules lose the prefix that the family's name now says, as in `configuration/sync.py`.

Families import one way only. A new test reads that from the source, with imports in functions and relative ones, in the order above; it also refuses cycles between modules and an `__init__` with more than its line. With an import against the order added to `policy/text.py` and another to `jobs.py`, three of its tests failed, as they should.

Ruled out: - A family of run times, queue, admission and health together, as one policy: eleven modules, half a flat folder again. - `inquiry` with homes: owners ask targets too, and would import homes for it alone. - `policy_parts` beside the engine: the planner takes it, so it would have stood above and below a family at once. It is in `planning`. - Re-exports at the old paths, and imports in a family's `__init__`.

--- a/benches/engine.py
+++ b/benches/engine.py
@@ -9,9 +9,9 @@
 from hibiscusstack.dispatch.answers import Outcome, TaskResult
 from hibiscusstack.dispatch.effects import Effect, StartTask, TaskFinished
 from hibiscusstack.dispatch.engine import Engine
-from hibiscusstack.dispatch.ids import IdIssuer
 from hibiscusstack.dispatch.jobs import Job, Task
 from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.dispatch.submission.ids import IdIssuer
 from hibiscusstack.dispatch.targets import TargetInfo
 
 JOBS_PER_TICK = 10
--- a/benches/ids.py
+++ b/benches/ids.py
@@ -12,13 +12,13 @@
 from typing import TypeVar
 
 from hibiscusstack.clock import ManualClock
-from hibiscusstack.dispatch.ids import (
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.dispatch.submission.ids import (
     MAX_IDS_PER_MINT,
     IdIssuer,
     IssuedId,
     parse_issued_id,
 )
-from hibiscusstack.dispatch.messages import HostName
 
 T = TypeVar("T")
 
--- a/benches/policy/engines.py
+++ b/benches/policy/engines.py
@@ -32,11 +32,11 @@
     TaskStates,
 )
 from hibiscusstack.dispatch.engine import Engine
-from hibiscusstack.dispatch.ids import IdIssuer
 from hibiscusstack.dispatch.jobs import Job, Task
 from hibiscusstack.dispatch.messages import HostName, Message
-from hibiscusstack.dispatch.policy import PolicyInForce
-from hibiscusstack.dispatch.policy_parts import PolicyParts, make_policy_parts
+from hibiscusstack.dispatch.planning.policy_parts import PolicyParts, make_policy_parts
+from hibiscusstack.dispatch.policy.policy import PolicyInForce
+from hibiscusstack.dispatch.submission.ids import IdIssuer
 from hibiscusstack.dispatch.targets import TargetInfo
 
 TICK_INTERVAL_MS = 10
--- a/benches/policy/pricing.py
+++ b/benches/policy/pricing.py
@@ -15,14 +15,14 @@
 
 from benches.policy.engines import EngineFleet
 from benches.policy.world import World
-from hibiscusstack.dispatch.admission import AdmissionControl
 from hibiscusstack.dispatch.answers import Problem, Reason
-from hibiscusstack.dispatch.estimates import Backlog, estimate_wait_ms
 from hibiscusstack.dispatch.jobs import Job
 from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import HostName
-from hibiscusstack.dispatch.policy import PolicyInForce
-from hibiscusstack.dispatch.policy_parts import PolicyParts
+from hibiscusstack.dispatch.planning.admission import AdmissionControl
+from hibiscusstack.dispatch.planning.estimates import Backlog, estimate_wait_ms
+from hibiscusstack.dispatch.planning.policy_parts import PolicyParts
+from hibiscusstack.dispatch.policy.policy import PolicyInForce
 
 WORTH_OF_A_SLOT_MS = 1.0
 RETRY_AFTER_MS = 500
--- a/benches/policy/world.py
+++ b/benches/policy/world.py
@@ -11,9 +11,9 @@
 from benches.policy.simulation import Loop, Run, Worker
 from benches.policy.workload import Arrival, Organisation
 from hibiscusstack.dispatch.answers import Outcome, Reason
-from hibiscusstack.dispatch.estimates import Backlog, estimate_wait_ms
-from hibiscusstack.dispatch.policy import Policy
-from hibiscusstack.dispatch.policy_text import read_policy
+from hibiscusstack.dispatch.planning.estimates import Backlog, estimate_wait_ms
+from hibiscusstack.dispatch.policy.policy import Policy
+from hibiscusstack.dispatch.policy.text import read_policy
 
 MAX_ATTEMPTS = 3
 UNKNOWN_SITE = """
--- a/benches/slopes/builders.py
+++ b/benches/slopes/builders.py
@@ -24,7 +24,6 @@
 from hibiscusstack.dispatch.answers import Outcome, TaskResult
 from hibiscusstack.dispatch.effects import Effect, StartTask, TaskFinished
 from hibiscusstack.dispatch.engine import Engine
-from hibiscusstack.dispatch.ids import IdIssuer
 from hibiscusstack.dispatch.jobs import Task
 from hibiscusstack.dispatch.messages import (
     BatchResults,
@@ -32,10 +31,11 @@
     HostName,
     PlaceBatch,
 )
-from hibiscusstack.dispatch.policy import PolicyInForce
-from hibiscusstack.dispatch.policy_parts import make_policy_parts
-from hibiscusstack.dispatch.policy_text import read_policy
-from hibiscusstack.dispatch.queueing import QueuedTask
+from hibiscusstack.dispatch.planning.policy_parts import make_policy_parts
+from hibiscusstack.dispatch.policy.policy import PolicyInForce
+from hibiscusstack.dispatch.policy.text import read_policy
+from hibiscusstack.dispatch.queueing.task_queue import QueuedTask
+from hibiscusstack.dispatch.submission.ids import IdIssuer
 from hibiscusstack.dispatch.targets import TargetInfo
 
 OWN = HostName("dc1", "host-1", 1)
--- a/benches/slopes/subjects.py
+++ b/benches/slopes/subjects.py
@@ -23,14 +23,14 @@
 )
 from benches.slopes.fitting import allocated_bytes, best_time_us
 from hibiscusstack.dispatch.answers import JobAnswer, Outcome
-from hibiscusstack.dispatch.finished import FinishedJobs
 from hibiscusstack.dispatch.jobs import Job
 from hibiscusstack.dispatch.messages import (
     HostName,
 )
-from hibiscusstack.dispatch.policy import PolicyInForce, matching_targets
-from hibiscusstack.dispatch.policy_parts import make_policy_parts
-from hibiscusstack.dispatch.policy_text import read_policy
+from hibiscusstack.dispatch.planning.policy_parts import make_policy_parts
+from hibiscusstack.dispatch.policy.policy import PolicyInForce, matching_targets
+from hibiscusstack.dispatch.policy.text import read_policy
+from hibiscusstack.dispatch.submission.finished import FinishedJobs
 from hibiscusstack.host.codec import decode_message, encode_message
 from hibiscusstack.records.live_list import decode_live_list
 
--- a/hibiscusstack/daemon/assembly.py
+++ b/hibiscusstack/daemon/assembly.py
@@ -20,12 +20,12 @@
 
 from hibiscusstack.caller.limits import ApiLimits
 from hibiscusstack.clock import Clock
-from hibiscusstack.dispatch.configuration_sync import (
+from hibiscusstack.dispatch.configuration.sync import (
     ConfigurationSync,
     ConfigurationTimings,
 )
-from hibiscusstack.dispatch.ids import IdIssuer
 from hibiscusstack.dispatch.messages import Hello, HostName
+from hibiscusstack.dispatch.submission.ids import IdIssuer
 from hibiscusstack.host import Mesh, MeshEvents, MeshTiming, TcpNetwork
 from hibiscusstack.records import LiveListClient, LogClient, PlatformHttp
 from hibiscusstack.settings import Settings
--- a/hibiscusstack/daemon/configuration.py
+++ b/hibiscusstack/daemon/configuration.py
@@ -10,8 +10,8 @@
 from twisted.python.failure import Failure
 
 from hibiscusstack.daemon.dispatcher import Dispatcher
-from hibiscusstack.dispatch.configuration import Version
-from hibiscusstack.dispatch.configuration_effects import (
+from hibiscusstack.dispatch.configuration.chain import Version
+from hibiscusstack.dispatch.configuration.effects import (
     AppendLog,
     ConfigurationChanged,
     ConfigurationEffect,
@@ -19,7 +19,8 @@
     LogPage,
     ReadLog,
 )
-from hibiscusstack.dispatch.configuration_sync import ConfigurationSync
+from hibiscusstack.dispatch.configuration.publication import PublicationDecided
+from hibiscusstack.dispatch.configuration.sync import ConfigurationSync
 from hibiscusstack.dispatch.effects import SendPeer
 from hibiscusstack.dispatch.messages import (
     FetchConfiguration,
@@ -28,8 +29,7 @@
     Message,
     RecordsPage,
 )
-from hibiscusstack.dispatch.policy_text import read_policy
-from hibiscusstack.dispatch.publication import PublicationDecided
+from hibiscusstack.dispatch.policy.text import read_policy
 from hibiscusstack.records import LogClient
 
 
--- a/hibiscusstack/daemon/dispatcher.py
+++ b/hibiscusstack/daemon/dispatcher.py
@@ -24,7 +24,7 @@
 from hibiscusstack.dispatch.engine import Engine
 from hibiscusstack.dispatch.jobs import Job
 from hibiscusstack.dispatch.messages import Heartbeat, HostName, Message
-from hibiscusstack.dispatch.policy import Policy
+from hibiscusstack.dispatch.policy.policy import Policy
 from hibiscusstack.dispatch.targets import TargetInfo
 from hibiscusstack.telemetry import Metric, Metrics
 
--- a/hibiscusstack/daemon/job_service.py
+++ b/hibiscusstack/daemon/job_service.py
@@ -20,8 +20,8 @@
     not_run,
     outcome_unknown,
 )
-from hibiscusstack.dispatch.ids import parse_issued_id
 from hibiscusstack.dispatch.jobs import Job
+from hibiscusstack.dispatch.submission.ids import parse_issued_id
 from hibiscusstack.exceptions import InvalidInputError
 from hibiscusstack.telemetry import Metric, Metrics, Tracer, traceparent_of
 
--- a/hibiscusstack/daemon/operator_service.py
+++ b/hibiscusstack/daemon/operator_service.py
@@ -9,8 +9,11 @@
 from hibiscusstack.daemon.configuration import ConfigurationKeeper
 from hibiscusstack.daemon.dispatcher import Dispatcher
 from hibiscusstack.daemon.lifecycle import Phase
-from hibiscusstack.dispatch.configuration import Version
-from hibiscusstack.dispatch.publication import PublicationDecided, PublicationOutcome
+from hibiscusstack.dispatch.configuration.chain import Version
+from hibiscusstack.dispatch.configuration.publication import (
+    PublicationDecided,
+    PublicationOutcome,
+)
 from hibiscusstack.host import Mesh
 from hibiscusstack.operator.service import (
     ConfigurationVersion,
--- a/hibiscusstack/daemon/tests/test_dispatcher.py
+++ b/hibiscusstack/daemon/tests/test_dispatcher.py
@@ -20,7 +20,6 @@
     TaskStates,
 )
 from hibiscusstack.dispatch.engine import Engine
-from hibiscusstack.dispatch.ids import IdIssuer
 from hibiscusstack.dispatch.jobs import Job, Task
 from hibiscusstack.dispatch.messages import (
     BatchResults,
@@ -28,6 +27,7 @@
     HostName,
     PlaceBatch,
 )
+from hibiscusstack.dispatch.submission.ids import IdIssuer
 from hibiscusstack.dispatch.targets import TargetInfo
 from hibiscusstack.telemetry import StatsdMetrics, build_tracer
 
--- /dev/null
+++ b/hibiscusstack/dispatch/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration log: its records, the chain all hosts agree on, publications."""
--- a/hibiscusstack/dispatch/configuration.py
+++ b/hibiscusstack/dispatch/configuration/chain.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from hibiscusstack.dispatch.configuration_records import (
+from hibiscusstack.dispatch.configuration.records import (
     Change,
     Checkpoint,
     ConfigurationRecord,
--- a/hibiscusstack/dispatch/configuration_effects.py
+++ b/hibiscusstack/dispatch/configuration/effects.py
@@ -11,9 +11,9 @@
 
 import attrs
 
-from hibiscusstack.dispatch.configuration import IgnoreCause, Version
+from hibiscusstack.dispatch.configuration.chain import IgnoreCause, Version
+from hibiscusstack.dispatch.configuration.publication import PublicationDecided
 from hibiscusstack.dispatch.effects import SendPeer
-from hibiscusstack.dispatch.publication import PublicationDecided
 
 PAGE_RECORDS = 100
 
--- a/hibiscusstack/dispatch/publication.py
+++ b/hibiscusstack/dispatch/configuration/publication.py
@@ -12,8 +12,8 @@
 
 import attrs
 
-from hibiscusstack.dispatch.configuration import Accepted, AppliedRecord
-from hibiscusstack.dispatch.configuration_records import Change, format_record
+from hibiscusstack.dispatch.configuration.chain import Accepted, AppliedRecord
+from hibiscusstack.dispatch.configuration.records import Change, format_record
 
 APPEND_TIMEOUT_MS = 3_000
 APPEND_RETRY_MS = 1_000
--- a/hibiscusstack/dispatch/configuration_sync.py
+++ b/hibiscusstack/dispatch/configuration/sync.py
@@ -15,14 +15,14 @@
 import attrs
 
 from hibiscusstack.clock import Clock
-from hibiscusstack.dispatch.configuration import (
+from hibiscusstack.dispatch.configuration.chain import (
     Accepted,
     AppliedRecord,
     ConfigurationChain,
     IgnoreCause,
     Ignored,
 )
-from hibiscusstack.dispatch.configuration_effects import (
+from hibiscusstack.dispatch.configuration.effects import (
     AppendLog,
     ConfigurationChanged,
     ConfigurationEffect,
@@ -30,18 +30,18 @@
     LogPage,
     ReadLog,
 )
-from hibiscusstack.dispatch.configuration_readers import (
-    is_configuration_reader,
-    reader_rank,
-)
-from hibiscusstack.dispatch.effects import SendPeer
-from hibiscusstack.dispatch.messages import FetchConfiguration, HostName, RecordsPage
-from hibiscusstack.dispatch.publication import (
+from hibiscusstack.dispatch.configuration.publication import (
     Publication,
     PublicationDecided,
     PublicationOutcome,
     Publications,
 )
+from hibiscusstack.dispatch.configuration.readers import (
+    is_configuration_reader,
+    reader_rank,
+)
+from hibiscusstack.dispatch.effects import SendPeer
+from hibiscusstack.dispatch.messages import FetchConfiguration, HostName, RecordsPage
 
 CHECKPOINTS_PER_RETENTION = 4
 
--- a/hibiscusstack/dispatch/tests/configuration_fleet.py
+++ b/hibiscusstack/dispatch/configuration/tests/configuration_fleet.py
@@ -5,20 +5,20 @@
 import attrs
 
 from hibiscusstack.clock import ManualClock
-from hibiscusstack.dispatch.configuration_effects import (
+from hibiscusstack.dispatch.configuration.effects import (
     AppendLog,
     ConfigurationChanged,
     LogPage,
     ReadLog,
 )
-from hibiscusstack.dispatch.configuration_records import Change, format_record
-from hibiscusstack.dispatch.configuration_sync import (
+from hibiscusstack.dispatch.configuration.publication import PublicationDecided
+from hibiscusstack.dispatch.configuration.records import Change, format_record
+from hibiscusstack.dispatch.configuration.sync import (
     ConfigurationSync,
     ConfigurationTimings,
 )
 from hibiscusstack.dispatch.effects import SendPeer
 from hibiscusstack.dispatch.messages import FetchConfiguration, HostName
-from hibiscusstack.dispatch.publication import PublicationDecided
 
 
 def change(parent, nonce, body=None):
--- a/hibiscusstack/dispatch/tests/test_configuration.py
+++ b/hibiscusstack/dispatch/configuration/tests/test_configuration.py
@@ -4,20 +4,20 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hibiscusstack.dispatch.configuration import (
+from hibiscusstack.dispatch.configuration.chain import (
     Accepted,
     ConfigurationChain,
     IgnoreCause,
     Ignored,
 )
-from hibiscusstack.dispatch.configuration_records import (
+from hibiscusstack.dispatch.configuration.records import (
     Change,
     Checkpoint,
     Replacement,
     format_record,
     parse_record,
 )
-from hibiscusstack.dispatch.tests.configuration_fleet import change
+from hibiscusstack.dispatch.configuration.tests.configuration_fleet import change
 
 RACE = [change(0, "a"), change(1, "b"), change(1, "c"), change(2, "d")]
 
--- a/hibiscusstack/dispatch/tests/test_configuration_machine.py
+++ b/hibiscusstack/dispatch/configuration/tests/test_configuration_machine.py
@@ -10,9 +10,11 @@
     rule,
 )
 
-from hibiscusstack.dispatch.configuration import ConfigurationChain
-from hibiscusstack.dispatch.publication import PublicationOutcome
-from hibiscusstack.dispatch.tests.configuration_fleet import ConfigurationFleet
+from hibiscusstack.dispatch.configuration.chain import ConfigurationChain
+from hibiscusstack.dispatch.configuration.publication import PublicationOutcome
+from hibiscusstack.dispatch.configuration.tests.configuration_fleet import (
+    ConfigurationFleet,
+)
 
 NAMES = ["h0", "h1", "h2", "h3"]
 HOSTS = st.sampled_from(NAMES)
--- a/hibiscusstack/dispatch/tests/test_configuration_sync.py
+++ b/hibiscusstack/dispatch/configuration/tests/test_configuration_sync.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from hibiscusstack.dispatch.configuration_readers import configuration_readers
-from hibiscusstack.dispatch.publication import PublicationOutcome
-from hibiscusstack.dispatch.tests.configuration_fleet import (
+from hibiscusstack.dispatch.configuration.publication import PublicationOutcome
+from hibiscusstack.dispatch.configuration.readers import configuration_readers
+from hibiscusstack.dispatch.configuration.tests.configuration_fleet import (
     ConfigurationFleet,
     FakeLog,
     change,
--- a/hibiscusstack/dispatch/engine.py
+++ b/hibiscusstack/dispatch/engine.py
@@ -22,18 +22,9 @@
     TargetReply,
     TaskStates,
 )
-from hibiscusstack.dispatch.finished import FinishedJobs
-from hibiscusstack.dispatch.forwarding import Forwarding
-from hibiscusstack.dispatch.home import Home
-from hibiscusstack.dispatch.homes import assign_homes
-from hibiscusstack.dispatch.ids import (
-    Claim,
-    ClaimRefusal,
-    IdExpired,
-    IdIssuer,
-    parse_issued_id,
-    reason_of_refusal,
-)
+from hibiscusstack.dispatch.homes.assignment import assign_homes
+from hibiscusstack.dispatch.homes.home import Home
+from hibiscusstack.dispatch.homes.transfer import WorkTransfer
 from hibiscusstack.dispatch.jobs import Job
 from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import (
@@ -49,12 +40,21 @@
     QueryBatch,
     RequestWork,
 )
-from hibiscusstack.dispatch.owner import Owner
-from hibiscusstack.dispatch.planning import Planner
-from hibiscusstack.dispatch.policy import Policy, labelled
-from hibiscusstack.dispatch.policy_parts import PolicyParts, make_policy_parts
+from hibiscusstack.dispatch.owners.owner import Owner
+from hibiscusstack.dispatch.planning.planner import Planner
+from hibiscusstack.dispatch.planning.policy_parts import PolicyParts, make_policy_parts
+from hibiscusstack.dispatch.policy.policy import Policy, labelled
+from hibiscusstack.dispatch.submission.finished import FinishedJobs
+from hibiscusstack.dispatch.submission.forwarding import Forwarding
+from hibiscusstack.dispatch.submission.ids import (
+    Claim,
+    ClaimRefusal,
+    IdExpired,
+    IdIssuer,
+    parse_issued_id,
+    reason_of_refusal,
+)
 from hibiscusstack.dispatch.targets import TargetInfo
-from hibiscusstack.dispatch.transfer import WorkTransfer
 from hibiscusstack.dispatch.views import QueueSnapshot, TargetSnapshot
 
 DRAINING_RETRY_AFTER_MS = 0
--- /dev/null
+++ b/hibiscusstack/dispatch/homes/__init__.py
@@ -0,0 +1,1 @@
+"""The home of targets: which host it is, its batches and slots, starts, transfer."""
--- a/hibiscusstack/dispatch/home.py
+++ b/hibiscusstack/dispatch/homes/home.py
@@ -7,7 +7,6 @@
 import attrs
 
 from hibiscusstack.dispatch.answers import Outcome, Problem, Reason, TaskResult
-from hibiscusstack.dispatch.batches import BatchTable
 from hibiscusstack.dispatch.effects import (
     Effect,
     SendPeer,
@@ -20,8 +19,13 @@
     TaskSilent,
     TaskStates,
 )
-from hibiscusstack.dispatch.inquiry import Inquiry, Verdict
-from hibiscusstack.dispatch.interfaces import TargetHealth
+from hibiscusstack.dispatch.homes.batches import BatchTable
+from hibiscusstack.dispatch.homes.slots import (
+    BUSY_PAUSE_MS,
+    LEAVING_PAUSE_MS,
+    UNREACHABLE_PAUSE_MS,
+    SlotTable,
+)
 from hibiscusstack.dispatch.jobs import task_id_of
 from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import (
@@ -32,13 +36,9 @@
     QueryBatch,
     RequestWork,
 )
-from hibiscusstack.dispatch.queueing import QueuedTask, TaskQueue
-from hibiscusstack.dispatch.slots import (
-    BUSY_PAUSE_MS,
-    LEAVING_PAUSE_MS,
-    UNREACHABLE_PAUSE_MS,
-    SlotTable,
-)
+from hibiscusstack.dispatch.observation.inquiry import Inquiry, Verdict
+from hibiscusstack.dispatch.policy.interfaces import TargetHealth
+from hibiscusstack.dispatch.queueing.task_queue import QueuedTask, TaskQueue
 from hibiscusstack.dispatch.targets import TargetInfo
 from hibiscusstack.dispatch.views import QueueSnapshot
 
--- a/hibiscusstack/dispatch/tests/test_home_health.py
+++ b/hibiscusstack/dispatch/homes/tests/test_home_health.py
@@ -4,10 +4,10 @@
 
 from hibiscusstack.dispatch.answers import Outcome, TaskResult
 from hibiscusstack.dispatch.effects import StartTask, TaskFinished
-from hibiscusstack.dispatch.health import HealthTable
-from hibiscusstack.dispatch.home import Home
+from hibiscusstack.dispatch.homes.home import Home
 from hibiscusstack.dispatch.jobs import Task
 from hibiscusstack.dispatch.messages import CancelBatch, PlaceBatch
+from hibiscusstack.dispatch.observation.health import HealthTable
 from hibiscusstack.dispatch.tests.builders import OWNER, TARGET, make_policy, make_queue
 
 
--- a/hibiscusstack/dispatch/tests/test_transfer.py
+++ b/hibiscusstack/dispatch/homes/tests/test_transfer.py
@@ -1,10 +1,10 @@
 """Idle homes take over what waits at busy ones."""
 
 from hibiscusstack.dispatch.answers import Outcome
+from hibiscusstack.dispatch.homes.transfer import REQUEST_INTERVAL_MS, WorkTransfer
 from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import HostName, RequestWork
 from hibiscusstack.dispatch.tests.fleets import Fleet, job_of
-from hibiscusstack.dispatch.transfer import REQUEST_INTERVAL_MS, WorkTransfer
 
 IDLE = HostName("dc1", "idle", 1)
 BUSY = HostName("dc1", "busy", 1)
--- a/hibiscusstack/dispatch/health.py
+++ b/hibiscusstack/dispatch/observation/health.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from hibiscusstack.dispatch.policy import PolicyInForce
+from hibiscusstack.dispatch.policy.policy import PolicyInForce
 from hibiscusstack.dispatch.targets import TargetInfo
 
 LEARNING_PART = 0.05
--- a/hibiscusstack/dispatch/tests/test_health.py
+++ b/hibiscusstack/dispatch/observation/tests/test_health.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hibiscusstack.dispatch.health import (
+from hibiscusstack.dispatch.observation.health import (
     EJECT_MS,
     LEAST_TIMED,
     SLOW_PROBE_INTERVAL_MS,
--- a/hibiscusstack/dispatch/tests/test_inquiry.py
+++ b/hibiscusstack/dispatch/observation/tests/test_inquiry.py
@@ -2,8 +2,8 @@
 
 from hibiscusstack.dispatch.answers import Outcome, TaskResult
 from hibiscusstack.dispatch.effects import StopTasks, TaskState, TaskStates
-from hibiscusstack.dispatch.home import SILENCE_GRACE_MS
-from hibiscusstack.dispatch.inquiry import (
+from hibiscusstack.dispatch.homes.home import SILENCE_GRACE_MS
+from hibiscusstack.dispatch.observation.inquiry import (
     RETRY_INTERVAL_MS,
     RUNNING_POLL_INTERVAL_MS,
     Inquiry,
--- a/hibiscusstack/dispatch/owner.py
+++ b/hibiscusstack/dispatch/owners/owner.py
@@ -13,9 +13,7 @@
     Reason,
     TaskResult,
 )
-from hibiscusstack.dispatch.conclusion import conclude_job
 from hibiscusstack.dispatch.effects import Effect, SendPeer, TaskStates
-from hibiscusstack.dispatch.inquiry import Inquiry, Verdict
 from hibiscusstack.dispatch.jobs import Job, task_id_of
 from hibiscusstack.dispatch.messages import (
     BatchResults,
@@ -25,8 +23,10 @@
     PlaceBatch,
     QueryBatch,
 )
-from hibiscusstack.dispatch.placement import Portion
-from hibiscusstack.dispatch.planning import Matches, Planner
+from hibiscusstack.dispatch.observation.inquiry import Inquiry, Verdict
+from hibiscusstack.dispatch.owners.conclusion import conclude_job
+from hibiscusstack.dispatch.planning.placement import Portion
+from hibiscusstack.dispatch.planning.planner import Matches, Planner
 
 MAX_PLACEMENTS_PER_TASK = 5
 CANCEL_TIMEOUT_MS = 250
--- a/hibiscusstack/dispatch/admission.py
+++ b/hibiscusstack/dispatch/planning/admission.py
@@ -9,13 +9,13 @@
 import xxhash
 
 from hibiscusstack.dispatch.answers import Problem, Reason
-from hibiscusstack.dispatch.estimates import Backlog, estimate_wait_ms
 from hibiscusstack.dispatch.jobs import MAX_TASKS_PER_JOB, Job
 from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import HostName
-from hibiscusstack.dispatch.policy import PolicyInForce
-from hibiscusstack.dispatch.run_times import RunTimes
-from hibiscusstack.dispatch.work_counts import WorkCounts
+from hibiscusstack.dispatch.observation.run_times import RunTimes
+from hibiscusstack.dispatch.planning.estimates import Backlog, estimate_wait_ms
+from hibiscusstack.dispatch.planning.work_counts import WorkCounts
+from hibiscusstack.dispatch.policy.policy import PolicyInForce
 
 LEAST_RETRY_AFTER_MS = 50
 MOST_RETRY_AFTER_MS = 30_000
--- a/hibiscusstack/dispatch/estimates.py
+++ b/hibiscusstack/dispatch/planning/estimates.py
@@ -7,7 +7,7 @@
 import attrs
 
 from hibiscusstack.dispatch.loads import HomeLoad
-from hibiscusstack.dispatch.policy import Policy
+from hibiscusstack.dispatch.policy.policy import Policy
 
 
 @attrs.frozen
--- a/hibiscusstack/dispatch/planning.py
+++ b/hibiscusstack/dispatch/planning/planner.py
@@ -5,12 +5,12 @@
 from collections.abc import Collection, Mapping, Sequence
 
 from hibiscusstack.dispatch.answers import Problem, Reason
-from hibiscusstack.dispatch.estimates import Backlog, estimate_wait_ms
 from hibiscusstack.dispatch.jobs import Job
 from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import HostName
-from hibiscusstack.dispatch.placement import Portion, split_over_homes
-from hibiscusstack.dispatch.policy_parts import PolicyParts
+from hibiscusstack.dispatch.planning.estimates import Backlog, estimate_wait_ms
+from hibiscusstack.dispatch.planning.placement import Portion, split_over_homes
+from hibiscusstack.dispatch.planning.policy_parts import PolicyParts
 from hibiscusstack.dispatch.targets import TargetInfo
 
 MAX_OTHER_DATA_CENTRES = 2
--- a/hibiscusstack/dispatch/policy_parts.py
+++ b/hibiscusstack/dispatch/planning/policy_parts.py
@@ -4,13 +4,13 @@
 
 import attrs
 
-from hibiscusstack.dispatch.admission import AdmissionControl
-from hibiscusstack.dispatch.health import HealthTable
-from hibiscusstack.dispatch.interfaces import Admission, TargetHealth
-from hibiscusstack.dispatch.policy import PolicyInForce
-from hibiscusstack.dispatch.queueing import TaskQueue
-from hibiscusstack.dispatch.run_times import RunTimes
-from hibiscusstack.dispatch.shares import ShareQueue
+from hibiscusstack.dispatch.observation.health import HealthTable
+from hibiscusstack.dispatch.observation.run_times import RunTimes
+from hibiscusstack.dispatch.planning.admission import AdmissionControl
+from hibiscusstack.dispatch.policy.interfaces import Admission, TargetHealth
+from hibiscusstack.dispatch.policy.policy import PolicyInForce
+from hibiscusstack.dispatch.queueing.shares import ShareQueue
+from hibiscusstack.dispatch.queueing.task_queue import TaskQueue
 
 
 @attrs.frozen
--- a/hibiscusstack/dispatch/tests/test_admission.py
+++ b/hibiscusstack/dispatch/planning/tests/test_admission.py
@@ -4,11 +4,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hibiscusstack.dispatch.admission import AdmissionControl
 from hibiscusstack.dispatch.answers import Reason
 from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import HostName
-from hibiscusstack.dispatch.run_times import RunTimes
+from hibiscusstack.dispatch.observation.run_times import RunTimes
+from hibiscusstack.dispatch.planning.admission import AdmissionControl
 from hibiscusstack.dispatch.tests.builders import THREE_CLASSES, make_job, make_policy
 
 HOMES = [HostName("dc1", name, 1) for name in ("a", "b")]
--- a/hibiscusstack/dispatch/tests/test_placement.py
+++ b/hibiscusstack/dispatch/planning/tests/test_placement.py
@@ -1,13 +1,11 @@
-"""Tests of homes and of the split of a job over them."""
+"""Tests of the split of a job over homes."""
 
-import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hibiscusstack.dispatch.homes import assign_homes
 from hibiscusstack.dispatch.loads import HomeLoad
 from hibiscusstack.dispatch.messages import HostName
-from hibiscusstack.dispatch.placement import split_over_homes
+from hibiscusstack.dispatch.planning.placement import split_over_homes
 
 HOMES = [HostName("dc1", name, 1) for name in ("a", "b", "c")]
 OWN = HOMES[0]
@@ -104,22 +102,3 @@
         for index in portion.indexes:
             assert set(portion.targets) <= matches[index]
         assert {HOME_OF[name] for name in portion.targets} == {portion.home}
-
-
-@pytest.mark.parametrize("hosts", [1, 2, 7])
-def test_homes_have_equal_counts(hosts):
-    names = [HostName("dc1", f"h{n}", 1) for n in range(hosts)]
-    homes = assign_homes([f"t{n}" for n in range(24)], names)
-    counts = [list(homes.values()).count(name) for name in names]
-    assert sum(counts) == 24
-    assert max(counts) <= -(-24 // hosts)
-
-
-def test_few_targets_move_when_a_host_leaves():
-    names = [HostName("dc1", f"h{n}", 1) for n in range(8)]
-    targets = [f"t{n}" for n in range(160)]
-    before = assign_homes(targets, names)
-    after = assign_homes(targets, names[1:])
-    moved = [t for t in targets if before[t] != after[t] and before[t] != names[0]]
-    assert len(moved) <= 40
-    assert assign_homes(list(reversed(targets)), names[::-1]) == before
--- /dev/null
+++ b/hibiscusstack/dispatch/policy/__init__.py
@@ -0,0 +1,1 @@
+"""The published policy: its text, selectors, labels, classes, teams and limits."""
--- a/hibiscusstack/dispatch/interfaces.py
+++ b/hibiscusstack/dispatch/policy/interfaces.py
@@ -1,4 +1,4 @@
-"""The interfaces through which the engine consults policy, and permissive defaults."""
+"""The interfaces through which homes and owners consult what carries out the policy."""
 
 __all__ = [
     "Admission",
--- a/hibiscusstack/dispatch/policy.py
+++ b/hibiscusstack/dispatch/policy/policy.py
@@ -17,8 +17,8 @@
 import attrs
 
 from hibiscusstack.dispatch.jobs import Job, Task
-from hibiscusstack.dispatch.labels import labels_of_target, labels_of_work
-from hibiscusstack.dispatch.selectors import Selector, parse_selector
+from hibiscusstack.dispatch.policy.labels import labels_of_target, labels_of_work
+from hibiscusstack.dispatch.policy.selectors import Selector, parse_selector
 from hibiscusstack.dispatch.targets import TargetInfo
 
 MAX_CACHED_SETS = 256
--- a/hibiscusstack/dispatch/tests/test_policy.py
+++ b/hibiscusstack/dispatch/policy/tests/test_policy.py
@@ -5,11 +5,11 @@
 import pytest
 
 from hibiscusstack.dispatch.jobs import Job, Task
-from hibiscusstack.dispatch.policy import matching_targets
-from hibiscusstack.dispatch.policy_text import read_policy
+from hibiscusstack.dispatch.policy.policy import matching_targets
+from hibiscusstack.dispatch.policy.text import read_policy
 from hibiscusstack.dispatch.targets import TargetInfo
 
-EXAMPLES = Path(__file__).parents[3] / "examples"
+EXAMPLES = Path(__file__).parents[4] / "examples"
 FAULTY = """\
 [labels w1]
 zone = not valid
--- a/hibiscusstack/dispatch/tests/test_selectors.py
+++ b/hibiscusstack/dispatch/policy/tests/test_selectors.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hibiscusstack.dispatch.selectors import parse_selector
+from hibiscusstack.dispatch.policy.selectors import parse_selector
 from hibiscusstack.exceptions import InvalidInputError
 
 
--- a/hibiscusstack/dispatch/policy_text.py
+++ b/hibiscusstack/dispatch/policy/text.py
@@ -10,7 +10,7 @@
 import attrs
 from expression import Error, Ok, Result
 
-from hibiscusstack.dispatch.policy import (
+from hibiscusstack.dispatch.policy.policy import (
     DEFAULT_CLASS,
     Limits,
     Placement,
@@ -18,7 +18,7 @@
     Team,
     WorkClass,
 )
-from hibiscusstack.dispatch.selectors import parse_selector
+from hibiscusstack.dispatch.policy.selectors import parse_selector
 from hibiscusstack.exceptions import InvalidInputError, SettingsError
 
 MAX_POLICY_CHARACTERS = 1_000_000
--- a/hibiscusstack/dispatch/shares.py
+++ b/hibiscusstack/dispatch/queueing/shares.py
@@ -9,15 +9,13 @@
 
 import attrs
 
-from hibiscusstack.dispatch.credits import ClassCredits
 from hibiscusstack.dispatch.jobs import Task
 from hibiscusstack.dispatch.messages import HostName
-from hibiscusstack.dispatch.policy import PolicyInForce
-from hibiscusstack.dispatch.queueing import QueuedTask
-from hibiscusstack.dispatch.run_times import RunTimes
-from hibiscusstack.dispatch.targets import TargetInfo
-from hibiscusstack.dispatch.views import QueueSnapshot
-from hibiscusstack.dispatch.waiting import (
+from hibiscusstack.dispatch.observation.run_times import RunTimes
+from hibiscusstack.dispatch.policy.policy import PolicyInForce
+from hibiscusstack.dispatch.queueing.credits import ClassCredits
+from hibiscusstack.dispatch.queueing.task_queue import QueuedTask
+from hibiscusstack.dispatch.queueing.waiting import (
     BatchKey,
     ClassLine,
     Rank,
@@ -25,6 +23,8 @@
     TeamState,
     WaitingBatch,
 )
+from hibiscusstack.dispatch.targets import TargetInfo
+from hibiscusstack.dispatch.views import QueueSnapshot
 
 HOPELESS_PART = 0.5
 CREDIT_STEPS = 4
@@ -41,7 +41,9 @@
 
 
 class ShareQueue:
-    """A :class:`~hibiscusstack.dispatch.queueing.TaskQueue` that shares slot time.
+    """A queue that shares slot time.
+
+    It is a :class:`~hibiscusstack.dispatch.queueing.task_queue.TaskQueue`.
 
     A free slot goes to the class that has most of its guaranteed part left, in
     ``CREDIT_STEPS`` steps, and among equals to the most urgent one. Once every class
--- a/hibiscusstack/dispatch/waiting.py
+++ b/hibiscusstack/dispatch/queueing/waiting.py
@@ -9,7 +9,7 @@
 import attrs
 
 from hibiscusstack.dispatch.messages import HostName
-from hibiscusstack.dispatch.queueing import QueuedTask
+from hibiscusstack.dispatch.queueing.task_queue import QueuedTask
 
 BatchKey = tuple[HostName, int]
 Rank = tuple[int, float]
--- a/hibiscusstack/dispatch/tests/test_ids.py
+++ b/hibiscusstack/dispatch/submission/tests/test_ids.py
@@ -7,7 +7,8 @@
 
 from hibiscusstack.clock import ManualClock
 from hibiscusstack.dispatch.answers import Reason
-from hibiscusstack.dispatch.ids import (
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.dispatch.submission.ids import (
     WINDOW_IDS,
     Claim,
     IdExpired,
@@ -19,7 +20,6 @@
     parse_issued_id,
     reason_of_refusal,
 )
-from hibiscusstack.dispatch.messages import HostName
 from hibiscusstack.exceptions import InvalidInputError
 
 OWNER = HostName("kathmandu-1", "host.7", 0x1F)
--- a/hibiscusstack/dispatch/tests/test_ids_machine.py
+++ b/hibiscusstack/dispatch/submission/tests/test_ids_machine.py
@@ -11,7 +11,8 @@
 )
 
 from hibiscusstack.clock import ManualClock
-from hibiscusstack.dispatch.ids import (
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.dispatch.submission.ids import (
     WINDOW_IDS,
     Claim,
     IdExpired,
@@ -20,7 +21,6 @@
     IdOfOtherOwner,
     parse_issued_id,
 )
-from hibiscusstack.dispatch.messages import HostName
 
 LIFETIME_MS = 1_000
 GRACE_MS = 300
--- a/hibiscusstack/dispatch/tests/builders.py
+++ b/hibiscusstack/dispatch/tests/builders.py
@@ -2,11 +2,11 @@
 
 from hibiscusstack.dispatch.jobs import Job, Task
 from hibiscusstack.dispatch.messages import HostName
-from hibiscusstack.dispatch.policy import PolicyInForce
-from hibiscusstack.dispatch.policy_text import read_policy
-from hibiscusstack.dispatch.queueing import QueuedTask
-from hibiscusstack.dispatch.run_times import RunTimes
-from hibiscusstack.dispatch.shares import ShareQueue
+from hibiscusstack.dispatch.observation.run_times import RunTimes
+from hibiscusstack.dispatch.policy.policy import PolicyInForce
+from hibiscusstack.dispatch.policy.text import read_policy
+from hibiscusstack.dispatch.queueing.shares import ShareQueue
+from hibiscusstack.dispatch.queueing.task_queue import QueuedTask
 from hibiscusstack.dispatch.targets import TargetInfo
 
 OWNER = HostName("dc1", "owner", 1)
--- a/hibiscusstack/dispatch/tests/fleets.py
+++ b/hibiscusstack/dispatch/tests/fleets.py
@@ -30,10 +30,10 @@
     TaskStates,
 )
 from hibiscusstack.dispatch.engine import Engine
-from hibiscusstack.dispatch.ids import IdIssuer
 from hibiscusstack.dispatch.jobs import Job, Task
 from hibiscusstack.dispatch.messages import HostName
-from hibiscusstack.dispatch.policy_parts import make_policy_parts
+from hibiscusstack.dispatch.planning.policy_parts import make_policy_parts
+from hibiscusstack.dispatch.submission.ids import IdIssuer
 from hibiscusstack.dispatch.targets import TargetInfo
 
 LATENCY_MS = 1
--- a/hibiscusstack/dispatch/tests/test_data_centres.py
+++ b/hibiscusstack/dispatch/tests/test_data_centres.py
@@ -1,7 +1,7 @@
 """Jobs whose targets stand in another data centre."""
 
 from hibiscusstack.dispatch.answers import Outcome, Problem, Reason
-from hibiscusstack.dispatch.policy_text import read_policy
+from hibiscusstack.dispatch.policy.text import read_policy
 from hibiscusstack.dispatch.tests.fleets import job_of, societe_fleet
 
 NORTH_ONLY = """
--- a/hibiscusstack/dispatch/tests/test_engine.py
+++ b/hibiscusstack/dispatch/tests/test_engine.py
@@ -6,7 +6,7 @@
 from hibiscusstack.dispatch.effects import StartTask, TaskRefused
 from hibiscusstack.dispatch.jobs import Job, Task
 from hibiscusstack.dispatch.messages import PlaceBatch, QueryBatch
-from hibiscusstack.dispatch.policy_text import read_policy
+from hibiscusstack.dispatch.policy.text import read_policy
 from hibiscusstack.dispatch.tests.fleets import Fleet, job_of, kendra_fleet, run_times
 from hibiscusstack.dispatch.views import QueueSnapshot
 
--- a/hibiscusstack/dispatch/tests/test_engine_machine.py
+++ b/hibiscusstack/dispatch/tests/test_engine_machine.py
@@ -13,7 +13,7 @@
 )
 
 from hibiscusstack.dispatch.answers import Outcome
-from hibiscusstack.dispatch.ids import parse_issued_id
+from hibiscusstack.dispatch.submission.ids import parse_issued_id
 from hibiscusstack.dispatch.tests.fleets import Fleet, job_of
 
 HOSTS = 3
--- a/hibiscusstack/operator/configuration_commands.py
+++ b/hibiscusstack/operator/configuration_commands.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from hibiscusstack.dispatch.policy_text import read_policy
+from hibiscusstack.dispatch.policy.text import read_policy
 from hibiscusstack.exceptions import InvalidInputError
 from hibiscusstack.operator.admin_client import AdminClient
 from hibiscusstack.operator.context import ToolContext
