--- a/hibiscusstack/daemon/job_service.py
+++ b/hibiscusstack/daemon/job_service.py
@@ -20,8 +20,8 @@
     not_run,
     outcome_unknown,
 )
-from hibiscusstack.dispatch.ids import parse_issued_id
 from hibiscusstack.dispatch.jobs import Job
+from hibiscusstack.dispatch.submission.ids import parse_issued_id
 from hibiscusstack.exceptions import InvalidInputError
 from hibiscusstack.telemetry.metrics import Metric, Metrics
 from hibiscusstack.telemetry.traces import Tracer, traceparent_of
