--- a/hibiscusstack/host/tests/test_codec.py
+++ b/hibiscusstack/host/tests/test_codec.py
@@ -17,6 +17,7 @@
 from hibiscusstack.exceptions import DecodeError, InvalidInputError
 from hibiscusstack.host import codec
 from hibiscusstack.host.codec import MAX_FRAME_BYTES, decode_message, encode_message
+from hibiscusstack.pool.messages import PoolMessage
 
 FUZZ = settings(max_examples=300, derandomize=True, deadline=None, database=None)
 
@@ -99,7 +100,8 @@
 
 
 def test_every_message_has_one_tag():
-    assert set(codec._TAGS.values()) == set(messages.Message.__args__)
+    every = {*messages.Message.__args__, *PoolMessage.__args__}
+    assert set(codec._TAGS.values()) == every
 
 
 @FUZZ
--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -427,7 +427,7 @@
         self._enqueue(job)
 
     def _enqueue(self, job: ActiveJob) -> None:
-        if job.ready:
+        if job.ready and job not in self._queue:
             self._queue.add(job, self._clock.now_ms())
 
     def _start_failed(
@@ -546,6 +546,10 @@
         """Answer everyone who waits for a job, and stop what still runs of it."""
         self._jobs.pop(job.job.job_id, None)
         self._queue.discard(job)
+        may_have_run = job.first_start_ms is not None or job.is_resubmitted
+        if end is JobEnd.REFUSED and may_have_run:
+            # A refusal says that nothing has run.
+            end = JobEnd.FAILED
         retry_ms = _RETRY_MS if end is JobEnd.REFUSED else 0
         for owner, submission in job.submissions:
             self._by_submission.pop((owner, submission), None)
@@ -601,14 +605,18 @@
         self, job: ActiveJob, usable: list[HeldTarget], now_ms: float
     ) -> bool:
         """Start tasks of one job; return whether none of them waits for room."""
+        is_first = job.first_start_ms is None
         for task in list(job.ready):
             state = choose_target(job, task, usable, now_ms)
             if state is None:
-                return False
+                break
             self._start(state, job, task, now_ms)
         if not job.ready:
             self._queue.discard(job)
-        return True
+            return True
+        if is_first and job.first_start_ms is not None:
+            self._queue.add(job, now_ms)
+        return False
 
     def _activate(self, job: ActiveJob, task: PoolTask, now_ms: float) -> None:
         task.state = TaskState.ACTIVE
--- a/hibiscusstack/pool/messages.py
+++ b/hibiscusstack/pool/messages.py
@@ -4,6 +4,7 @@
     "CancelSubmission",
     "JobEnd",
     "PoolHeartbeat",
+    "PoolMessage",
     "SubmissionAnswer",
     "SubmitPoolJob",
 ]
@@ -67,3 +68,6 @@
     """Word that nobody waits for a submission any more."""
 
     submission: int
+
+
+PoolMessage = PoolHeartbeat | SubmitPoolJob | SubmissionAnswer | CancelSubmission
--- a/hibiscusstack/pool/ordering.py
+++ b/hibiscusstack/pool/ordering.py
@@ -2,8 +2,9 @@
 
 __all__ = ["JobQueue", "OrderingPolicy"]
 
-from bisect import insort
+from bisect import bisect_left, insort
 from collections.abc import Iterator
+from enum import IntEnum
 
 import attrs
 
@@ -22,61 +23,82 @@
     late_factor: float = LATE_FACTOR
 
 
+class _Tier(IntEnum):
+    STARTED = 0
+    IN_TIME = 1
+    LATE = 2
+
+
+_Entry = tuple[_Tier, float, int, ActiveJob]
+
+
 class JobQueue:
     """Jobs with tasks that wait for room.
 
-    Those that can still end within their objective come first, by the time at which
-    they have to start; the others follow, in the same order.
+    Those that have begun come first, since what they have done already is lost
+    otherwise. Then come those that can still end within their objective, by the time
+    at which they have to start; the others follow, in the same order.
     """
 
     def __init__(self, policy: OrderingPolicy | None = None) -> None:
         self._policy = policy or OrderingPolicy()
-        self._in_time: list[tuple[float, int, ActiveJob]] = []
-        self._late: list[tuple[float, int, ActiveJob]] = []
-        self._numbers: dict[ActiveJob, int] = {}
+        self._entries: list[_Entry] = []
+        self._by_job: dict[ActiveJob, _Entry] = {}
         self._count = 0
 
     def __len__(self) -> int:
-        return len(self._numbers)
+        return len(self._by_job)
+
+    def __contains__(self, job: ActiveJob) -> bool:
+        return job in self._by_job
 
     def add(self, job: ActiveJob, now_ms: float) -> None:
-        """Queue a job unless it is queued already."""
-        if job in self._numbers:
-            return
+        """Queue a job, or move one that is queued to its present place."""
+        self.discard(job)
         self._count += 1
-        self._numbers[job] = self._count
-        is_late = job.latest_start_ms < now_ms and job.first_start_ms is None
-        queue = self._late if is_late else self._in_time
-        insort(queue, (job.latest_start_ms, self._count, job), key=_key)
+        self._insert(_tier_of(job, now_ms), job, self._count)
 
     def discard(self, job: ActiveJob) -> None:
         """Remove a job, if it is queued."""
-        number = self._numbers.pop(job, None)
-        if number is None:
-            return
-        for queue in (self._in_time, self._late):
-            queue[:] = [entry for entry in queue if entry[1] != number]
+        entry = self._by_job.pop(job, None)
+        if entry is not None:
+            del self._entries[bisect_left(self._entries, entry[:3], key=_key)]
 
     def in_order(self) -> Iterator[ActiveJob]:
         """Return the queued jobs, the next to get room first."""
-        yield from [entry[2] for entry in self._in_time]
-        yield from [entry[2] for entry in self._late]
+        return iter([entry[3] for entry in self._entries])
 
     def demote_late(self, now_ms: float) -> None:
         """Let jobs that can't end within their objective any more wait for others."""
-        while self._in_time and self._in_time[0][0] < now_ms:
-            entry = self._in_time.pop(0)
-            insort(self._late, entry, key=_key)
+        first = bisect_left(self._entries, (_Tier.IN_TIME,), key=_key)
+        while first < len(self._entries):
+            tier, latest_start_ms, number, job = self._entries[first]
+            if tier is not _Tier.IN_TIME or latest_start_ms >= now_ms:
+                return
+            self.discard(job)
+            self._insert(_Tier.LATE, job, number)
 
     def hopeless(self, now_ms: float) -> list[ActiveJob]:
         """Return the waiting jobs whose answer would come too late."""
+        factor = self._policy.late_factor
         return [
             job
-            for _, _, job in self._late
-            if now_ms + job.chain_ms
-            > job.received_ms + self._policy.late_factor * job.objective_ms
+            for tier, _, _, job in self._entries
+            if tier is not _Tier.IN_TIME
+            and now_ms + job.chain_ms > job.received_ms + factor * job.objective_ms
         ]
 
+    def _insert(self, tier: _Tier, job: ActiveJob, number: int) -> None:
+        entry = (tier, job.latest_start_ms, number, job)
+        self._by_job[job] = entry
+        insort(self._entries, entry, key=_key)
+
+
+def _tier_of(job: ActiveJob, now_ms: float) -> _Tier:
+    if job.first_start_ms is not None:
+        return _Tier.STARTED
+    return _Tier.LATE if job.latest_start_ms < now_ms else _Tier.IN_TIME
+
 
-def _key(entry: tuple[float, int, ActiveJob]) -> tuple[float, int]:
-    return entry[:2]
+def _key(entry: _Entry) -> tuple[_Tier, float, int]:
+    return entry[:3]
--- a/hibiscusstack/pool/receiving.py
+++ b/hibiscusstack/pool/receiving.py
@@ -117,6 +117,10 @@
 
     def _refuse(self, submission: int, cause: str) -> None:
         received = self._jobs.pop(submission, None)
-        if received is not None:
+        if received is None:
+            return
+        if received.was_sent:
+            received.answer(SubmissionAnswer(submission, JobEnd.FAILED, cause))
+        else:
             answer = SubmissionAnswer(submission, JobEnd.REFUSED, cause, RETRY_MS)
             received.answer(answer)
