--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -44,8 +44,6 @@
 _FAILED = "failed"
 _RETRY_MS = 1_000
 _MOST_MISFITS = 12
-_OVERDUE_FACTOR = 3.0
-_OVERDUE_SLACK_MS = 120
 
 
 class Coordinator:
@@ -377,6 +375,7 @@
         state.health.note_success()
         job, task = run.job, run.task
         job.active_count -= 1
+        job.note_run_time(task, now_ms - run.started_ms)
         job.note_done(task)
         if job.job.job_id not in self._jobs:
             return
@@ -511,13 +510,12 @@
             self._end_life(state, "not listed any more")
 
     def _is_overdue(self, run: Run, now_ms: float) -> bool:
-        expected_ms = run.task.step.estimate_ms
-        limit_ms = _OVERDUE_FACTOR * expected_ms + _OVERDUE_SLACK_MS
-        return now_ms - run.started_ms > limit_ms
+        return now_ms - run.started_ms > run.job.longest_run_ms(run.task)
 
     def _give_up_run(self, state: HeldTarget, run: Run, now_ms: float) -> None:
         """Stop a run that hangs, to make it elsewhere."""
         run.task.barred.add(state.listing.name)
+        run.task.overdue += 1
         pause_ms = state.health.note_fault(now_ms)
         state.paused_until_ms = max(state.paused_until_ms, pause_ms)
         log_message(
@@ -548,8 +546,8 @@
         self._queue.discard(job)
         may_have_run = job.first_start_ms is not None or job.is_resubmitted
         if end is JobEnd.REFUSED and may_have_run:
-            # A refusal says that nothing has run.
-            end = JobEnd.FAILED
+            # A refusal would say that nothing has run.
+            end = JobEnd.UNKNOWN
         retry_ms = _RETRY_MS if end is JobEnd.REFUSED else 0
         for owner, submission in job.submissions:
             self._by_submission.pop((owner, submission), None)
--- a/hibiscusstack/pool/messages.py
+++ b/hibiscusstack/pool/messages.py
@@ -18,11 +18,16 @@
 
 
 class JobEnd(Enum):
-    """How a submission ended."""
+    """How a submission ended.
+
+    ``REFUSED`` says that nothing of the job has run or will; ``UNKNOWN`` that some of
+    it may have run and nothing runs any more.
+    """
 
     COMPLETED = "completed"
     FAILED = "failed"
     REFUSED = "refused"
+    UNKNOWN = "unknown"
 
 
 @attrs.frozen
--- a/hibiscusstack/pool/ordering.py
+++ b/hibiscusstack/pool/ordering.py
@@ -84,7 +84,7 @@
         return [
             job
             for tier, _, _, job in self._entries
-            if tier is not _Tier.IN_TIME
+            if tier is _Tier.LATE
             and now_ms + job.chain_ms > job.received_ms + factor * job.objective_ms
         ]
 
--- a/hibiscusstack/pool/receiving.py
+++ b/hibiscusstack/pool/receiving.py
@@ -19,6 +19,7 @@
 SendToCoordinator = Callable[[HostName, SubmitPoolJob | CancelSubmission], bool]
 
 RETRY_MS = 1_000
+DEADLINE_GRACE_MS = 250
 _PATIENCE_PART = 0.24
 
 
@@ -90,7 +91,8 @@
         """Give up what has waited too long."""
         now_ms = self._clock.now_ms()
         for submission, received in list(self._jobs.items()):
-            if received.deadline_ms is not None and now_ms >= received.deadline_ms:
+            deadline_ms = received.deadline_ms
+            if deadline_ms is not None and now_ms >= deadline_ms + DEADLINE_GRACE_MS:
                 self._cancel(submission, received)
                 self._refuse(submission, "deadline")
             elif received.sent_to is None:
@@ -120,7 +122,7 @@
         if received is None:
             return
         if received.was_sent:
-            received.answer(SubmissionAnswer(submission, JobEnd.FAILED, cause))
+            received.answer(SubmissionAnswer(submission, JobEnd.UNKNOWN, cause))
         else:
             answer = SubmissionAnswer(submission, JobEnd.REFUSED, cause, RETRY_MS)
             received.answer(answer)
--- a/hibiscusstack/pool/work.py
+++ b/hibiscusstack/pool/work.py
@@ -9,6 +9,10 @@
 from hibiscusstack.dispatch.messages import HostName
 from hibiscusstack.pool.jobs import PoolJob, Step, TaskKey
 
+_OVERDUE_FACTOR = 4.5
+_OVERDUE_FACTOR_KNOWN = 2.0
+_OVERDUE_SLACK_MS = 60
+
 Submission = tuple[HostName, int]
 
 
@@ -29,6 +33,7 @@
     state: TaskState = TaskState.WAITING
     failures: int = 0
     next_run: int = 1
+    overdue: int = 0
     barred: set[str] = attrs.field(factory=set)
 
 
@@ -49,6 +54,7 @@
     open_by_step: list[int] = attrs.field(factory=list)
     active_count: int = 0
     first_start_ms: float | None = None
+    run_times_ms: dict[int, float] = attrs.field(factory=dict)
     objective_ms: float = 0.0
     chain_ms: float = 0.0
 
@@ -74,6 +80,25 @@
         """Return when the job has to start to end within its objective."""
         return self.received_ms + self.objective_ms - self.chain_ms
 
+    def note_run_time(self, task: PoolTask, run_time_ms: float) -> None:
+        """Take the longest run of a step as what its other tasks need."""
+        number = task.key[0]
+        known_ms = self.run_times_ms.get(number, 0.0)
+        self.run_times_ms[number] = max(known_ms, run_time_ms)
+
+    def longest_run_ms(self, task: PoolTask) -> float:
+        """Return how long a run of ``task`` may take before it is taken as hung.
+
+        An estimate may be far off, so each run that was stopped for it allows the
+        next one twice the time. Tasks of one step differ little from each other.
+        """
+        known_ms = self.run_times_ms.get(task.key[0])
+        if known_ms is not None:
+            limit_ms = _OVERDUE_FACTOR_KNOWN * known_ms
+        else:
+            limit_ms = _OVERDUE_FACTOR * task.step.estimate_ms
+        return (limit_ms + _OVERDUE_SLACK_MS) * 2**task.overdue
+
     def note_done(self, task: PoolTask) -> None:
         """Count a task as done, and make ready what waited for its step."""
         task.state = TaskState.DONE
