Specify orders at targets with leases, and tokens of coordinators

Targets that keep leases and fencing tokens are to be ordered by one elected coordinator per pool, with a deputy per zone. The protocol as first drawn let one task run twice at a time: a job sent again by its caller looked new to the successor, the wait counted from the takeover says nothing of a host that leaves the old coordinator later, holds for other work kept a run alive whose stop was lost, and a target that started again took orders of a replaced coordinator. Each repair is a rule now, and the first drawing is found again by taking the rule out.

Ruled out: waiting at new coordinators only, for jobs sent again. A replaced coordinator takes such jobs too, so notice and lease have to end before the resend.

No code is covered by these two specifications yet.

--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -8,8 +8,10 @@
 
 from specs import (
     configuration_order,
+    coordinator_tokens,
     issued_ids,
     keyed_ownership,
+    leased_targets,
     target_starts,
 )
 from specs.specification import (
@@ -24,6 +26,8 @@
     target_starts.SPECIFICATION,
     configuration_order.SPECIFICATION,
     keyed_ownership.SPECIFICATION,
+    coordinator_tokens.SPECIFICATION,
+    leased_targets.SPECIFICATION,
 )
 
 
--- a/specs/tests/test_specifications.py
+++ b/specs/tests/test_specifications.py
@@ -3,8 +3,10 @@
 import pytest
 
 from specs.__main__ import SPECIFICATIONS
+from specs.coordinator_tokens import SPECIFICATION as COORDINATOR_TOKENS
 from specs.issued_ids import SPECIFICATION as ISSUED_IDS
 from specs.keyed_ownership import SPECIFICATION as KEYED_OWNERSHIP
+from specs.leased_targets import SPECIFICATION as LEASED_TARGETS
 from specs.specification import check, find_counterexample
 from specs.target_starts import SPECIFICATION as TARGET_STARTS
 
@@ -26,6 +28,9 @@
         (ISSUED_IDS, "one id, three submissions"),
         (TARGET_STARTS, "one target restarts"),
         (KEYED_OWNERSHIP, "the owner leaves"),
+        (COORDINATOR_TOKENS, "a host restarts"),
+        (LEASED_TARGETS, "one coordinator"),
+        (LEASED_TARGETS, "a successor"),
     ],
 )
 def test_with_every_rule_the_properties_hold(specification, scenario):
