--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -42,6 +42,7 @@
 HOSTS_TOPIC = "hosts"
 HOSTS_WAIT_MS = 2_000
 TICK_MS = 10
+MISSING_MS = 30_000
 
 
 @attrs.frozen
@@ -56,9 +57,9 @@
     name: HostName
     address: str
     port: int
-    heartbeat_ms: int = 150
-    silence_ms: int = 550
-    owner_grace_ms: int = 250
+    heartbeat_ms: int = 100
+    silence_ms: int = 400
+    owner_grace_ms: int = 100
     patience_ms: int = 200
     longest_pause_ms: int = 700
     connect_timeout_ms: int = 400
@@ -89,6 +90,8 @@
         self._log = log
         self._orders = orders
         self._targets: tuple[ListedTarget, ...] = ()
+        self._names: set[str] = set()
+        self._missing_since_ms: dict[str, float] = {}
         self._election = Election(settings.name, settings.patience_ms)
         self._hears: dict[HostName, PoolHeartbeat] = {}
         self._away_since_ms: dict[HostName, float] = {}
@@ -144,6 +147,13 @@
     def replace_targets(self, targets: Iterable[ListedTarget]) -> None:
         """Take over a newer list of targets."""
         self._targets = tuple(targets)
+        names = {target.name for target in self._targets}
+        now_ms = self._clock.now_ms()
+        for name in self._names - names:
+            self._missing_since_ms.setdefault(name, now_ms)
+        for name in names:
+            self._missing_since_ms.pop(name, None)
+        self._names = names
         if self.coordinator is not None:
             self.coordinator.replace_targets(self._targets)
 
@@ -250,11 +260,18 @@
         self._find_coordinator()
 
     def _coordinate(self, term: Term) -> None:
+        now_ms = self._clock.now_ms()
+        missing = [
+            name
+            for name, since_ms in self._missing_since_ms.items()
+            if now_ms - since_ms < MISSING_MS
+        ]
         self.coordinator = Coordinator(
             token=term.offset + 1,
             clock=self._clock,
             orders=self._orders,
             send_answer=self._answer,
+            missing=missing,
         )
         self.coordinator.replace_targets(self._targets)
 
--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -53,6 +53,9 @@
     and the passing of time come in as calls; orders go out through ``orders``, answers
     through ``send_answer``. A task is started again only once its earlier run is known
     to have ended, or the lease that it ran under has surely lapsed.
+
+    ``missing`` names targets that were listed earlier and are not now: an earlier
+    coordinator may still have work there.
     """
 
     def __init__(
@@ -63,6 +66,7 @@
         orders: TargetOrders,
         send_answer: SendAnswer,
         timing: CoordinatorTiming | None = None,
+        missing: Iterable[str] = (),
     ) -> None:
         self.token = token
         self.is_deposed = False
@@ -75,6 +79,7 @@
         self._by_submission: dict[tuple[HostName, int], ActiveJob] = {}
         self._ending: Counter[str] = Counter()
         self._queue = JobQueue()
+        self._missing = set(missing)
         self._began_ms = clock.now_ms()
 
     @property
@@ -102,6 +107,7 @@
                 state.listing = target
         for name, target in by_name.items():
             if name not in self._targets:
+                self._missing.discard(name)
                 self._targets[name] = HeldTarget(target, self._timing)
                 self._hold(self._targets[name])
         self._place()
@@ -118,7 +124,12 @@
         job = self._jobs.get(message.job.job_id)
         if job is None:
             received_ms = now_ms - message.waited_ms
-            job = ActiveJob(message.job, received_ms, message.is_resubmitted)
+            job = ActiveJob(
+                message.job,
+                received_ms,
+                message.is_resubmitted,
+                unheard_since_ms=now_ms - message.unheard_ms,
+            )
             self._jobs[message.job.job_id] = job
         job.submissions.append(submission)
         self._by_submission[submission] = job
@@ -253,7 +264,7 @@
     def _hold(self, state: HeldTarget) -> None:
         """Send the next hold, which extends the lease of a target that answers."""
         now_ms = self._clock.now_ms()
-        is_held = state.phase is Phase.HELD
+        is_held = state.phase is Phase.HELD and not state.owes_stop(now_ms)
         is_sound = state.silent_since_ms is None and state.clock_offset_ms is not None
         until_ms = state.extend_lease(now_ms) if is_held and is_sound else None
         timing = self._timing
@@ -478,6 +489,8 @@
         """Order the end of a run, until the target confirms it."""
         run.state = RunState.STOPPING
         run.stop_sent_ms = self._clock.now_ms()
+        if run.stop_wanted_ms is None:
+            run.stop_wanted_ms = run.stop_sent_ms
         order = StopOrder(run.name, run.number, self.token)
         self._orders.stop(state.listing, order)
 
@@ -537,6 +550,8 @@
         now_ms = self._clock.now_ms()
         log_message("pool:target_gone", target=state.listing.name, cause=cause)
         del self._targets[state.listing.name]
+        if state.silent_since_ms is not None or state.phase is Phase.LOOKING:
+            self._missing.add(state.listing.name)
         self._orders.forget(state.listing)
         self._lapse(state, now_ms)
 
@@ -588,16 +603,12 @@
             return True
         if not job.is_resubmitted:
             return False
-        settled_ms = self._began_ms + self._timing.lapse_bound_ms(
-            self._timing.longest_lease_ms
-        )
-        if now_ms >= settled_ms:
+        if now_ms >= job.unheard_since_ms + self._timing.quiet_bound_ms:
             return False
-        looking = any(
+        return bool(self._missing) or any(
             state.phase in (Phase.LOOKING, Phase.CLEARING)
             for state in self._targets.values()
         )
-        return looking or not self._targets
 
     def _place_job(
         self, job: ActiveJob, usable: list[HeldTarget], now_ms: float
--- a/hibiscusstack/pool/held_target.py
+++ b/hibiscusstack/pool/held_target.py
@@ -49,6 +49,7 @@
     state: RunState
     started_ms: float
     known_ms: float | None = None
+    stop_wanted_ms: float | None = None
     stop_sent_ms: float | None = None
     stopped_ms: float | None = None
 
@@ -95,6 +96,7 @@
             and self.silent_since_ms is None
             and self.unlisted_since_ms is None
             and now_ms >= self.paused_until_ms
+            and not self.owes_stop(now_ms)
         )
 
     def add(self, run: Run) -> None:
@@ -121,7 +123,17 @@
 
     def extend_lease(self, now_ms: float) -> int:
         """Return the lease's new end on the target's clock, counted as sent."""
-        lease_ms = self.timing.lease_ms
-        lapse_ms = now_ms + self.timing.lapse_bound_ms(lease_ms)
-        self.lapse_ms = max(self.lapse_ms, lapse_ms)
-        return int(now_ms + self.clock_offset_ms + lease_ms)
+        self.lapse_ms = max(self.lapse_ms, now_ms + self.timing.lapse_bound_ms)
+        return int(now_ms + self.clock_offset_ms + self.timing.lease_ms)
+
+    def owes_stop(self, now_ms: float) -> bool:
+        """Tell whether a stop was ordered a while ago and is not confirmed.
+
+        The lease must not be extended then, since it is all that ends the run.
+        """
+        return any(
+            run.state is RunState.STOPPING
+            and run.stopped_ms is None
+            and now_ms - run.stop_wanted_ms > self.timing.stop_notice_ms
+            for run in self.runs.values()
+        )
--- a/hibiscusstack/pool/messages.py
+++ b/hibiscusstack/pool/messages.py
@@ -49,13 +49,15 @@
     """A job on its way from the host that received it to the coordinator.
 
     ``waited_ms`` is for how long it has waited already. ``is_resubmitted`` says that
-    an earlier coordinator may have started some of its tasks.
+    an earlier coordinator may have started some of its tasks; the sender has not heard
+    from that one for ``unheard_ms``.
     """
 
     submission: int
     job: PoolJob
     waited_ms: int
     is_resubmitted: bool
+    unheard_ms: int = 0
 
 
 @attrs.frozen
--- a/hibiscusstack/pool/receiving.py
+++ b/hibiscusstack/pool/receiving.py
@@ -33,6 +33,7 @@
     answer: Callable[[SubmissionAnswer], None]
     sent_to: HostName | None = None
     was_sent: bool = False
+    unheard_since_ms: float | None = None
 
 
 class Receiver:
@@ -70,8 +71,7 @@
         self._coordinator = coordinator
         for submission, received in list(self._jobs.items()):
             if received.sent_to != coordinator:
-                self._cancel(submission, received)
-                received.sent_to = None
+                self._leave_coordinator(submission, received)
                 self._forward(submission, received)
 
     def answered(self, sender: HostName, message: SubmissionAnswer) -> None:
@@ -105,14 +105,30 @@
     def _forward(self, submission: int, received: ReceivedJob) -> None:
         if self._coordinator is None:
             return
-        waited_ms = int(self._clock.now_ms() - received.received_ms)
-        message = SubmitPoolJob(submission, received.job, waited_ms, received.was_sent)
+        now_ms = self._clock.now_ms()
+        unheard_since_ms = received.unheard_since_ms
+        message = SubmitPoolJob(
+            submission=submission,
+            job=received.job,
+            waited_ms=int(now_ms - received.received_ms),
+            is_resubmitted=received.was_sent,
+            unheard_ms=0
+            if unheard_since_ms is None
+            else int(now_ms - unheard_since_ms),
+        )
         received.sent_to = self._coordinator
         if self._send(self._coordinator, message):
             received.was_sent = True
         elif submission in self._jobs:
             received.sent_to = None
 
+    def _leave_coordinator(self, submission: int, received: ReceivedJob) -> None:
+        if received.sent_to is None:
+            return
+        self._cancel(submission, received)
+        received.sent_to = None
+        received.unheard_since_ms = self._clock.now_ms()
+
     def _cancel(self, submission: int, received: ReceivedJob) -> None:
         if received.sent_to is not None:
             self._send(received.sent_to, CancelSubmission(submission))
--- a/hibiscusstack/pool/timing.py
+++ b/hibiscusstack/pool/timing.py
@@ -7,15 +7,20 @@
 
 @attrs.frozen
 class CoordinatorTiming:
-    """Durations in milliseconds; the longest lease is what a target grants at most.
+    """Durations in milliseconds.
 
     A start without a reply for ``start_timeout_ms`` is stopped and made elsewhere. A
-    target may run its clock ``clock_drift`` slower than this host.
+    target may run its clock ``clock_drift`` slower than this host. A coordinator stops
+    the work of a host within ``notice_ms`` after it lost that host.
+
+    Callers send a job again some time after their connection broke. The lease and
+    ``notice_ms`` together have to be shorter, or the first runs may still go on then.
     """
 
-    lease_ms: int = 900
-    longest_lease_ms: int = 1_000
-    hold_wait_ms: int = 300
+    lease_ms: int = 600
+    notice_ms: int = 620
+    stop_notice_ms: int = 50
+    hold_wait_ms: int = 200
     clearing_wait_ms: int = 20
     start_timeout_ms: int = 60
     order_retry_ms: int = 100
@@ -24,10 +29,20 @@
     clock_drift: float = 0.03
     lapse_margin_ms: int = 30
 
-    def lapse_bound_ms(self, lease_ms: float) -> float:
-        """Return how long a lease of ``lease_ms`` lasts at most on this host's clock.
+    @property
+    def lapse_bound_ms(self) -> float:
+        """How long a lease lasts at most on this host's clock.
+
+        >>> CoordinatorTiming().lapse_bound_ms
+        648.0
+        """
+        return self.lease_ms * (1 + self.clock_drift) + self.lapse_margin_ms
+
+    @property
+    def quiet_bound_ms(self) -> float:
+        """How long work may go on at most for a host that lost its coordinator.
 
-        >>> CoordinatorTiming().lapse_bound_ms(1_000)
-        1060.0
+        >>> CoordinatorTiming().quiet_bound_ms
+        1268.0
         """
-        return lease_ms * (1 + self.clock_drift) + self.lapse_margin_ms
+        return self.notice_ms + self.lapse_bound_ms
--- a/hibiscusstack/pool/work.py
+++ b/hibiscusstack/pool/work.py
@@ -41,13 +41,15 @@
 class ActiveJob:
     """A job in progress, with everyone who waits for its answer.
 
-    Times are on the clock of this host. ``tasks`` holds every task, ``ready`` those
-    that may start now, in order.
+    Times are on the clock of this host. The receiving host of a job that an earlier
+    coordinator had has not heard that one since ``unheard_since_ms``. ``tasks``
+    holds every task, ``ready`` those that may start now, in order.
     """
 
     job: PoolJob
     received_ms: float
     is_resubmitted: bool
+    unheard_since_ms: float = 0.0
     submissions: list[Submission] = attrs.field(factory=list)
     tasks: dict[TaskKey, PoolTask] = attrs.field(factory=dict)
     ready: list[PoolTask] = attrs.field(factory=list)
