--- a/hibiscusstack_standins/estate/messages.py
+++ b/hibiscusstack_standins/estate/messages.py
@@ -21,6 +21,15 @@
     caller: str = ""
     method: str = "POST"
 
+    def header(self, name: str, default: str = "") -> str:
+        """Return a header by its name in lower case.
+
+        >>> Request("/hold", headers={"A-B": "1"}).header("a-b")
+        '1'
+        """
+        values = (v for key, v in self.headers.items() if key.lower() == name)
+        return next(values, default)
+
 
 @attrs.frozen
 class Answer:
