--- a/hibiscusstack_standins/estate/events.py
+++ b/hibiscusstack_standins/estate/events.py
@@ -20,6 +20,7 @@
     checkpoint: str = ""
     starter: str = ""
     is_overfull: bool = False
+    is_late: bool = False
 
 
 @attrs.frozen
--- a/hibiscusstack_standins/estate/messages.py
+++ b/hibiscusstack_standins/estate/messages.py
@@ -12,7 +12,10 @@
 
 @attrs.frozen
 class Request:
-    """One call; ``body`` is an object, or bytes where the protocol has raw data."""
+    """One call; ``body`` is an object, or bytes where the protocol has raw data.
+
+    ``is_late`` marks a call that is carried out after its caller gave up on it.
+    """
 
     path: str
     body: Body = attrs.field(factory=dict)
@@ -20,6 +23,7 @@
     headers: Mapping[str, str] = attrs.field(factory=dict)
     caller: str = ""
     method: str = "POST"
+    is_late: bool = False
 
     def header(self, name: str, default: str = "") -> str:
         """Return a header by its name in lower case.
--- a/hibiscusstack_standins/estate/runs.py
+++ b/hibiscusstack_standins/estate/runs.py
@@ -1,6 +1,6 @@
 """One run of a task on a worker."""
 
-__all__ = ["Capacity", "Run", "checkpoint_of", "work_in"]
+__all__ = ["Capacity", "Run", "checkpoint_of", "is_checkpoint_of", "work_in"]
 
 from zlib import crc32
 
@@ -74,6 +74,19 @@
     return f"{int(work_ms):08x}{crc32(owner.encode()):08x}"
 
 
+def is_checkpoint_of(checkpoint: str, task: TaskName, step: Step) -> bool:
+    """Return whether a checkpoint belongs to a task, or to its gang.
+
+    >>> one, other = TaskName("a", 0, 0, 1), TaskName("a", 0, 0, 2)
+    >>> checkpoint = checkpoint_of(one, Step(), 3_000)
+    >>> is_checkpoint_of(checkpoint, one, Step())
+    True
+    >>> is_checkpoint_of(checkpoint, other, Step())
+    False
+    """
+    return checkpoint == checkpoint_of(task, step, work_in(checkpoint))
+
+
 def work_in(checkpoint: str) -> int:
     """Return the work that a checkpoint holds; 0 for what is none."""
     try:
--- a/hibiscusstack_standins/estate/worker.py
+++ b/hibiscusstack_standins/estate/worker.py
@@ -281,6 +281,7 @@
             checkpoint,
             request.caller,
             is_overfull,
+            request.is_late,
         )
         self.events.append(started)
         return Answer(200, self._stamped(now_ms))
