--- a/hibiscusstack_standins/estate/messages.py
+++ b/hibiscusstack_standins/estate/messages.py
@@ -70,3 +70,9 @@
 
     def next_due_ms(self) -> int | None:
         """Return when :meth:`advance` has something to do next, if ever."""
+
+    def crash(self, now_ms: int) -> None:
+        """Lose all that does not outlive a process."""
+
+    def restart(self, now_ms: int) -> None:
+        """Begin again after a crash."""
--- a/hibiscusstack_standins/estate/store_service.py
+++ b/hibiscusstack_standins/estate/store_service.py
@@ -117,6 +117,14 @@
             times += [group.next_expiry_ms() for group in self.store.groups.values()]
         return min((time for time in times if time is not None), default=None)
 
+    def crash(self, now_ms: int) -> None:
+        """Forget the calls that are not answered; the store itself loses nothing."""
+        self._outbox = Outbox()
+        self._waiting.clear()
+
+    def restart(self, now_ms: int) -> None:
+        """Begin again after a crash."""
+
     def _refusal_of(self, caller: str) -> Outcome | None:
         kinds = (outage.kind for outage in self.outages if outage.concerns(caller))
         kind = next(kinds, None)
