Compute when a worker is due next only after a change

Cause: the network asks every service when it is due before each step, and a worker went through all its runs each time. It now keeps the answer until time has passed for it; a worker with a member of a gang computes it each time, as other workers decide on gangs too.

Ruled out: a wake-up from service to network, which every service would have to get right.

--- a/hibiscusstack_standins/estate/worker.py
+++ b/hibiscusstack_standins/estate/worker.py
@@ -117,6 +117,8 @@
         self._last_born = born_ms
         self._outbox = Outbox()
         self._waiting: list[_WaitingHold] = []
+        self._is_due_known = False
+        self._due_ms: int | None = None
         self._operations: dict[str, Callable[[int, Request], Answer]] = {
             "/run-start": self._run_start,
             "/run-stop": self._run_stop,
@@ -196,9 +198,15 @@
 
     def next_due_ms(self) -> int | None:
         """Return when something is due next."""
-        times = [hold.until_ms for hold in self._waiting]
-        times += [self._outbox.next_due_ms(), self._next_ms()]
-        return min((time for time in times if time is not None), default=None)
+        if not self._is_due_known:
+            times = [hold.until_ms for hold in self._waiting]
+            times += [self._outbox.next_due_ms(), self._next_ms()]
+            known = [time for time in times if time is not None]
+            self._due_ms = min(known, default=None)
+            # What happens to a gang is also decided on other workers.
+            runs = self._life.runs.values() if self._life else ()
+            self._is_due_known = not any(run.is_gang for run in runs)
+        return self._due_ms
 
     def set_faults(self, now_ms: int, faults: WorkerFaults) -> None:
         """Put these faults in the place of those there were."""
@@ -384,6 +392,8 @@
         run.progress.set_speed(now_ms, str(run.task), self._speed_of(run))
 
     def _pass_time(self, now_ms: int) -> None:
+        # Whatever changes a worker lets time pass first.
+        self._is_due_known = False
         next_ms = self._next_ms()
         while next_ms is not None and next_ms <= now_ms:
             self._occur(next_ms)
