--- a/hibiscusstack_standins/estate/store_service.py
+++ b/hibiscusstack_standins/estate/store_service.py
@@ -79,6 +79,11 @@
         self._late = Outbox()
         self._waiting: list[_WaitingRead] = []
 
+    @property
+    def is_down(self) -> bool:
+        """Return whether the store does nothing for anyone."""
+        return self._down_since_ms is not None
+
     def set_outages(self, now_ms: int, outages: list[Outage]) -> None:
         """Put these outages in the place of those there were."""
         self.outages = list(outages)
--- a/hibiscusstack_standins/estate/worker.py
+++ b/hibiscusstack_standins/estate/worker.py
@@ -115,6 +115,7 @@
         self._random = Random(f"{seed} {plan.id}")
         self._life: _Life | None = _Life(born_ms)
         self._last_born = born_ms
+        self._left = False
         self._outbox = Outbox()
         self._waiting: list[_WaitingHold] = []
         self._is_due_known = False
@@ -131,6 +132,11 @@
         """Return whether the worker lives."""
         return self._life is not None
 
+    @property
+    def has_left(self) -> bool:
+        """Return whether the newest life ended at the end of a drain."""
+        return self._life is None and self._left
+
     @property
     def born(self) -> int:
         """Return the start of the newest life."""
@@ -233,6 +239,7 @@
         if plan is not None:
             self.plan = attrs.evolve(plan, id=self.plan.id)
         self._last_born = max(now_ms, self._last_born + 1)
+        self._left = False
         self._life = _Life(self._last_born)
 
     def running(self) -> list[tuple[str, int]]:
@@ -440,6 +447,7 @@
         if lapse_ms is not None and lapse_ms <= now_ms:
             self._lapse(now_ms)
         if self._life.leaves_ms is not None and self._life.leaves_ms <= now_ms:
+            self._left = True
             self._die(now_ms)
 
     def _lapse(self, now_ms: int) -> None:
