--- a/hibiscusstack_standins/estate/runs.py
+++ b/hibiscusstack_standins/estate/runs.py
@@ -53,6 +53,11 @@
         """Return whether the run is a member of a gang."""
         return self.step.gang and self.step.count > 1
 
+    def cpu_in_use(self) -> int:
+        """Return the share of its processors that the run uses now."""
+        is_working = self.progress.started_ms is not None
+        return self.step.cpu * self.percent // 100 if is_working else 0
+
     def saved(self, checkpoint_ms: int, is_stop: bool = False) -> str:
         """Return the newest checkpoint, or an empty string."""
         if not self.step.checkpointing:
--- a/hibiscusstack_standins/estate/store_service.py
+++ b/hibiscusstack_standins/estate/store_service.py
@@ -95,7 +95,8 @@
 
     def submit(self, now_ms: int, ticket: int, request: Request) -> None:
         """Take a call."""
-        refusal = self._refusal_of(request.caller)
+        beyond_rates = self.store.charge(now_ms, request)
+        refusal = self._refusal_of(request.caller) or beyond_rates
         if refusal is not None:
             self._outbox.put(now_ms, ticket, refusal)
         elif self._loses_answer_to(request.caller):
@@ -146,10 +147,10 @@
         if self._random.random() < self.lost_answers.late_share:
             self._late.put(now_ms + self._random.randint(*_LATE_MS), ticket, request)
         else:
-            self.store.handle(now_ms, request)
+            self.store.perform(now_ms, request)
 
     def _answer(self, now_ms: int, ticket: int, request: Request) -> None:
-        answer = self.store.handle(now_ms, request)
+        answer = self.store.perform(now_ms, request)
         wait_ms = int(request.query.get("wait_ms", 0)) if _is_bare_page(answer) else 0
         if wait_ms:
             self._waiting.append(_WaitingRead(request, ticket, now_ms + wait_ms))
--- a/hibiscusstack_standins/estate/tests/test_store_service.py
+++ b/hibiscusstack_standins/estate/tests/test_store_service.py
@@ -61,6 +61,7 @@
     service.submit(0, 1, append_of(caller="edge"))
     assert service.advance(0) == [(1, outcome)]
     assert records_in(service) == []
+    assert service.store.calls == {"/log-append": 1}
     service.submit(0, 2, append_of(caller="other"))
     assert service.advance(1)[0][1].status == 200
 
--- a/hibiscusstack_standins/estate/tests/test_worker.py
+++ b/hibiscusstack_standins/estate/tests/test_worker.py
@@ -242,6 +242,15 @@
     assert isinstance(worker.events[1], LifeEnded)
 
 
+def test_a_life_in_the_millisecond_of_the_last_begins_with_its_clock_at_0():
+    worker = worker_of()
+    worker.restart(0)
+    assert worker.born == 1
+    assert reason(start(worker, 0, until_ms=0)) == "late"
+    assert start(worker, 0, until_ms=1).body["clock_ms"] == 0
+    assert ends(worker, 2)[0][3] == "lapsed"
+
+
 def test_a_new_life_can_be_of_another_kind():
     worker = worker_of()
     worker.restart(0, attrs.evolve(PLAN, id="other", labels=("big",)))
@@ -305,6 +314,14 @@
     assert call(worker, 1_800, "/pace", **{**paced, "percent": 101}).status == 400
 
 
+def test_a_row_can_show_the_cpu_in_use():
+    worker = worker_of(Step(work_ms=1_000, cpu=800), shows_usage=True)
+    start(worker)
+    assert hold(worker, 100).body["active"][0][4] == 800
+    call(worker, 100, "/pace", task=name(), run=1, percent=25, fencing_token=1)
+    assert hold(worker, 200).body["active"][0][4] == 200
+
+
 def test_a_task_that_lasts_is_at_work_after_its_startup():
     worker = worker_of(Step(), long_running=True)
     start(worker)
@@ -358,6 +375,14 @@
     assert ends(one, 1_400)[0][3] == ends(other, 1_400)[0][3] == "done"
 
 
+def test_a_worker_is_due_when_other_members_decide_it():
+    one, other = gang_of("r1", "r1")
+    start(one)
+    assert one.next_due_ms() == 3_000
+    start(other, 400, task=name(1))
+    assert one.next_due_ms() == other.next_due_ms() == 1_400
+
+
 def test_a_gang_that_is_spread_over_racks_can_be_slow():
     one, other = gang_of("r1", "r2", rack_sensitive=True)
     start(one)
--- a/hibiscusstack_standins/estate/worker.py
+++ b/hibiscusstack_standins/estate/worker.py
@@ -32,7 +32,10 @@
 
 @attrs.frozen
 class WorkerPlan:
-    """What a worker is; times as the settings name them under ``bounds``."""
+    """What a worker is; times as the settings name them under ``bounds``.
+
+    With ``shows_usage`` a row of ``active`` ends with the ``cpu`` that is in use.
+    """
 
     id: str
     service: str = "s"
@@ -54,6 +57,7 @@
     remote_factor: float = 3.0
     pace_ms: int = 100
     startup_ms: int = 200
+    shows_usage: bool = False
 
 
 @attrs.frozen
@@ -144,7 +148,8 @@
 
     def clock_ms(self, now_ms: int) -> int:
         """Return the time on the worker's own clock."""
-        return int((now_ms - self._last_born) * self.plan.clock_rate)
+        passed_ms = max(0, now_ms - self._last_born)
+        return int(passed_ms * self.plan.clock_rate)
 
     def report(self, now_ms: int) -> dict | None:
         """Return what the worker says of itself; ``seq`` is left to the registry."""
@@ -502,7 +507,8 @@
         percent = run.progress.percent()
         if math.isinf(run.progress.total_ms):
             percent = 100 * (now_ms - run.started_ms >= self.plan.startup_ms)
-        return [str(run.task), run.number, saved, percent]
+        row = [str(run.task), run.number, saved, percent]
+        return [*row, run.cpu_in_use()] if self.plan.shows_usage else row
 
     def _stamped(self, now_ms: int, **fields: object) -> dict:
         stamp = {"clock_ms": self.clock_ms(now_ms), "born": self._life.born}
