Count and log what becomes of jobs and runs of pools

Cause: the log said that a job ended, and not why the coordinator gave it up, moved it or ran a task again; nothing was counted.

Each of these is one line now, at the host that decides it: job_refused, job_failed, job_given_up, job_stopped, job_moved and run_again, with cause, waited_ms and attempts.

Ruled out: a statsd client in hosts of pools. Counts are plain numbers that are fetched, so nothing is sent and nothing is imported for it.

--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -5,7 +5,6 @@
 import random
 from collections.abc import Iterable, Sequence
 
-import attrs
 from eliot import log_message
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorCore
@@ -18,6 +17,7 @@
 from hibiscusstack.host import Mesh, MeshTiming, PeerAddress, TcpNetwork
 from hibiscusstack.pool.coordinator import Coordinator
 from hibiscusstack.pool.election import Election, Term
+from hibiscusstack.pool.events import PoolEvents
 from hibiscusstack.pool.following import TopicFollower
 from hibiscusstack.pool.host_records import (
     TERM_KEY,
@@ -28,6 +28,7 @@
     encode_term,
     host_key,
 )
+from hibiscusstack.pool.host_settings import PoolHostSettings
 from hibiscusstack.pool.interfaces import Appended, AppendRefused, KeyedLog, KeyedRecord
 from hibiscusstack.pool.messages import (
     CancelSubmission,
@@ -38,32 +39,13 @@
 from hibiscusstack.pool.orders import TargetOrders
 from hibiscusstack.pool.receiving import Receiver
 from hibiscusstack.pool.targets import ListedTarget
+from hibiscusstack.pool.timing import CoordinatorTiming
 
 HOSTS_TOPIC = "hosts"
 HOSTS_WAIT_MS = 2_000
 TICK_MS = 10
 
 
-@attrs.frozen
-class PoolHostSettings:
-    """Who this host is, and the durations that govern its peers.
-
-    A peer that stays away for ``owner_grace_ms`` after its connection ended has lost
-    its callers, so its work is stopped. ``patience_ms`` is how long the holder of the
-    term may be unheard before another host claims the next.
-    """
-
-    name: HostName
-    address: str
-    port: int
-    heartbeat_ms: int = 150
-    silence_ms: int = 550
-    owner_grace_ms: int = 250
-    patience_ms: int = 200
-    longest_pause_ms: int = 700
-    connect_timeout_ms: int = 400
-
-
 class PoolHost:
     """One host of a site whose targets keep leases.
 
@@ -79,10 +61,14 @@
         clock: Clock,
         log: KeyedLog,
         orders: TargetOrders,
+        timing: CoordinatorTiming | None = None,
+        events: PoolEvents | None = None,
     ) -> None:
         self.is_draining = False
         self.coordinator: Coordinator | None = None
-        self.receiver = Receiver(clock, self._send)
+        self._events = events or PoolEvents()
+        self.receiver = Receiver(clock, self._send, self._events)
+        self._timing = timing or CoordinatorTiming()
         self._settings = settings
         self._reactor = reactor
         self._clock = clock
@@ -120,6 +106,16 @@
         self._ticking = LoopingCall(self._tick)
         self._ticking.clock = reactor
 
+    @property
+    def name(self) -> HostName:
+        """Which host this is."""
+        return self._settings.name
+
+    @property
+    def targets(self) -> tuple[ListedTarget, ...]:
+        """The newest list of targets."""
+        return self._targets
+
     @property
     def term(self) -> Term | None:
         """The newest term that this host knows."""
@@ -240,6 +236,7 @@
     def _take_term(self, term: Term) -> None:
         if not self._election.note_term(term):
             return
+        self._events.counters.terms += 1
         log_message("pool:term", token=term.offset, holder=term.holder.name)
         if self.coordinator is not None:
             self.coordinator.step_down()
@@ -255,6 +252,8 @@
             clock=self._clock,
             orders=self._orders,
             send_answer=self._answer,
+            timing=self._timing,
+            events=self._events,
         )
         self.coordinator.replace_targets(self._targets)
 
--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -9,6 +9,7 @@
 
 from hibiscusstack.clock import Clock
 from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.pool.events import PoolEvents
 from hibiscusstack.pool.held_target import HeldTarget, Phase, Run, RunState
 from hibiscusstack.pool.jobs import NO_RESOURCES
 from hibiscusstack.pool.messages import JobEnd, SubmissionAnswer, SubmitPoolJob
@@ -63,6 +64,7 @@
         orders: TargetOrders,
         send_answer: SendAnswer,
         timing: CoordinatorTiming | None = None,
+        events: PoolEvents | None = None,
     ) -> None:
         self.token = token
         self.is_deposed = False
@@ -70,6 +72,7 @@
         self._orders = orders
         self._send_answer = send_answer
         self._timing = timing or CoordinatorTiming()
+        self._events = events or PoolEvents()
         self._targets: dict[str, HeldTarget] = {}
         self._jobs: dict[str, ActiveJob] = {}
         self._by_submission: dict[tuple[HostName, int], ActiveJob] = {}
@@ -86,6 +89,10 @@
         """Return what is known of each target."""
         return list(self._targets.values())
 
+    def waiting_jobs(self) -> list[ActiveJob]:
+        """Return the jobs with tasks that wait for room, the next one first."""
+        return list(self._queue.in_order())
+
     def replace_targets(self, listed: Iterable[ListedTarget]) -> None:
         """Take over a newer list of targets."""
         now_ms = self._clock.now_ms()
@@ -159,6 +166,7 @@
         reply: Started | Refused | FencedOut | NotReached | ReplyLost,
     ) -> None:
         """Act on the reply to a start."""
+        self._events.start_replied(reply)
         state = self._state(name, born_ms)
         if state is None:
             return
@@ -260,6 +268,7 @@
         wait_ms = timing.hold_wait_ms if is_held else timing.clearing_wait_ms
         state.hold_sent_ms = now_ms
         order = HoldOrder(self.token, state.processed_through, wait_ms, until_ms)
+        self._events.counters.holds += 1
         self._orders.hold(state.listing, order)
 
     def _look(self, state: HeldTarget) -> None:
@@ -268,6 +277,7 @@
             return
         state.look_sent_ms = self._clock.now_ms()
         order = HoldOrder(self.token, state.processed_through, 0)
+        self._events.counters.holds += 1
         self._orders.hold(state.listing, order)
 
     def _take_lists(
@@ -356,7 +366,7 @@
         elif end.how == _FAILED:
             self._note_failed(state, run, now_ms)
         else:
-            self._requeue(run, now_ms)
+            self._requeue(run, now_ms, end.how)
 
     def _credit_earlier_end(self, end: RunEnd) -> None:
         """Count an end that an earlier coordinator has not acknowledged."""
@@ -397,15 +407,21 @@
             run.job.active_count -= 1
             self._close(run.job, JobEnd.FAILED, "a task failed too often")
             return
-        self._requeue(run, now_ms)
+        self._requeue(run, now_ms, "failed")
 
-    def _vanished(self, state: HeldTarget, run: Run, now_ms: float) -> None:
+    def _vanished(
+        self,
+        state: HeldTarget,
+        run: Run,
+        now_ms: float,
+        cause: str = "not listed by the target",
+    ) -> None:
         """Take a run that its target lists no longer as ended."""
         state.remove(run)
         if run.job is None:
             self._note_gone(run)
         else:
-            self._requeue(run, now_ms)
+            self._requeue(run, now_ms, cause)
 
     def _note_gone(self, run: Run) -> None:
         parsed = parse_task_name(run.name)
@@ -415,13 +431,14 @@
         if self._ending[parsed[0]] <= 0:
             del self._ending[parsed[0]]
 
-    def _requeue(self, run: Run, now_ms: float) -> None:
+    def _requeue(self, run: Run, now_ms: float, cause: str) -> None:
         """Let the task of a run that ended without a result run again."""
         job, task = run.job, run.task
         job.active_count -= 1
         task.state = TaskState.WAITING
         if self._jobs.get(job.job.job_id) is not job:
             return
+        self._events.run_again(run, cause, now_ms)
         job.ready.insert(0, task)
         self._enqueue(job)
 
@@ -453,12 +470,14 @@
             if self._jobs.get(run.job.job.job_id) is run.job:
                 self._close(run.job, JobEnd.FAILED, f"target: {reply.reason}")
             return
-        self._requeue(run, now_ms)
+        cause = "unreached" if isinstance(reply, NotReached) else reply.reason
+        self._requeue(run, now_ms, cause)
 
     def _note_trouble(self, state: HeldTarget, now_ms: float, cause: str) -> None:
         """Look at a target that did not answer before it gets more work."""
         if state.silent_since_ms is None:
             state.silent_since_ms = now_ms
+            self._events.counters.silent_targets += 1
             log_message("pool:target_silent", target=state.listing.name, cause=cause)
         self._look(state)
 
@@ -467,6 +486,7 @@
     ) -> None:
         if state.silent_since_ms is None:
             state.silent_since_ms = now_ms
+            self._events.counters.silent_targets += 1
             log_message(
                 "pool:target_silent",
                 target=state.listing.name,
@@ -479,6 +499,7 @@
         run.state = RunState.STOPPING
         run.stop_sent_ms = self._clock.now_ms()
         order = StopOrder(run.name, run.number, self.token)
+        self._events.counters.stops += 1
         self._orders.stop(state.listing, order)
 
     def _fence(self, state: HeldTarget) -> None:
@@ -516,6 +537,7 @@
         """Stop a run that hangs, to make it elsewhere."""
         run.task.barred.add(state.listing.name)
         run.task.overdue += 1
+        self._events.counters.overdue_runs += 1
         pause_ms = state.health.note_fault(now_ms)
         state.paused_until_ms = max(state.paused_until_ms, pause_ms)
         log_message(
@@ -527,10 +549,12 @@
         )
         self._stop(state, run)
 
-    def _lapse(self, state: HeldTarget, now_ms: float) -> None:
+    def _lapse(
+        self, state: HeldTarget, now_ms: float, cause: str = "the lease lapsed"
+    ) -> None:
         """Take all runs of a target whose lease has surely ended as ended."""
         for run in list(state.runs.values()):
-            self._vanished(state, run, now_ms)
+            self._vanished(state, run, now_ms, cause)
 
     def _end_life(self, state: HeldTarget, cause: str) -> None:
         """Forget a life of a target that is over, with all that ran there."""
@@ -538,7 +562,7 @@
         log_message("pool:target_gone", target=state.listing.name, cause=cause)
         del self._targets[state.listing.name]
         self._orders.forget(state.listing)
-        self._lapse(state, now_ms)
+        self._lapse(state, now_ms, cause)
 
     def _close(self, job: ActiveJob, end: JobEnd, cause: str = "") -> None:
         """Answer everyone who waits for a job, and stop what still runs of it."""
@@ -548,6 +572,7 @@
         if end is JobEnd.REFUSED and may_have_run:
             # A refusal would say that nothing has run.
             end = JobEnd.UNKNOWN
+        self._events.job_closed(job, end, cause, self._clock.now_ms())
         retry_ms = _RETRY_MS if end is JobEnd.REFUSED else 0
         for owner, submission in job.submissions:
             self._by_submission.pop((owner, submission), None)
@@ -631,6 +656,7 @@
         number, task.next_run = task.next_run, task.next_run + 1
         run = Run(name, number, job, task, task.step.needs, RunState.STARTING, now_ms)
         state.add(run)
+        self._events.run_started(run, state.listing.name, now_ms)
         until_ms = state.extend_lease(now_ms)
         order = StartOrder(name, number, job.job.payload, until_ms, self.token)
         self._orders.start(state.listing, order)
--- /dev/null
+++ b/hibiscusstack/pool/counters.py
@@ -0,0 +1,63 @@
+"""Counts of what a host of pools does, kept in memory until they are fetched."""
+
+__all__ = ["CountedLog", "PoolCounters"]
+
+from collections import Counter
+
+import attrs
+from twisted.internet.defer import Deferred
+
+from hibiscusstack.pool.interfaces import (
+    Appended,
+    AppendRefused,
+    KeyedLog,
+    KeyedPage,
+)
+
+
+@attrs.define
+class PoolCounters:
+    """Counts since the start of the process.
+
+    ``jobs`` counts the answers to callers by end, and callers that went away as
+    ``gone``; ``refused_starts`` the starts that brought no run by reason; ``log_calls``
+    the calls to the log by kind. What concerns targets is counted where the
+    coordinator is.
+    """
+
+    jobs: Counter[str] = attrs.field(factory=Counter)
+    jobs_moved: int = 0
+    starts: int = 0
+    refused_starts: Counter[str] = attrs.field(factory=Counter)
+    runs_again: int = 0
+    overdue_runs: int = 0
+    stops: int = 0
+    holds: int = 0
+    silent_targets: int = 0
+    terms: int = 0
+    log_calls: Counter[str] = attrs.field(factory=Counter)
+
+
+class CountedLog:
+    """A log whose calls are counted."""
+
+    def __init__(self, log: KeyedLog, counters: PoolCounters) -> None:
+        self._log = log
+        self._calls = counters.log_calls
+
+    def read_newest(self, topic: str) -> Deferred[KeyedPage]:
+        """Return the newest record of each key."""
+        self._calls["newest"] += 1
+        return self._log.read_newest(topic)
+
+    def read_from(self, topic: str, offset: int, wait_ms: int) -> Deferred[KeyedPage]:
+        """Return the records from ``offset`` on."""
+        self._calls["read"] += 1
+        return self._log.read_from(topic, offset, wait_ms)
+
+    def append(
+        self, topic: str, key: str, value: bytes, at: int | None = None
+    ) -> Deferred[Appended | AppendRefused]:
+        """Append one record."""
+        self._calls["append"] += 1
+        return self._log.append(topic, key, value, at)
--- a/hibiscusstack/pool/receiving.py
+++ b/hibiscusstack/pool/receiving.py
@@ -8,6 +8,7 @@
 
 from hibiscusstack.clock import Clock
 from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.pool.events import PoolEvents
 from hibiscusstack.pool.jobs import PoolJob
 from hibiscusstack.pool.messages import (
     CancelSubmission,
@@ -33,6 +34,7 @@
     answer: Callable[[SubmissionAnswer], None]
     sent_to: HostName | None = None
     was_sent: bool = False
+    attempts: int = 0
 
 
 class Receiver:
@@ -42,9 +44,12 @@
     its caller can try elsewhere in time.
     """
 
-    def __init__(self, clock: Clock, send: SendToCoordinator) -> None:
+    def __init__(
+        self, clock: Clock, send: SendToCoordinator, events: PoolEvents | None = None
+    ) -> None:
         self._clock = clock
         self._send = send
+        self._events = events or PoolEvents()
         self._coordinator: HostName | None = None
         self._jobs: dict[int, ReceivedJob] = {}
         self._next = 0
@@ -63,6 +68,7 @@
         """Forget a job for which nobody waits any more."""
         received = self._jobs.pop(submission, None)
         if received is not None:
+            self._events.counters.jobs["gone"] += 1
             self._cancel(submission, received)
 
     def coordinator_changed(self, coordinator: HostName | None) -> None:
@@ -80,6 +86,7 @@
         if received is None or received.sent_to != sender:
             return
         del self._jobs[message.submission]
+        self._events.counters.jobs[message.end.value] += 1
         received.answer(message)
 
     def refuse_all(self, cause: str) -> None:
@@ -109,7 +116,12 @@
         message = SubmitPoolJob(submission, received.job, waited_ms, received.was_sent)
         received.sent_to = self._coordinator
         if self._send(self._coordinator, message):
+            if received.was_sent:
+                self._events.job_moved(
+                    received.job.job_id, message.waited_ms, received.attempts
+                )
             received.was_sent = True
+            received.attempts += 1
         elif submission in self._jobs:
             received.sent_to = None
 
@@ -121,8 +133,11 @@
         received = self._jobs.pop(submission, None)
         if received is None:
             return
-        if received.was_sent:
-            received.answer(SubmissionAnswer(submission, JobEnd.UNKNOWN, cause))
-        else:
-            answer = SubmissionAnswer(submission, JobEnd.REFUSED, cause, RETRY_MS)
-            received.answer(answer)
+        end = JobEnd.UNKNOWN if received.was_sent else JobEnd.REFUSED
+        waited_ms = self._clock.now_ms() - received.received_ms
+        self._events.job_dropped(
+            received.job.job_id, end, cause, waited_ms, received.attempts
+        )
+        self._events.counters.jobs[end.value] += 1
+        retry_ms = 0 if received.was_sent else RETRY_MS
+        received.answer(SubmissionAnswer(submission, end, cause, retry_ms))
--- a/hibiscusstack/pool/service.py
+++ b/hibiscusstack/pool/service.py
@@ -104,14 +104,6 @@
         deadline_ms = None if timeout_ms is None else now_ms + timeout_ms
 
         def ended(message: SubmissionAnswer) -> None:
-            if message.end is not JobEnd.COMPLETED:
-                log_message(
-                    "pool:job_ended",
-                    job=job.job_id,
-                    end=message.end.value,
-                    cause=message.cause,
-                    after_ms=int(self._clock.now_ms() - now_ms),
-                )
             answer(Ended(message.end, message.cause, message.retry_ms))
 
         received = ReceivedJob(job, now_ms, deadline_ms, ended)
--- /dev/null
+++ b/hibiscusstack/pool/views.py
@@ -0,0 +1,122 @@
+"""What operators see of a host of pools, as plain data."""
+
+__all__ = [
+    "PoolDetails",
+    "PoolQueueView",
+    "PoolTargetView",
+    "PoolView",
+    "queue_views",
+    "target_view",
+]
+
+from collections.abc import Iterable
+
+import attrs
+
+from hibiscusstack.pool.held_target import HeldTarget
+from hibiscusstack.pool.work import ActiveJob
+
+
+@attrs.frozen
+class PoolView:
+    """One host.
+
+    ``term`` is the fencing token of the newest term that the host knows, 0 for none,
+    and ``holder`` the host that it began with. ``jobs_in_progress`` counts those of
+    the coordinator, ``jobs_waiting_here`` those whose callers wait at this host.
+    """
+
+    host: str
+    data_centre: str
+    incarnation: int
+    phase: str
+    term: int
+    holder: str
+    is_coordinator: bool
+    configuration_version: int
+    routes: int
+    listed_targets: int
+    jobs_in_progress: int
+    jobs_waiting_here: int
+
+
+@attrs.frozen
+class PoolTargetView:
+    """One target as the coordinator knows it; ``free_cpu`` in thousandths of a core.
+
+    ``lease_left_ms`` is how long its runs may go on without another order.
+    """
+
+    name: str
+    pool: str
+    data_centre: str
+    phase: str
+    health: str
+    runs: int
+    free_cpu: int
+    free_memory_mb: int
+    lease_left_ms: int
+
+
+@attrs.frozen
+class PoolQueueView:
+    """Jobs of one pool and one priority that have tasks waiting for room."""
+
+    pool: str
+    priority: int
+    jobs: int
+    tasks: int
+    oldest_wait_ms: int
+
+
+@attrs.frozen
+class PoolDetails:
+    """A host with what its coordinator, if it is one, knows."""
+
+    host: PoolView
+    targets: tuple[PoolTargetView, ...] = ()
+    queue: tuple[PoolQueueView, ...] = ()
+
+
+def target_view(state: HeldTarget, now_ms: float) -> PoolTargetView:
+    """Return what operators see of a target."""
+    return PoolTargetView(
+        name=state.listing.name,
+        pool=state.listing.pool,
+        data_centre=state.listing.data_centre,
+        phase=state.phase.value,
+        health=_health_of(state, now_ms),
+        runs=len(state.runs),
+        free_cpu=state.free.cpu_milli,
+        free_memory_mb=state.free.memory_mb,
+        lease_left_ms=max(0, int(state.lapse_ms - now_ms)),
+    )
+
+
+def queue_views(jobs: Iterable[ActiveJob], now_ms: float) -> list[PoolQueueView]:
+    """Return the waiting jobs by pool and priority."""
+    by_line: dict[tuple[str, int], list[ActiveJob]] = {}
+    for job in jobs:
+        by_line.setdefault((job.job.pool, job.job.priority), []).append(job)
+    return [
+        PoolQueueView(
+            pool=pool,
+            priority=priority,
+            jobs=len(found),
+            tasks=sum(len(job.ready) for job in found),
+            oldest_wait_ms=int(now_ms - min(job.received_ms for job in found)),
+        )
+        for (pool, priority), found in sorted(by_line.items())
+    ]
+
+
+def _health_of(state: HeldTarget, now_ms: float) -> str:
+    if state.listing.is_leaving:
+        return "leaving"
+    if state.unlisted_since_ms is not None:
+        return "unlisted"
+    if state.silent_since_ms is not None:
+        return "silent"
+    if now_ms < state.paused_until_ms:
+        return "paused"
+    return "on-trial" if state.health.is_on_trial else "sound"
