Give hosts of pools checked settings and an interface for operators

Cause: the role read the platform's own file by the platform's names, no fault in it was named, and no one could ask a host for its state.

Ruled out: taking over durations at HUP, since a coordinator and its targets share them within a term; argparse for a start without arguments; klein.

--- a/hibiscusstack/daemon/pool_edge.py
+++ b/hibiscusstack/daemon/pool_edge.py
@@ -6,9 +6,11 @@
 
 import attrs
 from eliot import log_message
+from twisted.internet.error import CannotListenError
 
 from hibiscusstack.daemon.pool_host import PoolHost
 from hibiscusstack.exceptions import DecodeError
+from hibiscusstack.http.address import parse_address
 from hibiscusstack.http.server import HttpServer
 from hibiscusstack.pool.following import TopicFollower
 from hibiscusstack.pool.interfaces import KeyedLog, KeyedRecord
@@ -21,20 +23,25 @@
 CONFIGURATION_WAIT_MS = 1_000
 TARGETS_PAUSE_MS = 400
 IDLE_TARGETS_PAUSE_MS = 1_500
-LEAVE_MS = 2_300
-LAST_MS = 5_300
 CHECK_MS = 50
 
 
 @attrs.frozen
 class PoolEdgeParts:
-    """The surroundings of a host; each server with the address to listen at."""
+    """The surroundings of a host; each server with the address to listen at.
+
+    A planned stop takes ``leave_ms`` at least, for the balancer to notice, and
+    ``drain_timeout_ms`` at most. Without an address, operators are not served.
+    """
 
     log: KeyedLog
     decode_routes: Callable[[KeyedRecord], RouteTable | None]
     decode_target: Callable[[KeyedRecord], ListedTarget]
     callers: tuple[HttpServer, str]
     balancer: tuple[HttpServer, str]
+    operators: tuple[HttpServer, str]
+    leave_ms: int
+    drain_timeout_ms: int
 
 
 class PoolEdge:
@@ -68,8 +75,8 @@
     def start(self) -> None:
         """Listen, and begin to follow the log."""
         for server, address in (self._parts.callers, self._parts.balancer):
-            ip, _, port = address.rpartition(":")
-            server.listen(ip, int(port))
+            server.listen(*parse_address(address))
+        self._listen_for_operators()
         self._host.start()
         self._routes.start()
         self._targets.start()
@@ -83,11 +90,22 @@
         self._parts.callers[0].drain()
         self._reactor.callLater(CHECK_MS / 1000, self._stop_when_idle)
 
+    def _listen_for_operators(self) -> None:
+        """Listen if it can be done: work goes on without operators."""
+        server, address = self._parts.operators
+        if not address:
+            return
+        try:
+            server.listen(*parse_address(address))
+        except CannotListenError as error:
+            log_message("pool:operators_failed", level="error", cause=str(error))
+
     def _stop_when_idle(self) -> None:
         self._waited_ms += CHECK_MS
         is_idle = not self._parts.callers[0].open_requests
-        is_left = self._waited_ms >= LEAVE_MS and not self._host.coordinator
-        if (is_idle and is_left) or self._waited_ms >= LAST_MS:
+        is_over = self._waited_ms >= self._parts.drain_timeout_ms
+        is_left = self._waited_ms >= self._parts.leave_ms and not self._host.coordinator
+        if (is_idle and is_left) or is_over:
             log_message("pool:stopped", open=self._parts.callers[0].open_requests)
             self._reactor.stop()
             return
--- /dev/null
+++ b/hibiscusstack/daemon/pool_main.py
@@ -0,0 +1,119 @@
+"""The process of a host of pools: settings, logs and signals."""
+
+__all__ = ["SettingsFile", "run_pool_host"]
+
+import signal
+import sys
+from collections.abc import Callable, Iterator, Sequence
+from pathlib import Path
+from typing import Any, TextIO
+
+import attrs
+from eliot import log_message
+from twisted.internet import reactor
+
+from hibiscusstack.daemon.pool_edge import PoolEdge
+from hibiscusstack.exceptions import SettingsError
+from hibiscusstack.settings import PoolSettings, read_settings
+from hibiscusstack.telemetry.logs import start_logging, stop_logging
+
+EXIT_FAULTY_SETTINGS = 2
+
+BuildEdge = Callable[[PoolSettings, Any], PoolEdge]
+
+
+class SettingsFile:
+    """The settings in force, and the file that they come from."""
+
+    def __init__(self, path: Path, settings: PoolSettings, output: TextIO) -> None:
+        self._path = path
+        self._settings = settings
+        self._output = output
+        self._logging = start_logging(output, settings.telemetry.log_level)
+
+    def reload(self) -> None:
+        """Read the file again and take over the level of the logs."""
+        result = read_settings(self._path, PoolSettings)
+        if result.is_error():
+            for fault in result.error.faults:
+                log_message("settings:refused", level="error", fault=str(fault))
+            return
+        changed = list(_changed_keys(self._settings, result.ok))
+        log_message("settings:read", changed=changed)
+        left = [key for key in changed if key != "telemetry.log_level"]
+        if left:
+            log_message("settings:needs_restart", level="warning", keys=left)
+        level = result.ok.telemetry.log_level
+        if level != self._settings.telemetry.log_level:
+            stop_logging(self._logging)
+            self._logging = start_logging(self._output, level)
+            self._settings = attrs.evolve(self._settings, telemetry=result.ok.telemetry)
+
+    def close(self) -> None:
+        """Write no more events."""
+        stop_logging(self._logging)
+
+
+def run_pool_host(
+    build: BuildEdge, arguments: Sequence[str], default_file: str | None
+) -> None:
+    """Run the host that ``build`` makes of the settings until it is told to stop."""
+    path, is_check = _read_arguments(arguments, default_file)
+    result = read_settings(path, PoolSettings)
+    if result.is_error():
+        _print_faults(result.error)
+        sys.exit(EXIT_FAULTY_SETTINGS)
+    if is_check:
+        print(f"{path}: no faults")
+        return
+    file = SettingsFile(path, result.ok, sys.stdout)
+    edge = build(result.ok, reactor)
+    _on_signal(signal.SIGTERM, edge.stop_requested)
+    _on_signal(signal.SIGINT, edge.stop_requested)
+    _on_signal(signal.SIGHUP, file.reload)
+    reactor.callWhenRunning(edge.start)
+    reactor.run(installSignalHandlers=False)
+
+
+def _on_signal(number: int, act: Callable[[], None]) -> None:
+    signal.signal(number, lambda *_: reactor.callFromThread(act))
+
+
+def _read_arguments(
+    arguments: Sequence[str], default_file: str | None
+) -> tuple[Path, bool]:
+    if not arguments and default_file:
+        return Path(default_file), False
+    # Hosts are started without arguments; argparse would only cost them memory.
+    import argparse  # noqa: PLC0415
+
+    parser = argparse.ArgumentParser(
+        description="A host of pools: takes jobs for targets that keep leases."
+    )
+    parser.add_argument(
+        "file",
+        type=Path,
+        nargs="?" if default_file else None,
+        default=default_file and Path(default_file),
+        help="the settings, see docs/SETTINGS.md",
+    )
+    parser.add_argument(
+        "--check-config",
+        action="store_true",
+        help="name every fault in the settings and start nothing",
+    )
+    options = parser.parse_args(arguments)
+    return options.file, options.check_config
+
+
+def _print_faults(error: SettingsError) -> None:
+    for fault in error.faults:
+        print(fault, file=sys.stderr)
+
+
+def _changed_keys(old: PoolSettings, new: PoolSettings) -> Iterator[str]:
+    after = attrs.asdict(new)
+    for section, values in attrs.asdict(old).items():
+        for name, value in values.items():
+            if after[section][name] != value:
+                yield f"{section}.{name}"
--- /dev/null
+++ b/hibiscusstack/daemon/pool_operators.py
@@ -0,0 +1,89 @@
+"""The HTTP interface of a host of pools for operators."""
+
+__all__ = ["PoolOperators"]
+
+import json
+
+import attrs
+
+from hibiscusstack.clock import Clock
+from hibiscusstack.daemon.pool_host import PoolHost
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.http.server import HttpRequest
+from hibiscusstack.pool.counters import PoolCounters
+from hibiscusstack.pool.exposition import render_metrics
+from hibiscusstack.pool.service import PoolService
+from hibiscusstack.pool.views import PoolDetails, PoolView, queue_views, target_view
+
+POOL_PATH = "/v1/pool"
+METRICS_PATH = "/metrics"
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+
+class PoolOperators:
+    """Answers operators' questions; it changes nothing."""
+
+    def __init__(
+        self,
+        host: PoolHost,
+        service: PoolService,
+        counters: PoolCounters,
+        clock: Clock,
+    ) -> None:
+        self._host = host
+        self._service = service
+        self._counters = counters
+        self._clock = clock
+
+    def answer(self, request: HttpRequest) -> None:
+        """Answer one request."""
+        path = request.target.partition("?")[0]
+        if path not in (POOL_PATH, METRICS_PATH):
+            request.answer(404)
+        elif request.method not in ("GET", "HEAD"):
+            request.answer(405, headers=(("Allow", "GET, HEAD"),))
+        elif path == POOL_PATH:
+            request.answer(200, json.dumps(attrs.asdict(self.details())).encode())
+        else:
+            text = render_metrics(self._counters, self.details())
+            request.answer(200, text.encode(), METRICS_TYPE)
+
+    def details(self) -> PoolDetails:
+        """Return what this host knows."""
+        coordinator = self._host.coordinator
+        if coordinator is None:
+            return PoolDetails(self._host_view())
+        now_ms = self._clock.now_ms()
+        targets = [target_view(each, now_ms) for each in coordinator.targets()]
+        targets.sort(key=lambda view: (view.pool, view.name))
+        queue = queue_views(coordinator.waiting_jobs(), now_ms)
+        return PoolDetails(self._host_view(), tuple(targets), tuple(queue))
+
+    def _host_view(self) -> PoolView:
+        host, routes = self._host, self._service.routes
+        term, coordinator = host.term, host.coordinator
+        return PoolView(
+            host=host.name.name,
+            data_centre=host.name.data_centre,
+            incarnation=host.name.incarnation,
+            phase=self._phase(),
+            term=term.offset + 1 if term else 0,
+            holder=_display(term.holder) if term else "",
+            is_coordinator=coordinator is not None,
+            configuration_version=routes.version if routes else 0,
+            routes=len(routes) if routes else 0,
+            listed_targets=len(host.targets),
+            jobs_in_progress=coordinator.job_count if coordinator else 0,
+            jobs_waiting_here=len(host.receiver),
+        )
+
+    def _phase(self) -> str:
+        if self._host.is_draining:
+            return "draining"
+        if not self._service.is_configured:
+            return "starting"
+        return "ready" if self._host.is_serving() else "waiting"
+
+
+def _display(name: HostName) -> str:
+    return f"{name.data_centre}/{name.name}"
--- /dev/null
+++ b/hibiscusstack/daemon/tests/test_pool_operators.py
@@ -0,0 +1,144 @@
+"""What a host of pools tells operators over HTTP."""
+
+import json
+
+import pytest
+from twisted.internet.defer import fail
+from twisted.internet.task import Clock as ReactorClock
+
+from hibiscusstack.clock import ManualClock
+from hibiscusstack.daemon.pool_host import PoolHost, PoolHostSettings
+from hibiscusstack.daemon.pool_operators import PoolOperators
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.exceptions import UnavailableError
+from hibiscusstack.http.server import HttpLimits, HttpServer
+from hibiscusstack.http.tests.network import Reactor, Transport
+from hibiscusstack.pool.coordinator import Coordinator
+from hibiscusstack.pool.counters import PoolCounters
+from hibiscusstack.pool.jobs import PoolJob, Resources, Step
+from hibiscusstack.pool.messages import SubmitPoolJob
+from hibiscusstack.pool.routes import Route, RouteTable
+from hibiscusstack.pool.service import PoolService
+from hibiscusstack.pool.targets import ListedTarget
+
+NAME = HostName("dc1", "h1", 5)
+TARGETS = [
+    ListedTarget(name, "p", "127.0.0.1:1", 5, Resources(2_000, 512), "dc1")
+    for name in ("t2", "t1")
+]
+
+
+class NoLog:
+    """A log that is out of reach."""
+
+    def read_newest(self, topic):
+        """Fail."""
+        return fail(UnavailableError("log", "down"))
+
+    def append(self, topic, key, value, at=None):
+        """Fail."""
+        return fail(UnavailableError("log", "down"))
+
+
+class NoOrders:
+    """Orders that go nowhere."""
+
+    def __getattr__(self, name):
+        return lambda *_: None
+
+
+class Site:
+    """A host whose operators' interface is asked in memory."""
+
+    def __init__(self):
+        self.clock = ManualClock(1_000)
+        self.counters = PoolCounters(starts=3)
+        self.host = PoolHost(
+            settings=PoolHostSettings(NAME, "127.0.0.1", 7400),
+            reactor=ReactorClock(),
+            clock=self.clock,
+            log=NoLog(),
+            orders=NoOrders(),
+        )
+        self.service = PoolService(self.host.receiver, self.clock)
+        operators = PoolOperators(self.host, self.service, self.counters, self.clock)
+        self.server = HttpServer(Reactor(), operators.answer, HttpLimits, self.clock)
+
+    def ask(self, target, method="GET"):
+        """Return head and body of the answer."""
+        transport = Transport(self.server.new_connection())
+        transport.receive(f"{method} {target} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+        head, _, body = transport.take().decode().partition("\r\n\r\n")
+        return head, body
+
+    def coordinate(self):
+        """Let the host be the coordinator of two targets, with one job."""
+        self.host.coordinator = Coordinator(
+            token=4,
+            clock=self.clock,
+            orders=NoOrders(),
+            send_answer=lambda *_: None,
+        )
+        self.host.replace_targets(TARGETS)
+        job = PoolJob("j1", "p", "", (Step(3, Resources(500, 64), 50),), 2)
+        self.host.coordinator.submit(NAME, SubmitPoolJob(1, job, 40, False))
+
+
+def test_a_host_that_has_just_started():
+    head, body = Site().ask("/v1/pool")
+    assert head.startswith("HTTP/1.1 200 ")
+    assert "Content-Type: application/json" in head
+    shown = json.loads(body)
+    assert (shown["targets"], shown["queue"]) == ([], [])
+    assert shown["host"]["phase"] == "starting"
+    assert (shown["host"]["term"], shown["host"]["holder"]) == (0, "")
+
+
+def test_a_coordinator_shows_its_targets_and_its_queue():
+    site = Site()
+    site.service.replace_routes(RouteTable(12, [Route("r", "a.example", "/", "p")]))
+    site.coordinate()
+    shown = json.loads(site.ask("/v1/pool?pretty")[1])
+    host = shown["host"]
+    assert (host["is_coordinator"], host["jobs_in_progress"]) == (True, 1)
+    assert (host["configuration_version"], host["routes"]) == (12, 1)
+    assert host["listed_targets"] == 2
+    assert [target["name"] for target in shown["targets"]] == ["t1", "t2"]
+    assert {target["phase"] for target in shown["targets"]} == {"looking"}
+    assert shown["queue"] == [
+        {"pool": "p", "priority": 2, "jobs": 1, "tasks": 3, "oldest_wait_ms": 40}
+    ]
+
+
+def test_phases_follow_configuration_and_drain():
+    site = Site()
+    site.service.replace_routes(RouteTable(1, []))
+    assert json.loads(site.ask("/v1/pool")[1])["host"]["phase"] == "waiting"
+    site.host.is_draining = True
+    assert json.loads(site.ask("/v1/pool")[1])["host"]["phase"] == "draining"
+
+
+def test_metrics_are_text():
+    site = Site()
+    site.coordinate()
+    head, body = site.ask("/metrics")
+    assert "Content-Type: text/plain; version=0.0.4" in head
+    lines = body.splitlines()
+    assert "hibiscus_pool_starts_total 3" in lines
+    assert "hibiscus_pool_waiting_tasks 3" in lines
+    assert body.endswith("\n")
+
+
+@pytest.mark.parametrize(
+    ("method", "target", "status"),
+    [
+        ("GET", "/", 404),
+        ("GET", "/v1/pools", 404),
+        ("DELETE", "/v1/pool", 405),
+        ("HEAD", "/metrics", 200),
+    ],
+)
+def test_nothing_else_is_answered(method, target, status):
+    head, body = Site().ask(target, method)
+    assert head.startswith(f"HTTP/1.1 {status} ")
+    assert body == ""
--- a/hibiscusstack/settings/__init__.py
+++ b/hibiscusstack/settings/__init__.py
@@ -1,6 +1,7 @@
-"""Settings of the daemon, read from an INI file."""
+"""Settings of the programs, read from INI files."""
 
 from hibiscusstack.settings.document import describe_settings
+from hibiscusstack.settings.pool_sections import PoolSettings
 from hibiscusstack.settings.reading import parse_settings, read_settings
 from hibiscusstack.settings.sections import (
     CallerSettings,
@@ -21,6 +22,7 @@
     "OperatorSettings",
     "PeerSettings",
     "PlatformSettings",
+    "PoolSettings",
     "Settings",
     "TargetSettings",
     "TelemetrySettings",
--- a/hibiscusstack/settings/kinds.py
+++ b/hibiscusstack/settings/kinds.py
@@ -1,6 +1,15 @@
 """The kinds of values in a settings file: how each is read, shown and described."""
 
-__all__ = ["Address", "Addresses", "Choice", "Number", "Text", "Url", "ValueKind"]
+__all__ = [
+    "Address",
+    "Addresses",
+    "Choice",
+    "Endpoint",
+    "Number",
+    "Text",
+    "Url",
+    "ValueKind",
+]
 
 import ipaddress
 import re
@@ -147,6 +156,33 @@
         return ", ".join(_render_address_and_port(address) for address in value)
 
 
+@attrs.frozen
+class Endpoint:
+    """An IP number with a port, as text.
+
+    >>> Endpoint().parse("[::1]:0080")
+    '[::1]:80'
+    """
+
+    is_optional: bool = False
+
+    @property
+    def expected(self) -> str:
+        """Return the form."""
+        form = "IP:PORT, IPv6 numbers in brackets"
+        return f"{form}, or nothing" if self.is_optional else form
+
+    def parse(self, text: str) -> str:
+        """Return the address in its usual form."""
+        if not text and self.is_optional:
+            return ""
+        return _render_address_and_port(_parse_address_and_port(text))
+
+    def render(self, value: str) -> str:
+        """Return the address."""
+        return value
+
+
 @attrs.frozen
 class Url:
     """The base of an HTTP interface."""
--- a/hibiscusstack/settings/reading.py
+++ b/hibiscusstack/settings/reading.py
@@ -4,18 +4,22 @@
 
 import configparser
 from pathlib import Path
-from typing import Any, get_type_hints
+from typing import Any, TypeVar, get_type_hints
 
 import attrs
 from expression import Error, Ok, Result
 
 from hibiscusstack.exceptions import InvalidInputError, SettingsError
-from hibiscusstack.settings.sections import PeerSettings, Settings, kind_of
+from hibiscusstack.settings.sections import Settings, kind_of
 
 MAX_FILE_BYTES = 1_048_576
 
+Sections = TypeVar("Sections")
 
-def read_settings(path: Path) -> Result[Settings, SettingsError]:
+
+def read_settings(
+    path: Path, sections: type[Sections] = Settings
+) -> Result[Sections, SettingsError]:
     """Return the settings in the file at ``path``, or every fault in it.
 
     A file that cannot be read is a fault as well. See :func:`parse_settings`.
@@ -35,13 +39,16 @@
     except UnicodeDecodeError as error:
         fault = InvalidInputError(str(path), "UTF-8 text", error.reason)
         return Error(SettingsError([fault]))
-    return parse_settings(text, str(path))
+    return parse_settings(text, str(path), sections)
 
 
-def parse_settings(text: str, source: str) -> Result[Settings, SettingsError]:
+def parse_settings(
+    text: str, source: str, sections: type[Sections] = Settings
+) -> Result[Sections, SettingsError]:
     r"""Return the settings that ``text`` holds, or every fault in it.
 
     ``source`` names the text in the faults. Unknown sections and keys are faults.
+    ``sections`` is the attrs class whose fields are the sections of the file.
 
     >>> result = parse_settings("[host]\nname = a b\n", "h.ini")
     >>> str(result.error.faults[0])
@@ -56,7 +63,7 @@
     except configparser.Error as error:
         fault = InvalidInputError(source, "INI text", error.message)
         return Error(SettingsError([fault]))
-    return _Reader(source, parser).read()
+    return _Reader(source, parser, sections).read()
 
 
 @attrs.define
@@ -65,21 +72,23 @@
 
     source: str
     parser: configparser.ConfigParser
+    sections: type
     faults: list[InvalidInputError] = attrs.field(factory=list)
 
-    def read(self) -> Result[Settings, SettingsError]:
+    def read(self) -> Result[Any, SettingsError]:
         """Return the whole settings, or the faults."""
-        classes = get_type_hints(Settings)
+        classes = get_type_hints(self.sections)
         for name in self.parser.sections():
             if name not in classes:
                 expected = "one of the sections " + ", ".join(classes)
                 self._add_fault(f"[{name}]", expected, name)
         values = {name: self._read_section(name, classes[name]) for name in classes}
-        if not self.faults:
-            self._check_peers(values["peers"])
         if self.faults:
             return Error(SettingsError(self.faults))
-        return Ok(Settings(**values))
+        settings = self.sections(**values)
+        for contradiction in settings.contradictions():
+            self._add_fault(*contradiction)
+        return Error(SettingsError(self.faults)) if self.faults else Ok(settings)
 
     def _read_section(self, name: str, cls: type) -> Any:
         found = dict(self.parser.items(name)) if name in self.parser else {}
@@ -107,15 +116,6 @@
             self._add_fault(where, kind.expected, text)
             return None
 
-    def _check_peers(self, peers: PeerSettings) -> None:
-        for prefix in ("", "far_"):
-            heartbeat_ms = getattr(peers, f"{prefix}heartbeat_ms")
-            silence_ms = getattr(peers, f"{prefix}silence_ms")
-            if silence_ms <= heartbeat_ms:
-                where = f"[peers] {prefix}silence_ms"
-                expected = f"more than {prefix}heartbeat_ms, which is {heartbeat_ms}"
-                self._add_fault(where, expected, silence_ms)
-
     def _add_fault(self, where: str, expected: str, found: object) -> None:
         fault = InvalidInputError(f"{self.source} {where}", expected, found)
         self.faults.append(fault)
--- a/hibiscusstack/settings/sections.py
+++ b/hibiscusstack/settings/sections.py
@@ -10,9 +10,12 @@
     "Settings",
     "TargetSettings",
     "TelemetrySettings",
+    "key",
     "kind_of",
+    "silence_contradictions",
 ]
 
+from collections.abc import Iterator
 from typing import Any
 
 import attrs
@@ -36,13 +39,17 @@
 # than JSON does.
 MAX_BODY_BYTES = 1_572_864
 
-_DURATION = Number(1, MAX_DURATION_MS)
-_PORT = Number(0, MAX_PORT)
+DURATION = Number(1, MAX_DURATION_MS)
+PORT = Number(0, MAX_PORT)
 _COUNT = Number(1, MAX_COUNT)
 _BYTES = Number(1024, MAX_BYTES)
 
+Contradiction = tuple[str, str, object]
+"""The key that contradicts another one, what was expected, and what was found."""
 
-def _key(kind: ValueKind, doc: str, default: Any = attrs.NOTHING) -> Any:
+
+def key(kind: ValueKind, doc: str, default: Any = attrs.NOTHING) -> Any:
+    """Return the field of a section that one key sets."""
     metadata = {"kind": kind, "doc": doc}
     return attrs.field(default=default, metadata=metadata)
 
@@ -52,20 +59,30 @@
     return field.metadata["kind"]
 
 
+def silence_contradictions(peers: Any, prefix: str = "") -> Iterator[Contradiction]:
+    """Say if silence would be found before a heartbeat is due."""
+    heartbeat_ms = getattr(peers, f"{prefix}heartbeat_ms")
+    silence_ms = getattr(peers, f"{prefix}silence_ms")
+    if silence_ms <= heartbeat_ms:
+        where = f"[peers] {prefix}silence_ms"
+        expected = f"more than {prefix}heartbeat_ms, which is {heartbeat_ms}"
+        yield where, expected, silence_ms
+
+
 @attrs.frozen
 class HostSettings:
     """Who this host is, and where its peers reach it."""
 
-    name: str = _key(Text(), "The name of this host, unique in its data centre.")
-    data_centre: str = _key(Text(), "The data centre that this host stands in.")
-    address: str = _key(Address(), "The IP number at which peers reach this host.")
-    peer_port: int = _key(_PORT, "The port for peers; 0 lets the kernel choose.", 7400)
-    drain_timeout_ms: int = _key(
-        _DURATION,
+    name: str = key(Text(), "The name of this host, unique in its data centre.")
+    data_centre: str = key(Text(), "The data centre that this host stands in.")
+    address: str = key(Address(), "The IP number at which peers reach this host.")
+    peer_port: int = key(PORT, "The port for peers; 0 lets the kernel choose.", 7400)
+    drain_timeout_ms: int = key(
+        DURATION,
         "How long a graceful stop waits for work in progress before it gives up.",
         120_000,
     )
-    leave_ms: int = _key(
+    leave_ms: int = key(
         Number(0, MAX_DURATION_MS),
         "How long readiness fails before new jobs are refused, for the balancer.",
         2_000,
@@ -76,13 +93,13 @@
 class CallerSettings:
     """The HTTP interface for callers."""
 
-    address: str = _key(Address(), "The IP number to listen at.", "127.0.0.1")
-    port: int = _key(_PORT, "The port; 0 lets the kernel choose.", 8080)
-    max_body_bytes: int = _key(
+    address: str = key(Address(), "The IP number to listen at.", "127.0.0.1")
+    port: int = key(PORT, "The port; 0 lets the kernel choose.", 8080)
+    max_body_bytes: int = key(
         Number(1024, MAX_BODY_BYTES), "The largest body of a request.", 1_048_576
     )
-    receive_timeout_ms: int = _key(
-        _DURATION, "How long a caller may take to send a whole request.", 10_000
+    receive_timeout_ms: int = key(
+        DURATION, "How long a caller may take to send a whole request.", 10_000
     )
 
 
@@ -90,21 +107,21 @@
 class OperatorSettings:
     """The HTTP interface for operators."""
 
-    address: str = _key(Address(), "The IP number to listen at.", "127.0.0.1")
-    port: int = _key(_PORT, "The port; 0 lets the kernel choose.", 8081)
+    address: str = key(Address(), "The IP number to listen at.", "127.0.0.1")
+    port: int = key(PORT, "The port; 0 lets the kernel choose.", 8081)
 
 
 @attrs.frozen
 class PlatformSettings:
     """The platform's log and live list."""
 
-    log_url: str = _key(Url(), "The base of the log service.")
-    list_url: str = _key(Url(), "The base of the live list.")
-    poll_interval_ms: int = _key(
-        _DURATION, "How often the log and the live list are read.", 1_000
+    log_url: str = key(Url(), "The base of the log service.")
+    list_url: str = key(Url(), "The base of the live list.")
+    poll_interval_ms: int = key(
+        DURATION, "How often the log and the live list are read.", 1_000
     )
-    timeout_ms: int = _key(_DURATION, "The deadline of each call.", 5_000)
-    configuration_stream: str = _key(
+    timeout_ms: int = key(DURATION, "The deadline of each call.", 5_000)
+    configuration_stream: str = key(
         Text(), "The stream of the log with the configuration.", "configuration"
     )
 
@@ -113,24 +130,24 @@
 class PeerSettings:
     """Connections to the other dispatcher hosts."""
 
-    seeds: tuple[PeerAddress, ...] = _key(
+    seeds: tuple[PeerAddress, ...] = key(
         Addresses(), "Peers to dial besides those of the live list.", ()
     )
-    heartbeat_ms: int = _key(_DURATION, "The interval of heartbeats.", 500)
-    silence_ms: int = _key(
-        _DURATION, "A connection on which nothing came for so long is retired.", 2_000
+    heartbeat_ms: int = key(DURATION, "The interval of heartbeats.", 500)
+    silence_ms: int = key(
+        DURATION, "A connection on which nothing came for so long is retired.", 2_000
     )
-    far_heartbeat_ms: int = _key(
-        _DURATION, "The interval of heartbeats to other data centres.", 2_000
+    far_heartbeat_ms: int = key(
+        DURATION, "The interval of heartbeats to other data centres.", 2_000
     )
-    far_silence_ms: int = _key(
-        _DURATION, "As silence_ms, for peers in other data centres.", 8_000
+    far_silence_ms: int = key(
+        DURATION, "As silence_ms, for peers in other data centres.", 8_000
     )
-    lost_after_ms: int = _key(
-        _DURATION, "A peer without a connection for so long is lost.", 3_000
+    lost_after_ms: int = key(
+        DURATION, "A peer without a connection for so long is lost.", 3_000
     )
-    connect_timeout_ms: int = _key(_DURATION, "The deadline of a connection.", 2_000)
-    max_unsent_bytes: int = _key(
+    connect_timeout_ms: int = key(DURATION, "The deadline of a connection.", 2_000)
+    max_unsent_bytes: int = key(
         _BYTES, "What may wait for a peer that reads slowly.", 16_777_216
     )
 
@@ -139,11 +156,11 @@
 class TargetSettings:
     """Calls to targets."""
 
-    timeout_ms: int = _key(
-        _DURATION, "The longest lease of a task and wait for its answer.", 60_000
+    timeout_ms: int = key(
+        DURATION, "The longest lease of a task and wait for its answer.", 60_000
     )
-    probe_ms: int = _key(
-        _DURATION, "The deadline of a question about tasks gone silent.", 2_000
+    probe_ms: int = key(
+        DURATION, "The deadline of a question about tasks gone silent.", 2_000
     )
 
 
@@ -151,11 +168,11 @@
 class LimitSettings:
     """Bounds on what this host keeps in memory."""
 
-    max_waiting_requests: int = _key(
+    max_waiting_requests: int = key(
         _COUNT, "How many requests of callers may wait for an answer.", 4_096
     )
-    id_lifetime_ms: int = _key(
-        _DURATION, "How long an issued id can be submitted.", 600_000
+    id_lifetime_ms: int = key(
+        DURATION, "How long an issued id can be submitted.", 600_000
     )
 
 
@@ -163,22 +180,22 @@
 class TelemetrySettings:
     """Logs, metrics and traces."""
 
-    log_level: str = _key(
+    log_level: str = key(
         Choice(("debug", "info", "warning", "error")),
         "Events below this level are not written.",
         "info",
     )
-    statsd_address: str = _key(
+    statsd_address: str = key(
         Address(is_optional=True), "The statsd server; none turns metrics off.", ""
     )
-    statsd_port: int = _key(Number(1, MAX_PORT), "The port of the statsd server.", 8125)
-    trace_exporter: str = _key(
+    statsd_port: int = key(Number(1, MAX_PORT), "The port of the statsd server.", 8125)
+    trace_exporter: str = key(
         Choice(("none", "console")), "Where spans go besides the memory.", "none"
     )
-    trace_percent: int = _key(
+    trace_percent: int = key(
         Number(0, 100), "The part of jobs that are traced, unless callers decide.", 100
     )
-    max_spans: int = _key(
+    max_spans: int = key(
         _COUNT, "How many spans are kept in memory for operators.", 20_000
     )
 
@@ -195,3 +212,8 @@
     targets: TargetSettings
     limits: LimitSettings
     telemetry: TelemetrySettings
+
+    def contradictions(self) -> Iterator[Contradiction]:
+        """Return the values that do not go together."""
+        yield from silence_contradictions(self.peers)
+        yield from silence_contradictions(self.peers, "far_")
--- /dev/null
+++ b/hibiscusstack/settings/tests/test_pool_sections.py
@@ -0,0 +1,104 @@
+"""Settings files of hosts of pools, whole and faulty."""
+
+import attrs
+import pytest
+
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.pool.host_settings import PoolHostSettings
+from hibiscusstack.pool.timing import CoordinatorTiming
+from hibiscusstack.settings import PoolSettings, parse_settings
+
+WHOLE = """\
+[host]
+name = h1
+data_centre = dc1
+address = 127.0.0.1
+
+[caller]
+listen = 127.0.0.1:8161
+
+[readiness]
+listen = 127.0.0.1:8167
+
+[operator]
+listen = 127.0.0.1:7401
+
+[log]
+address = 127.0.0.1:8169
+
+[peers]
+[targets]
+"""
+
+
+def parse(text):
+    return parse_settings(text, "h.ini", PoolSettings)
+
+
+def test_defaults_are_those_of_the_host_and_of_the_coordinator():
+    settings = parse(WHOLE).ok
+    name = HostName("dc1", "h1", 7)
+    assert settings.host_settings(7) == PoolHostSettings(name, "127.0.0.1", 7400)
+    assert settings.targets.timing() == CoordinatorTiming()
+
+
+def test_every_duration_can_be_set():
+    settings = parse(WHOLE).ok
+    durations = attrs.fields_dict(PoolHostSettings).keys() - {"name", "address", "port"}
+    assert durations == attrs.fields_dict(type(settings.peers)).keys()
+    text = WHOLE.replace("[peers]", "[peers]\npatience_ms = 90")
+    text += "hold_wait_ms = 70\nclock_drift_percent = 5\n"
+    settings = parse(text).ok
+    assert settings.host_settings(7).patience_ms == 90
+    expected = attrs.evolve(CoordinatorTiming(), hold_wait_ms=70, clock_drift=0.05)
+    assert settings.targets.timing() == expected
+
+
+def test_a_lease_is_no_longer_than_targets_grant():
+    settings = parse(WHOLE + "longest_lease_ms = 500\n").ok
+    assert settings.targets.timing().lease_ms == 500
+    assert parse(WHOLE + "longest_lease_ms = 9000\n").ok.targets.timing().lease_ms == (
+        CoordinatorTiming().lease_ms
+    )
+
+
+def test_the_interface_for_operators_can_be_turned_off():
+    text = WHOLE.replace("listen = 127.0.0.1:7401", "listen =")
+    assert parse(text).ok.operator.listen == ""
+    text = WHOLE.replace("listen = 127.0.0.1:7401", "")
+    assert parse(text).ok.operator.listen == ""
+
+
+def test_every_fault_is_named_at_once():
+    text = WHOLE.replace("name = h1\n", "").replace(":8161", "") + "lease_ms = long\n"
+    faults = [str(fault) for fault in parse(text + "[platform]\n").error.faults]
+    assert faults == [
+        "h.ini [platform]: expected one of the sections host, caller, readiness,"
+        " operator, log, peers, targets, telemetry, found 'platform'",
+        "h.ini [host] name: expected 1 to 64 letters, digits, '.', '_' or '-',"
+        " found 'no value'",
+        "h.ini [caller] listen: expected IP:PORT, IPv6 numbers in brackets,"
+        " found '127.0.0.1'",
+        "h.ini [targets] lease_ms: expected a whole number from 1 to 3600000,"
+        " found 'long'",
+    ]
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "where"),
+    [
+        ("[peers]", "[peers]\nsilence_ms = 9", "[peers] silence_ms"),
+        ("[targets]", "[targets]\nlease_ms = 200", "[targets] hold_wait_ms"),
+        ("[targets]", "[targets]\nlongest_lease_ms = 200", "[targets] hold_wait_ms"),
+        ("name = h1", "name = h1\ndrain_timeout_ms = 9", "[host] leave_ms"),
+        ("127.0.0.1:7401", "127.0.0.1:7400", "[operator] listen"),
+        ("127.0.0.1:8167", "127.0.0.1:8161", "[readiness] listen"),
+        ("listen = 127.0.0.1:8161", "listen =", "[caller] listen"),
+        ("address = 127.0.0.1:8169", "address = log:8169", "[log] address"),
+        ("127.0.0.1:8169", "127.0.0.1:0", "[log] address"),
+    ],
+)
+def test_a_faulty_value_is_one_fault(old, new, where):
+    assert old in WHOLE
+    faults = parse(WHOLE.replace(old, new, 1)).error.faults
+    assert [fault.where for fault in faults] == [f"h.ini {where}"]
--- a/hibiscusstack/telemetry/logs.py
+++ b/hibiscusstack/telemetry/logs.py
@@ -1,6 +1,6 @@
 """Events as lines of key=value pairs."""
 
-__all__ = ["LogLevel", "LogWriter", "render_event", "start_logging"]
+__all__ = ["LogLevel", "LogWriter", "render_event", "start_logging", "stop_logging"]
 
 import json
 import re
@@ -10,7 +10,7 @@
 from typing import Any, TextIO
 
 import attrs
-from eliot import add_destinations
+from eliot import add_destinations, remove_destination
 
 MAX_VALUE_CHARACTERS = 2_000
 
@@ -82,6 +82,11 @@
     return writer
 
 
+def stop_logging(destination: Callable[[Mapping[str, Any]], None]) -> None:
+    """Write no more events to what :func:`start_logging` returned."""
+    remove_destination(destination)
+
+
 def _render_time(timestamp: float) -> str:
     moment = datetime.fromtimestamp(timestamp, tz=UTC)
     return f"{moment:%Y-%m-%dT%H:%M:%S}.{moment.microsecond // 1000:03d}Z"
