Show hosts of pools with the command-line tool

hibiscus pool show asks any host; pool targets and pool queue look among the hosts given for the coordinator, and name it if it was not asked.

--- a/hibiscusstack/operator/admin_client.py
+++ b/hibiscusstack/operator/admin_client.py
@@ -26,7 +26,14 @@
     SpanView,
     TargetView,
 )
+from hibiscusstack.pool.views import (
+    PoolDetails,
+    PoolQueueView,
+    PoolTargetView,
+    PoolView,
+)
 
+POOL_PATH = "/v1/pool"
 CALL_TIMEOUT_MS = 5_000
 PUBLISH_TIMEOUT_MS = 30_000
 JSON_HEADERS = {"Content-Type": "application/json"}
@@ -79,6 +86,27 @@
         path = f"/v1/admin/traces/{check_job_id('id', job_id)}"
         return await self._get_views(path, "spans", SpanView)
 
+    async def fetch_pool(self) -> PoolDetails:
+        """Return what the first host of pools that answers knows."""
+        return _read_pool(await self._get(POOL_PATH))
+
+    async def fetch_coordinating_pool(self) -> PoolDetails:
+        """Return what the coordinator knows, which has to be among the hosts."""
+        error: Exception = UnavailableError("hosts", "none is configured")
+        for entry in self._entries:
+            try:
+                details = _read_pool(
+                    await entry.call("GET", POOL_PATH, CALL_TIMEOUT_MS)
+                )
+            except (RequestRefusedError, UnavailableError) as fault:
+                error = fault
+                continue
+            if details.host.is_coordinator:
+                return details
+            holder = details.host.holder or "not known"
+            error = UnavailableError("coordinator", f"not asked; it is {holder}")
+        raise error
+
     async def drain(self) -> None:
         """Start a graceful stop of the first host, and of no other one."""
         entry = self._entries[0]
@@ -109,11 +137,23 @@
         raise error
 
     async def _get_views(self, path: str, name: str, view: type[View]) -> list[View]:
-        value = await self._get(path)
-        items = FieldReader(value).read_any(name)
-        if not isinstance(items, list):
-            raise InvalidInputError(name, "a list", type(items).__name__)
-        return [_read_view(view, item) for item in items]
+        return _read_views(FieldReader(await self._get(path)), name, view)
+
+
+def _read_pool(value: Any) -> PoolDetails:
+    reader = FieldReader(value)
+    return PoolDetails(
+        _read_view(PoolView, reader.read_any("host")),
+        tuple(_read_views(reader, "targets", PoolTargetView)),
+        tuple(_read_views(reader, "queue", PoolQueueView)),
+    )
+
+
+def _read_views(reader: FieldReader, name: str, view: type[View]) -> list[View]:
+    items = reader.read_any(name)
+    if not isinstance(items, list):
+        raise InvalidInputError(name, "a list", type(items).__name__)
+    return [_read_view(view, item) for item in items]
 
 
 async def _publish_through(
--- a/hibiscusstack/operator/arguments.py
+++ b/hibiscusstack/operator/arguments.py
@@ -36,6 +36,7 @@
     _add_job_commands(commands)
     _add_configuration_commands(commands)
     _add_host_commands(commands)
+    _add_pool_commands(commands)
     return parser
 
 
@@ -167,6 +168,18 @@
     trace.add_argument("job_id", metavar="ID")
 
 
+def _add_pool_commands(commands: Subparsers) -> None:
+    pool = commands.add_parser("pool", help="show hosts of pools")
+    actions = pool.add_subparsers(dest="action", required=True, metavar="ACTION")
+    for name, text in (
+        ("show", "show the state of a host of pools"),
+        ("targets", "list the targets that the coordinator holds"),
+        ("queue", "show what waits for room at the coordinator"),
+    ):
+        example = f"hibiscus pool {name} --admin http://10.0.0.7:7735"
+        _add_command(actions, name, text, example)
+
+
 def _add_command(
     commands: Subparsers, name: str, text: str, *examples: str
 ) -> argparse.ArgumentParser:
--- a/hibiscusstack/operator/tests/fakes.py
+++ b/hibiscusstack/operator/tests/fakes.py
@@ -1,12 +1,15 @@
 """An operator service in memory, and a console that runs the tool on it."""
 
 import io
+import json
 from typing import Any
 
 import attrs
 from treq.testing import StubTreq
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock
+from twisted.web.iweb import IRequest
+from twisted.web.resource import IResource, Resource
 
 from hibiscusstack.caller.api import CallerApi
 from hibiscusstack.caller.site import ApiRouter
@@ -28,6 +31,12 @@
     TargetView,
 )
 from hibiscusstack.operator.tool import run_command
+from hibiscusstack.pool.views import (
+    PoolDetails,
+    PoolQueueView,
+    PoolTargetView,
+    PoolView,
+)
 
 
 @attrs.define
@@ -88,6 +97,36 @@
         )
 
 
+COORDINATOR = PoolView("h1", "dc1", 5, "ready", 8, "dc1/h1", True, 12, 3, 2, 4, 5)
+FOLLOWER = PoolView("h2", "dc1", 6, "ready", 8, "dc1/h1", False, 12, 3, 2, 0, 1)
+POOLS = {
+    b"h1": PoolDetails(
+        COORDINATOR,
+        (PoolTargetView("w1", "p", "dc1", "held", "sound", 2, 500, 64, 700),),
+        (PoolQueueView("p", 1, 2, 7, 2400),),
+    ),
+    b"h2": PoolDetails(FOLLOWER),
+}
+
+
+class PoolRouter(Resource):
+    """Answers for hosts of pools by their names, and leaves the rest to another."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, other: IResource) -> None:
+        super().__init__()
+        self._other = other
+
+    def render(self, request: IRequest) -> Any:
+        """Render what the host knows."""
+        if request.path != b"/v1/pool":
+            return self._other.render(request)
+        request.setHeader("Content-Type", "application/json")
+        details = POOLS.get(request.getRequestHostname())
+        return json.dumps(attrs.asdict(details) if details else {}).encode()
+
+
 @attrs.define
 class Console:
     """Runs commands of the tool against an API in memory."""
@@ -102,7 +141,7 @@
     def __attrs_post_init__(self) -> None:
         callers = CallerApi(self.jobs).app.resource()
         operators = OperatorApi(self.operator).app.resource()
-        self.http = StubTreq(ApiRouter(callers, operators))
+        self.http = StubTreq(PoolRouter(ApiRouter(callers, operators)))
 
     def start(self, *arguments: str) -> Deferred[ExitCode]:
         """Start a command and return its exit code, once it has ended."""
--- a/hibiscusstack/operator/tests/test_tool.py
+++ b/hibiscusstack/operator/tests/test_tool.py
@@ -191,6 +191,44 @@
     assert console.operator.is_draining
 
 
+def test_a_host_of_pools_is_shown() -> None:
+    code, out, _ = Console().call("--admin", "http://h2:1", "pool", "show")
+    assert code is ExitCode.SUCCESS
+    heads, row = (line.split() for line in out.splitlines())
+    shown = dict(zip(heads, row, strict=True))
+    assert (shown["host"], shown["holder"], shown["term"]) == ("h2", "dc1/h1", "8")
+    _, out, _ = Console().call("--json", "--admin", "http://h2:1", "pool", "show")
+    assert json.loads(out)["is_coordinator"] is False
+
+
+@pytest.mark.parametrize(("action", "expected"), [("targets", "w1"), ("queue", "2400")])
+def test_targets_and_queue_come_from_the_coordinator(
+    action: str, expected: str
+) -> None:
+    admins = ("--admin", "http://h2:1", "--admin", "http://h1:1")
+    code, out, _ = Console().call(*admins, "pool", action)
+    assert code is ExitCode.SUCCESS
+    assert expected in out
+    lines = Console().call("--json", *admins, "pool", action)[1].splitlines()
+    assert len([json.loads(line) for line in lines]) == 1
+
+
+@pytest.mark.parametrize("action", ["targets", "queue"])
+def test_who_coordinates_is_named_if_it_was_not_asked(action: str) -> None:
+    code, out, err = Console().call("--admin", "http://h2:1", "pool", action)
+    assert (code, out) == (ExitCode.UNAVAILABLE, "")
+    assert "it is dc1/h1" in err
+
+
+@pytest.mark.parametrize("action", ["show", "targets", "queue"])
+def test_an_answer_of_another_kind_is_an_error(action: str) -> None:
+    code, _, err = Console().call("--admin", "http://h9:1", "pool", action)
+    assert code is ExitCode.USAGE
+    assert (
+        err == "hibiscus: InvalidInputError: body: expected an object, found 'None'\n"
+    )
+
+
 def test_every_command_has_help_with_an_example(
     capsys: pytest.CaptureFixture[str],
 ) -> None:
--- a/hibiscusstack/operator/tool.py
+++ b/hibiscusstack/operator/tool.py
@@ -39,6 +39,11 @@
     show_status,
     submit_jobs,
 )
+from hibiscusstack.operator.pool_commands import (
+    show_pool,
+    show_pool_queue,
+    show_pool_targets,
+)
 
 Command = Callable[[ToolContext], Awaitable[ExitCode]]
 
@@ -56,6 +61,9 @@
     "queue": show_queue,
     "drain": drain_host,
     "trace": show_trace,
+    "pool show": show_pool,
+    "pool targets": show_pool_targets,
+    "pool queue": show_pool_queue,
 }
 
 
@@ -76,7 +84,7 @@
     """Return the exit code of the command; errors are written, each with its type."""
     options = context.options
     name = options.command
-    if name == "config":
+    if name in ("config", "pool"):
         name = f"{name} {options.action}"
     try:
         return await COMMANDS[name](context)
