--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -44,6 +44,7 @@
 HOSTS_TOPIC = "hosts"
 HOSTS_WAIT_MS = 2_000
 TICK_MS = 10
+MISSING_MS = 30_000
 
 
 class PoolHost:
@@ -75,6 +76,8 @@
         self._log = log
         self._orders = orders
         self._targets: tuple[ListedTarget, ...] = ()
+        self._names: set[str] = set()
+        self._missing_since_ms: dict[str, float] = {}
         self._election = Election(settings.name, settings.patience_ms)
         self._hears: dict[HostName, PoolHeartbeat] = {}
         self._away_since_ms: dict[HostName, float] = {}
@@ -140,6 +143,13 @@
     def replace_targets(self, targets: Iterable[ListedTarget]) -> None:
         """Take over a newer list of targets."""
         self._targets = tuple(targets)
+        names = {target.name for target in self._targets}
+        now_ms = self._clock.now_ms()
+        for name in self._names - names:
+            self._missing_since_ms.setdefault(name, now_ms)
+        for name in names:
+            self._missing_since_ms.pop(name, None)
+        self._names = names
         if self.coordinator is not None:
             self.coordinator.replace_targets(self._targets)
 
@@ -247,6 +257,12 @@
         self._find_coordinator()
 
     def _coordinate(self, term: Term) -> None:
+        now_ms = self._clock.now_ms()
+        missing = [
+            name
+            for name, since_ms in self._missing_since_ms.items()
+            if now_ms - since_ms < MISSING_MS
+        ]
         self.coordinator = Coordinator(
             token=term.offset + 1,
             clock=self._clock,
@@ -254,6 +270,7 @@
             send_answer=self._answer,
             timing=self._timing,
             events=self._events,
+            missing=missing,
         )
         self.coordinator.replace_targets(self._targets)
 
--- a/hibiscusstack/pool/host_settings.py
+++ b/hibiscusstack/pool/host_settings.py
@@ -20,9 +20,9 @@
     name: HostName
     address: str
     port: int
-    heartbeat_ms: int = 150
-    silence_ms: int = 550
-    owner_grace_ms: int = 250
+    heartbeat_ms: int = 100
+    silence_ms: int = 400
+    owner_grace_ms: int = 100
     patience_ms: int = 200
     longest_pause_ms: int = 700
     connect_timeout_ms: int = 400
--- a/hibiscusstack/pool/receiving.py
+++ b/hibiscusstack/pool/receiving.py
@@ -35,6 +35,7 @@
     sent_to: HostName | None = None
     was_sent: bool = False
     attempts: int = 0
+    unheard_since_ms: float | None = None
 
 
 class Receiver:
@@ -76,8 +77,7 @@
         self._coordinator = coordinator
         for submission, received in list(self._jobs.items()):
             if received.sent_to != coordinator:
-                self._cancel(submission, received)
-                received.sent_to = None
+                self._leave_coordinator(submission, received)
                 self._forward(submission, received)
 
     def answered(self, sender: HostName, message: SubmissionAnswer) -> None:
@@ -112,8 +112,17 @@
     def _forward(self, submission: int, received: ReceivedJob) -> None:
         if self._coordinator is None:
             return
-        waited_ms = int(self._clock.now_ms() - received.received_ms)
-        message = SubmitPoolJob(submission, received.job, waited_ms, received.was_sent)
+        now_ms = self._clock.now_ms()
+        unheard_since_ms = received.unheard_since_ms
+        message = SubmitPoolJob(
+            submission=submission,
+            job=received.job,
+            waited_ms=int(now_ms - received.received_ms),
+            is_resubmitted=received.was_sent,
+            unheard_ms=0
+            if unheard_since_ms is None
+            else int(now_ms - unheard_since_ms),
+        )
         received.sent_to = self._coordinator
         if self._send(self._coordinator, message):
             if received.was_sent:
@@ -125,6 +134,13 @@
         elif submission in self._jobs:
             received.sent_to = None
 
+    def _leave_coordinator(self, submission: int, received: ReceivedJob) -> None:
+        if received.sent_to is None:
+            return
+        self._cancel(submission, received)
+        received.sent_to = None
+        received.unheard_since_ms = self._clock.now_ms()
+
     def _cancel(self, submission: int, received: ReceivedJob) -> None:
         if received.sent_to is not None:
             self._send(received.sent_to, CancelSubmission(submission))
--- a/hibiscusstack/settings/kinds.py
+++ b/hibiscusstack/settings/kinds.py
@@ -49,14 +49,18 @@
 
     least: int
     most: int
+    is_optional: bool = False
 
     @property
     def expected(self) -> str:
         """Return the bounds."""
-        return f"a whole number from {self.least} to {self.most}"
+        text = f"a whole number from {self.least} to {self.most}"
+        return f"{text}, or nothing" if self.is_optional else text
 
-    def parse(self, text: str) -> int:
-        """Return the number."""
+    def parse(self, text: str) -> int | None:
+        """Return the number, if there is one."""
+        if not text and self.is_optional:
+            return None
         if not re.fullmatch(r"[+-]?[0-9]{1,18}", text):
             raise ValueError(text)
         value = int(text)
@@ -64,9 +68,9 @@
             raise ValueError(text)
         return value
 
-    def render(self, value: int) -> str:
+    def render(self, value: int | None) -> str:
         """Return the digits."""
-        return str(value)
+        return "" if value is None else str(value)
 
 
 @attrs.frozen
--- a/hibiscusstack/settings/pool_sections.py
+++ b/hibiscusstack/settings/pool_sections.py
@@ -12,6 +12,7 @@
 from hibiscusstack.settings.kinds import Choice, Endpoint, Number
 from hibiscusstack.settings.sections import (
     DURATION,
+    MAX_DURATION_MS,
     Contradiction,
     HostSettings,
     key,
@@ -20,6 +21,7 @@
 
 _PEERS = PoolHostSettings(HostName("", "", 0), "", 0)
 _TARGETS = CoordinatorTiming()
+_BOUND = Number(1, MAX_DURATION_MS, is_optional=True)
 
 
 @attrs.frozen
@@ -27,6 +29,11 @@
     """The HTTP interface for callers."""
 
     listen: str = key(Endpoint(), "Where callers are taken.")
+    resend_ms: int | None = key(
+        _BOUND,
+        "How soon callers send a job again whose connection broke, if they do.",
+        None,
+    )
 
 
 @attrs.frozen
@@ -93,11 +100,21 @@
 
     lease_ms: int = key(
         DURATION,
-        "The lease that is asked for; longest_lease_ms if that is shorter.",
+        "The lease that is asked for; less if longest_lease_ms or resend_ms need it.",
         _TARGETS.lease_ms,
     )
-    longest_lease_ms: int = key(
-        DURATION, "The longest lease that targets grant.", _TARGETS.longest_lease_ms
+    longest_lease_ms: int | None = key(
+        _BOUND, "The longest lease that targets grant, if that is bounded.", None
+    )
+    notice_ms: int = key(
+        DURATION,
+        "How long it takes at most until the work of a lost host is being stopped.",
+        _TARGETS.notice_ms,
+    )
+    stop_notice_ms: int = key(
+        DURATION,
+        "A target that leaves a stop unconfirmed for longer gets no longer lease.",
+        _TARGETS.stop_notice_ms,
     )
     hold_wait_ms: int = key(
         DURATION, "How long a hold waits for an end.", _TARGETS.hold_wait_ms
@@ -138,12 +155,20 @@
         _TARGETS.lapse_margin_ms,
     )
 
-    def timing(self) -> CoordinatorTiming:
+    def timing(self, resend_ms: int | None) -> CoordinatorTiming:
         """Return the durations as a coordinator takes them."""
         values = attrs.asdict(self)
-        values["lease_ms"] = min(self.lease_ms, self.longest_lease_ms)
         values["clock_drift"] = values.pop("clock_drift_percent") / 100
-        return CoordinatorTiming(**values)
+        longest_ms = values.pop("longest_lease_ms")
+        if longest_ms is not None:
+            values["lease_ms"] = min(self.lease_ms, longest_ms)
+        timing = CoordinatorTiming(**values)
+        if resend_ms is None or timing.quiet_bound_ms < resend_ms:
+            return timing
+        # Work for a lost host has to have ended before its callers come back.
+        left_ms = resend_ms - 1 - timing.notice_ms - timing.lapse_margin_ms
+        lease_ms = int(left_ms / (1 + timing.clock_drift))
+        return attrs.evolve(timing, lease_ms=lease_ms)
 
 
 @attrs.frozen
@@ -177,11 +202,19 @@
         peers = attrs.asdict(self.peers)
         return PoolHostSettings(name, host.address, host.peer_port, **peers)
 
+    def coordinator_timing(self) -> CoordinatorTiming:
+        """Return the durations that govern the orders to targets."""
+        return self.targets.timing(self.caller.resend_ms)
+
     def contradictions(self) -> Iterator[Contradiction]:
         """Return the values that do not go together."""
         yield from silence_contradictions(self.peers)
-        if self.targets.hold_wait_ms >= self.targets.timing().lease_ms:
-            lease_ms = self.targets.timing().lease_ms
+        away_ms = self.peers.silence_ms + self.peers.owner_grace_ms
+        if self.targets.notice_ms <= away_ms:
+            expected = f"more than silence_ms and owner_grace_ms, which are {away_ms}"
+            yield "[targets] notice_ms", expected, self.targets.notice_ms
+        lease_ms = self.coordinator_timing().lease_ms
+        if self.targets.hold_wait_ms >= lease_ms:
             expected = f"less than the lease, which is {lease_ms}"
             yield "[targets] hold_wait_ms", expected, self.targets.hold_wait_ms
         if self.host.leave_ms > self.host.drain_timeout_ms:
