--- a/hibiscusstack/pool/tests/test_exposition.py
+++ b/hibiscusstack/pool/tests/test_exposition.py
@@ -1,6 +1,7 @@
 """Metrics as text, and the counts of calls to the log."""
 
 import re
+from pathlib import Path
 
 import attrs
 import pytest
@@ -14,6 +15,7 @@
     PoolView,
 )
 
+ROOT = Path(__file__).parents[3]
 HOST = PoolView("h1", "dc1", 1, "ready", 8, "dc1/h1", True, 12, 3, 2, 4, 5)
 TARGETS = (
     PoolTargetView("t1", "p", "dc1", "held", "sound", 2, 500, 64, 700),
@@ -71,6 +73,24 @@
             assert match[1] in announced
 
 
+def test_every_metric_is_on_the_page_for_operators():
+    page = (ROOT / "docs" / "operators" / "pools.md").read_text()
+    names = {line.split()[2] for line in render() if line.startswith("# TYPE ")}
+    shown = set(re.findall(r"`([a-z_]+)(?:\{[^`]*\})?`", page))
+    assert {name.removeprefix("hibiscus_pool_") for name in names} <= shown
+
+
+def test_every_event_is_on_the_page_for_operators():
+    page = (ROOT / "docs" / "operators" / "pools.md").read_text()
+    modules = [*(ROOT / "hibiscusstack" / "pool").glob("*.py")]
+    modules += (ROOT / "hibiscusstack" / "daemon").glob("pool_*.py")
+    names = set()
+    for module in modules:
+        names |= set(re.findall(r'"((?:pool|settings):[a-z_]+)"', module.read_text()))
+    assert "pool:job_refused" in names
+    assert [name for name in names if f"`{name}`" not in page] == []
+
+
 @attrs.define
 class Calls:
     """A log that notes its calls."""
