--- a/hibiscusstack/operator/admin_client.py
+++ b/hibiscusstack/operator/admin_client.py
@@ -104,7 +104,8 @@
             if details.host.is_coordinator:
                 return details
             holder = details.host.holder or "not known"
-            error = UnavailableError("coordinator", f"not asked; it is {holder}")
+            cause = f"no host that was asked coordinates; the holder is {holder}"
+            error = UnavailableError("coordinator", cause)
         raise error
 
     async def drain(self) -> None:
--- a/hibiscusstack/operator/tests/test_tool.py
+++ b/hibiscusstack/operator/tests/test_tool.py
@@ -217,7 +217,7 @@
 def test_who_coordinates_is_named_if_it_was_not_asked(action: str) -> None:
     code, out, err = Console().call("--admin", "http://h2:1", "pool", action)
     assert (code, out) == (ExitCode.UNAVAILABLE, "")
-    assert "it is dc1/h1" in err
+    assert err.endswith("no host that was asked coordinates; the holder is dc1/h1\n")
 
 
 @pytest.mark.parametrize("action", ["show", "targets", "queue"])
