--- /dev/null
+++ b/hibiscusstack/settings/pool_sections.py
@@ -0,0 +1,233 @@
+"""The sections of the settings of a host of pools as attrs classes."""
+
+__all__ = ["PoolSettings"]
+
+from collections.abc import Iterator
+
+import attrs
+
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.pool.host_settings import PoolHostSettings
+from hibiscusstack.pool.timing import CoordinatorTiming
+from hibiscusstack.settings.kinds import Choice, Endpoint, Number
+from hibiscusstack.settings.sections import (
+    DURATION,
+    MAX_DURATION_MS,
+    Contradiction,
+    HostSettings,
+    key,
+    silence_contradictions,
+)
+
+_PEERS = PoolHostSettings(HostName("", "", 0), "", 0)
+_TARGETS = CoordinatorTiming()
+_BOUND = Number(1, MAX_DURATION_MS, is_optional=True)
+
+
+@attrs.frozen
+class PoolCallerSettings:
+    """The HTTP interface for callers."""
+
+    listen: str = key(Endpoint(), "Where callers are taken.")
+    resend_ms: int | None = key(
+        _BOUND,
+        "How soon callers send a job again whose connection broke, if they do.",
+        None,
+    )
+
+
+@attrs.frozen
+class PoolReadinessSettings:
+    """The HTTP interface for the balancer."""
+
+    listen: str = key(Endpoint(), "Where the balancer asks whether to send callers.")
+
+
+@attrs.frozen
+class PoolOperatorSettings:
+    """The HTTP interface for operators."""
+
+    listen: str = key(
+        Endpoint(is_optional=True),
+        "Where the state and the metrics are shown; nothing turns it off.",
+        "",
+    )
+
+
+@attrs.frozen
+class PoolLogSettings:
+    """The platform's log, with the configuration, the targets and the hosts."""
+
+    address: str = key(Endpoint(), "Where the log is.")
+    timeout_ms: int = key(DURATION, "The deadline of a call that need not wait.", 700)
+
+
+@attrs.frozen
+class PoolPeerSettings:
+    """Connections to the other hosts, and how their loss is found."""
+
+    heartbeat_ms: int = key(
+        DURATION, "The interval of heartbeats.", _PEERS.heartbeat_ms
+    )
+    silence_ms: int = key(
+        DURATION,
+        "A connection on which nothing came for so long is retired.",
+        _PEERS.silence_ms,
+    )
+    owner_grace_ms: int = key(
+        DURATION,
+        "How long a peer may be away before its jobs are stopped.",
+        _PEERS.owner_grace_ms,
+    )
+    patience_ms: int = key(
+        DURATION,
+        "How long nobody may hear the coordinator before another term is claimed.",
+        _PEERS.patience_ms,
+    )
+    longest_pause_ms: int = key(
+        DURATION,
+        "A host that stood still for longer gives up its term.",
+        _PEERS.longest_pause_ms,
+    )
+    connect_timeout_ms: int = key(
+        DURATION, "The deadline of a connection.", _PEERS.connect_timeout_ms
+    )
+
+
+@attrs.frozen
+class PoolTargetSettings:
+    """Orders to targets and the leases that they keep."""
+
+    lease_ms: int = key(
+        DURATION,
+        "The lease that is asked for; less if longest_lease_ms or resend_ms need it.",
+        _TARGETS.lease_ms,
+    )
+    longest_lease_ms: int | None = key(
+        _BOUND, "The longest lease that targets grant, if that is bounded.", None
+    )
+    notice_ms: int = key(
+        DURATION,
+        "How long it takes at most until the work of a lost host is being stopped.",
+        _TARGETS.notice_ms,
+    )
+    stop_notice_ms: int = key(
+        DURATION,
+        "A target that leaves a stop unconfirmed for longer gets no longer lease.",
+        _TARGETS.stop_notice_ms,
+    )
+    hold_wait_ms: int = key(
+        DURATION, "How long a hold waits for an end.", _TARGETS.hold_wait_ms
+    )
+    clearing_wait_ms: int = key(
+        DURATION,
+        "The same while runs of an earlier coordinator end.",
+        _TARGETS.clearing_wait_ms,
+    )
+    start_timeout_ms: int = key(
+        DURATION,
+        "A start without a reply for so long is made elsewhere.",
+        _TARGETS.start_timeout_ms,
+    )
+    order_retry_ms: int = key(
+        DURATION,
+        "When a stop or a hold that failed is sent again.",
+        _TARGETS.order_retry_ms,
+    )
+    adoption_ms: int = key(
+        DURATION,
+        "How long a new coordinator waits for the jobs of the runs that it finds.",
+        _TARGETS.adoption_ms,
+    )
+    unlisted_ms: int = key(
+        DURATION,
+        "How long a target that is no longer listed still counts.",
+        _TARGETS.unlisted_ms,
+    )
+    clock_drift_percent: int = key(
+        Number(0, 50),
+        "How much slower the clock of a target may run.",
+        round(_TARGETS.clock_drift * 100),
+    )
+    lapse_margin_ms: int = key(
+        DURATION,
+        "What is added before a lease counts as lapsed.",
+        _TARGETS.lapse_margin_ms,
+    )
+
+    def timing(self, resend_ms: int | None) -> CoordinatorTiming:
+        """Return the durations as a coordinator takes them."""
+        values = attrs.asdict(self)
+        values["clock_drift"] = values.pop("clock_drift_percent") / 100
+        longest_ms = values.pop("longest_lease_ms")
+        if longest_ms is not None:
+            values["lease_ms"] = min(self.lease_ms, longest_ms)
+        timing = CoordinatorTiming(**values)
+        if resend_ms is None or timing.quiet_bound_ms < resend_ms:
+            return timing
+        # Work for a lost host has to have ended before its callers come back.
+        left_ms = resend_ms - 1 - timing.notice_ms - timing.lapse_margin_ms
+        lease_ms = int(left_ms / (1 + timing.clock_drift))
+        return attrs.evolve(timing, lease_ms=lease_ms)
+
+
+@attrs.frozen
+class PoolTelemetrySettings:
+    """Logs."""
+
+    log_level: str = key(
+        Choice(("debug", "info", "warning", "error")),
+        "Events below this level are not written.",
+        "info",
+    )
+
+
+@attrs.frozen
+class PoolSettings:
+    """Everything that a host of pools is told at its start."""
+
+    host: HostSettings
+    caller: PoolCallerSettings
+    readiness: PoolReadinessSettings
+    operator: PoolOperatorSettings
+    log: PoolLogSettings
+    peers: PoolPeerSettings
+    targets: PoolTargetSettings
+    telemetry: PoolTelemetrySettings
+
+    def host_settings(self, incarnation: int) -> PoolHostSettings:
+        """Return who this run of the host is."""
+        host = self.host
+        name = HostName(host.data_centre, host.name, incarnation)
+        peers = attrs.asdict(self.peers)
+        return PoolHostSettings(name, host.address, host.peer_port, **peers)
+
+    def coordinator_timing(self) -> CoordinatorTiming:
+        """Return the durations that govern the orders to targets."""
+        return self.targets.timing(self.caller.resend_ms)
+
+    def contradictions(self) -> Iterator[Contradiction]:
+        """Return the values that do not go together."""
+        yield from silence_contradictions(self.peers)
+        away_ms = self.peers.silence_ms + self.peers.owner_grace_ms
+        if self.targets.notice_ms <= away_ms:
+            expected = f"more than silence_ms and owner_grace_ms, which are {away_ms}"
+            yield "[targets] notice_ms", expected, self.targets.notice_ms
+        lease_ms = self.coordinator_timing().lease_ms
+        if self.targets.hold_wait_ms >= lease_ms:
+            expected = f"less than the lease, which is {lease_ms}"
+            yield "[targets] hold_wait_ms", expected, self.targets.hold_wait_ms
+        if self.host.leave_ms > self.host.drain_timeout_ms:
+            expected = (
+                f"at most drain_timeout_ms, which is {self.host.drain_timeout_ms}"
+            )
+            yield "[host] leave_ms", expected, self.host.leave_ms
+        yield from self._shared_addresses()
+
+    def _shared_addresses(self) -> Iterator[Contradiction]:
+        taken = [f"{self.host.address}:{self.host.peer_port}"]
+        for name in ("caller", "readiness", "operator"):
+            listen = getattr(self, name).listen
+            if listen and listen in taken:
+                yield f"[{name}] listen", "an address of its own", listen
+            taken.append(listen)
