Let a deputy order the targets of a zone that is cut off

Its first listed host now stands in, with a token between the term's and the next one's; the coordinator takes the targets back by a new term.

--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -16,6 +16,7 @@
 from hibiscusstack.exceptions import DecodeError
 from hibiscusstack.host import Mesh, MeshTiming, PeerAddress, TcpNetwork
 from hibiscusstack.pool.coordinator import Coordinator
+from hibiscusstack.pool.deputies import choose_deputy, deputy_token, term_token
 from hibiscusstack.pool.election import Election, Term
 from hibiscusstack.pool.events import PoolEvents
 from hibiscusstack.pool.following import TopicFollower
@@ -42,16 +43,24 @@
 from hibiscusstack.pool.timing import CoordinatorTiming
 
 HOSTS_TOPIC = "hosts"
-HOSTS_WAIT_MS = 2_000
+HOSTS_WAIT_MS = 1_000
+LONGEST_DIAL_DELAY_MS = 500
+TOUCH_MS = 1_300
+SETTLING_MS = 700
 TICK_MS = 10
 MISSING_MS = 30_000
+UNHEARD_MS = 250
+DEPUTY_PATIENCE_MS = 100
+FENCED_PATIENCE_MS = 100
+LONGEST_FENCED_MS = 1_500
 
 
 class PoolHost:
     """One host of a site whose targets keep leases.
 
     It lists itself in the log, meets its peers, elects the coordinator with them and
-    is the coordinator while the newest term is its own.
+    is the coordinator while the newest term is its own. While its data centre is cut
+    off from the coordinator, it may stand in for that one there.
     """
 
     def __init__(
@@ -76,12 +85,18 @@
         self._log = log
         self._orders = orders
         self._targets: tuple[ListedTarget, ...] = ()
+        self._recent_targets: dict[str, ListedTarget] = {}
         self._names: set[str] = set()
         self._missing_since_ms: dict[str, float] = {}
         self._election = Election(settings.name, settings.patience_ms)
         self._hears: dict[HostName, PoolHeartbeat] = {}
         self._away_since_ms: dict[HostName, float] = {}
         self._ticked_ms = clock.now_ms()
+        self._listing_offset: int | None = None
+        self._alone_since_ms: float | None = None
+        self._is_claiming = False
+        self._read_ms: float | None = None
+        self._in_touch_since_ms: float | None = None
         self._hosts: dict[str, HostRecord] = {}
         self._mesh = Mesh(
             hello=Hello(settings.name, settings.address, settings.port),
@@ -95,6 +110,7 @@
                 far_heartbeat_ms=settings.heartbeat_ms,
                 far_silence_ms=settings.silence_ms,
                 lost_after_ms=settings.silence_ms,
+                longest_dial_delay_ms=LONGEST_DIAL_DELAY_MS,
             ),
             rng=random.Random(settings.name.incarnation),
         )
@@ -104,7 +120,7 @@
             HOSTS_TOPIC,
             self._take_records,
             wait_ms=HOSTS_WAIT_MS,
-            on_end=self._election.note_end,
+            on_end=self._note_read,
         )
         self._ticking = LoopingCall(self._tick)
         self._ticking.clock = reactor
@@ -150,13 +166,18 @@
         for name in names:
             self._missing_since_ms.pop(name, None)
         self._names = names
-        if self.coordinator is not None:
+        self._recent_targets.update({each.name: each for each in self._targets})
+        for name, since_ms in list(self._missing_since_ms.items()):
+            if now_ms - since_ms > MISSING_MS:
+                self._recent_targets.pop(name, None)
+        if self._is_deputy():
+            self.coordinator.replace_targets(self._own_targets())
+        elif self.coordinator is not None:
             self.coordinator.replace_targets(self._targets)
 
     def is_serving(self) -> bool:
         """Tell whether a job received now would reach the coordinator."""
-        term = self._election.term
-        return term is not None and self._hears_holder() and not self.is_draining
+        return self._find_holder() is not None and not self.is_draining
 
     def heartbeat(self) -> PoolHeartbeat:
         """Return what peers have to know of this host."""
@@ -166,6 +187,7 @@
             holder=term.holder if term else None,
             hears_holder=self._hears_staying_holder(),
             is_draining=self.is_draining,
+            is_deputy=self._is_deputy(),
         )
 
     def peer_connected(self, peer: HostName) -> None:
@@ -188,7 +210,10 @@
     def peer_message(self, sender: HostName, message: Message) -> None:
         """Act on one message of a peer."""
         if isinstance(message, PoolHeartbeat):
+            before = self._hears.get(sender)
             self._hears[sender] = message
+            if message.is_deputy != (before is not None and before.is_deputy):
+                self._find_coordinator()
             if message.holder is not None:
                 self._take_term(Term(message.term, message.holder))
         elif isinstance(message, SubmissionAnswer):
@@ -211,12 +236,33 @@
         record = HostRecord(settings.name, settings.address, settings.port)
         key = host_key(settings.name)
         appended = self._log.append(HOSTS_TOPIC, key, encode_host(record))
-        appended.addErrback(self._list_again)
+        appended.addCallbacks(self._listed_itself, self._list_again)
+
+    def _listed_itself(self, result: Appended) -> None:
+        self._listing_offset = result.offset
 
     def _list_again(self, failure: Failure) -> None:
         log_message("pool:listing_failed", cause=failure.getErrorMessage())
         self._reactor.callLater(0.5, self._list_itself)
 
+    def _note_read(self, end: int) -> None:
+        """Note that the log was read, and after which silence."""
+        self._election.note_end(end)
+        now_ms = self._clock.now_ms()
+        if self._read_ms is not None and now_ms - self._read_ms > TOUCH_MS:
+            self._in_touch_since_ms = now_ms
+        self._read_ms = now_ms
+
+    def _is_in_touch(self, now_ms: float) -> bool:
+        """Tell whether the log is read, and peers had time to be heard again.
+
+        Otherwise a host that was cut off would claim a term as soon as it is back.
+        """
+        if self._read_ms is None or now_ms - self._read_ms > TOUCH_MS:
+            return False
+        since_ms = self._in_touch_since_ms
+        return since_ms is None or now_ms - since_ms >= SETTLING_MS
+
     def _take_records(self, records: Sequence[KeyedRecord], is_whole: bool) -> None:
         if is_whole:
             self._hosts.clear()
@@ -248,13 +294,21 @@
             return
         self._events.counters.terms += 1
         log_message("pool:term", token=term.offset, holder=term.holder.name)
+        coordinator = self.coordinator
+        is_own = self._election.is_holder
+        if is_own and coordinator is not None and not coordinator.is_deputy:
+            coordinator.renew(term_token(term.offset))
+        else:
+            self._step_down()
+            if is_own:
+                self._coordinate(term)
+        self._mesh.send_heartbeats()
+        self._find_coordinator()
+
+    def _step_down(self) -> None:
         if self.coordinator is not None:
             self.coordinator.step_down()
             self.coordinator = None
-        if self._election.is_holder:
-            self._coordinate(term)
-        self._mesh.send_heartbeats()
-        self._find_coordinator()
 
     def _coordinate(self, term: Term) -> None:
         now_ms = self._clock.now_ms()
@@ -264,7 +318,7 @@
             if now_ms - since_ms < MISSING_MS
         ]
         self.coordinator = Coordinator(
-            token=term.offset + 1,
+            token=term_token(term.offset),
             clock=self._clock,
             orders=self._orders,
             send_answer=self._answer,
@@ -279,7 +333,7 @@
         if term is None:
             return False
         if term.holder == self._settings.name:
-            return self.coordinator is not None
+            return self.coordinator is not None and not self.coordinator.is_deputy
         return self._mesh.silent_ms(term.holder) is not None
 
     def _hears_staying_holder(self) -> bool:
@@ -293,9 +347,102 @@
         return beat is None or not beat.is_draining
 
     def _find_coordinator(self) -> None:
+        self.receiver.coordinator_changed(self._find_holder())
+
+    def _find_holder(self) -> HostName | None:
+        """Return the coordinator, or else the deputy that stands in for it here."""
         term = self._election.term
-        holder = term.holder if term and self._hears_holder() else None
-        self.receiver.coordinator_changed(holder)
+        if term is not None and self._hears_holder():
+            return term.holder
+        if self._is_deputy():
+            return self._settings.name
+        deputies = [
+            peer
+            for peer, beat in self._hears.items()
+            if beat.is_deputy and peer.data_centre == self._settings.name.data_centre
+        ]
+        return min(deputies, default=None)
+
+    def _is_deputy(self) -> bool:
+        return self.coordinator is not None and self.coordinator.is_deputy
+
+    def _stand_in_if_due(self, now_ms: float) -> None:
+        """Become the deputy of a data centre that is cut off, or cease to be."""
+        if self._is_deputy():
+            if self._hears_holder():
+                log_message("pool:deputy_ended")
+                self._step_down()
+                self._find_coordinator()
+                self._mesh.send_heartbeats()
+            return
+        if not self._may_stand_in():
+            self._alone_since_ms = None
+        elif self._alone_since_ms is None:
+            self._alone_since_ms = now_ms
+        elif now_ms - self._alone_since_ms >= DEPUTY_PATIENCE_MS:
+            self._stand_in()
+
+    def _may_stand_in(self) -> bool:
+        if self._election.term is None or self._listing_offset is None:
+            return False
+        if self.is_draining or self.coordinator is not None or self._hears_holder():
+            return False
+        if any(beat.is_deputy for beat in self._hears.values()):
+            return False
+        own = self._settings.name
+        listed = {
+            (host.name.data_centre, host.name.name) for host in self._hosts.values()
+        }
+        staying = [p for p in self._mesh.peers() if not self._is_leaving(p)]
+        return choose_deputy(own, listed, staying) == own
+
+    def _is_leaving(self, peer: HostName) -> bool:
+        beat = self._hears.get(peer)
+        return beat is not None and beat.is_draining
+
+    def _stand_in(self) -> None:
+        term = self._election.term
+        token = deputy_token(term.offset, self._listing_offset)
+        log_message("pool:deputy", token=token, term=term.offset)
+        self.coordinator = Coordinator(
+            token=token,
+            clock=self._clock,
+            orders=self._orders,
+            send_answer=self._answer,
+            timing=self._timing,
+            events=self._events,
+            is_deputy=True,
+        )
+        self.coordinator.replace_targets(self._own_targets())
+        self._find_coordinator()
+        self._mesh.send_heartbeats()
+
+    def _own_targets(self) -> list[ListedTarget]:
+        """Return the targets of this data centre, listed or missing since the cut."""
+        own = self._settings.name.data_centre
+        return [
+            target
+            for target in self._recent_targets.values()
+            if target.data_centre == own
+        ]
+
+    def _retake_fenced(self, now_ms: float) -> None:
+        """Claim a new term to take back the targets of a deputy that has ended."""
+        coordinator = self.coordinator
+        if coordinator is None or coordinator.is_deputy or self.is_draining:
+            return
+        back = {
+            peer.data_centre
+            for peer, beat in self._hears.items()
+            if not beat.is_deputy and beat.hears_holder
+        }
+        back.add(self._settings.name.data_centre)
+        for data_centre, since_ms in coordinator.fenced_since_ms().items():
+            fenced_ms = now_ms - since_ms
+            is_over = data_centre in back and fenced_ms >= FENCED_PATIENCE_MS
+            if is_over or fenced_ms >= LONGEST_FENCED_MS:
+                self._claim(self._election.end)
+                return
 
     def _send(self, to: HostName, message: SubmitPoolJob | CancelSubmission) -> bool:
         if to != self._settings.name:
@@ -323,21 +470,27 @@
             if now_ms - since_ms > self._settings.owner_grace_ms:
                 self.peer_lost(peer)
         self._claim_if_due(now_ms)
+        self._stand_in_if_due(now_ms)
+        self._retake_fenced(now_ms)
         if self.coordinator is not None:
+            self.coordinator.note_unheard(self._unheard_peers())
             self.coordinator.tick()
         self.receiver.tick()
 
     def _resume_after(self, paused_ms: float) -> None:
         """Give up the term: its leases have lapsed, and others may have taken over."""
         log_message("pool:paused", level="warning", for_ms=int(paused_ms))
-        if self.coordinator is not None:
-            self.coordinator.step_down()
-            self.coordinator = None
+        self._step_down()
         self._election.resign()
         self.receiver.refuse_all("host was paused")
 
+    def _unheard_peers(self) -> list[HostName]:
+        silent = {peer: self._mesh.silent_ms(peer) for peer in self._mesh.peers()}
+        late = [peer for peer, ms in silent.items() if ms is None or ms > UNHEARD_MS]
+        return [*late, *self._away_since_ms]
+
     def _claim_if_due(self, now_ms: float) -> None:
-        if self.is_draining:
+        if self.is_draining or not self._is_in_touch(now_ms):
             return
         term = self._election.term
         known = term.offset if term else -1
@@ -349,12 +502,22 @@
         hears_holder = self._hears_staying_holder()
         if not self._election.should_claim(now_ms, hears_holder, hears):
             return
-        end = self._election.end
+        self._claim(self._election.end)
+
+    def _claim(self, end: int) -> None:
+        if self._is_claiming:
+            return
+        self._is_claiming = True
         log_message("pool:claiming", at=end)
         value = encode_term(self._settings.name)
         claimed = self._log.append(HOSTS_TOPIC, TERM_KEY, value, at=end)
+        claimed.addBoth(self._claim_ended)
         claimed.addCallbacks(self._claimed, self._claim_failed)
 
+    def _claim_ended(self, result: object) -> object:
+        self._is_claiming = False
+        return result
+
     def _claimed(self, result: Appended | AppendRefused) -> None:
         if isinstance(result, Appended):
             self._take_term(Term(result.offset, self._settings.name))
--- a/hibiscusstack/host/dialing.py
+++ b/hibiscusstack/host/dialing.py
@@ -35,11 +35,17 @@
     address that leaves the list is no longer dialled.
     """
 
-    def __init__(self, seeds: Iterable[PeerAddress], rng: random.Random) -> None:
+    def __init__(
+        self,
+        seeds: Iterable[PeerAddress],
+        rng: random.Random,
+        longest_delay_ms: int = LONGEST_DELAY_MS,
+    ) -> None:
         self._seeds = frozenset(seeds)
         self._listed: frozenset[PeerAddress] = frozenset()
         self._own: set[PeerAddress] = set()
         self._rng = rng
+        self._longest_delay_ms = longest_delay_ms
         self._attempts: dict[PeerAddress, _Attempt] = {}
 
     def replace_listed(self, addresses: Iterable[PeerAddress]) -> None:
@@ -91,5 +97,5 @@
         return True
 
     def _new_attempt(self, now_ms: int) -> _Attempt:
-        backoff = Backoff(self._rng, FIRST_DELAY_MS, LONGEST_DELAY_MS)
+        backoff = Backoff(self._rng, FIRST_DELAY_MS, self._longest_delay_ms)
         return _Attempt(backoff, now_ms)
--- a/hibiscusstack/host/mesh.py
+++ b/hibiscusstack/host/mesh.py
@@ -70,7 +70,9 @@
         self._clock = clock
         self._timing = timing or MeshTiming()
         self._max_unsent_bytes = max_unsent_bytes
-        self._book = AddressBook(seeds, rng or random.Random())
+        self._book = AddressBook(
+            seeds, rng or random.Random(), self._timing.longest_dial_delay_ms
+        )
         self._links: dict[Connection, _Link] = {}
         self._liveness = Liveness(
             self._timing, hello.sender.data_centre, clock.now_ms()
--- a/hibiscusstack/host/mesh_interfaces.py
+++ b/hibiscusstack/host/mesh_interfaces.py
@@ -14,7 +14,8 @@
     """The durations that govern connections.
 
     A connection on which nothing came for ``silence_ms`` is retired, and a peer
-    without a connection for ``lost_after_ms`` more is lost. Peers in other data
+    without a connection for ``lost_after_ms`` more is lost. It is dialled again after
+    ``longest_dial_delay_ms`` at the latest. Peers in other data
     centres are many, so they are sent heartbeats less often.
     """
 
@@ -23,6 +24,7 @@
     far_heartbeat_ms: int = 2_000
     far_silence_ms: int = 8_000
     lost_after_ms: int = 3_000
+    longest_dial_delay_ms: int = 5_000
 
 
 class MeshEvents(Protocol):
--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -56,7 +56,9 @@
     to have ended, or the lease that it ran under has surely lapsed.
 
     ``missing`` names targets that were listed earlier and are not now: an earlier
-    coordinator may still have work there.
+    coordinator may still have work there. A deputy has only some of the targets, and
+    the coordinator that it stands in for may still be at work elsewhere: it adopts no
+    run, and waits as long as that one may take to notice.
     """
 
     def __init__(
@@ -69,9 +71,11 @@
         timing: CoordinatorTiming | None = None,
         events: PoolEvents | None = None,
         missing: Iterable[str] = (),
+        is_deputy: bool = False,
     ) -> None:
         self.token = token
         self.is_deposed = False
+        self.is_deputy = is_deputy
         self._clock = clock
         self._orders = orders
         self._send_answer = send_answer
@@ -83,7 +87,8 @@
         self._ending: Counter[str] = Counter()
         self._queue = JobQueue()
         self._missing = set(missing)
-        self._began_ms = clock.now_ms()
+        self._unheard: set[HostName] = set()
+        self._takeovers = 0
 
     @property
     def job_count(self) -> int:
@@ -115,8 +120,7 @@
         for name, target in by_name.items():
             if name not in self._targets:
                 self._missing.discard(name)
-                self._targets[name] = HeldTarget(target, self._timing)
-                self._hold(self._targets[name])
+                self._take_target(target, now_ms)
         self._place()
 
     def submit(self, owner: HostName, message: SubmitPoolJob) -> None:
@@ -162,6 +166,32 @@
             if host == owner:
                 self.cancel(host, submission)
 
+    def note_unheard(self, owners: Iterable[HostName]) -> None:
+        """Start nothing for hosts that were not heard lately.
+
+        They may have handed their jobs to another coordinator.
+        """
+        self._unheard = set(owners)
+
+    def fenced_since_ms(self) -> dict[str, float]:
+        """Return for each data centre since when another one has targets there."""
+        since_ms: dict[str, float] = {}
+        for state in self._targets.values():
+            if state.fenced_ms is not None:
+                data_centre = state.listing.data_centre
+                known_ms = since_ms.get(data_centre, state.fenced_ms)
+                since_ms[data_centre] = min(known_ms, state.fenced_ms)
+        return since_ms
+
+    def renew(self, token: int) -> None:
+        """Go on with a later term of the same host, and look at what was taken."""
+        self.token = token
+        now_ms = self._clock.now_ms()
+        for state in list(self._targets.values()):
+            if state.phase is Phase.FENCED:
+                self._leave_runs(state)
+                self._take_target(state.listing, now_ms)
+
     def step_down(self) -> None:
         """Give no further orders, since a later term has begun."""
         if self.is_deposed:
@@ -178,7 +208,7 @@
     ) -> None:
         """Act on the reply to a start."""
         self._events.start_replied(reply)
-        state = self._state(name, born_ms)
+        state = self._state(name, born_ms, order.takeover)
         if state is None:
             return
         now_ms = self._clock.now_ms()
@@ -208,7 +238,7 @@
         reply: Stopped | Refused | FencedOut | NotReached | ReplyLost,
     ) -> None:
         """Act on the reply to a stop."""
-        state = self._state(name, born_ms)
+        state = self._state(name, born_ms, order.takeover)
         if state is None:
             return
         now_ms = self._clock.now_ms()
@@ -231,23 +261,21 @@
         reply: HoldReply | Refused | FencedOut | NotReached | ReplyLost,
     ) -> None:
         """Act on the reply to a hold, and send the next one."""
-        state = self._state(name, born_ms)
+        state = self._state(name, born_ms, order.takeover)
         if state is None:
             return
         now_ms = self._clock.now_ms()
-        is_look = order.wait_ms == 0
-        sent_ms = state.look_sent_ms if is_look else state.hold_sent_ms
-        if is_look:
-            state.look_sent_ms = None
+        if order.wait_ms == 0:
+            state.is_looking = False
         else:
-            state.hold_sent_ms = None
+            state.is_holding = False
         if isinstance(reply, HoldReply):
-            self._take_lists(state, reply, sent_ms, now_ms)
+            self._take_lists(state, reply, order.sent_ms, now_ms)
         elif isinstance(reply, FencedOut):
             self._fence(state)
         else:
             self._hold_failed(state, reply, now_ms)
-        if state.hold_sent_ms is None and now_ms >= state.next_hold_ms:
+        if not state.is_holding and now_ms >= state.next_hold_ms:
             self._hold(state)
         self._place()
 
@@ -263,11 +291,26 @@
             self._close(job, JobEnd.REFUSED, "no room in time")
         self._place()
 
-    def _state(self, name: str, born_ms: int) -> HeldTarget | None:
+    def _state(self, name: str, born_ms: int, takeover: int) -> HeldTarget | None:
         state = self._targets.get(name)
         if self.is_deposed or state is None or state.listing.born_ms != born_ms:
             return None
-        return state
+        return state if state.takeover == takeover else None
+
+    def _take_target(self, target: ListedTarget, now_ms: float) -> None:
+        self._takeovers += 1
+        state = HeldTarget(target, self._timing, self._takeovers, now_ms)
+        self._targets[target.name] = state
+        self._hold(state)
+
+    def _leave_runs(self, state: HeldTarget) -> None:
+        """Give up the jobs with runs at a target that another coordinator took."""
+        for run in list(state.runs.values()):
+            if run.job is not None and run.job.job.job_id in self._jobs:
+                self._close(run.job, JobEnd.UNKNOWN, "another host took its target")
+        for run in list(state.runs.values()):
+            state.remove(run)
+            self._note_gone(run)
 
     def _hold(self, state: HeldTarget) -> None:
         """Send the next hold, which extends the lease of a target that answers."""
@@ -277,17 +320,30 @@
         until_ms = state.extend_lease(now_ms) if is_held and is_sound else None
         timing = self._timing
         wait_ms = timing.hold_wait_ms if is_held else timing.clearing_wait_ms
-        state.hold_sent_ms = now_ms
-        order = HoldOrder(self.token, state.processed_through, wait_ms, until_ms)
+        state.is_holding = True
         self._events.counters.holds += 1
+        order = HoldOrder(
+            self.token,
+            state.processed_through,
+            wait_ms,
+            until_ms,
+            state.takeover,
+            now_ms,
+        )
         self._orders.hold(state.listing, order)
 
     def _look(self, state: HeldTarget) -> None:
         """Ask for the lists at once, beside a hold that waits."""
-        if state.look_sent_ms is not None:
+        if state.is_looking:
             return
-        state.look_sent_ms = self._clock.now_ms()
-        order = HoldOrder(self.token, state.processed_through, 0)
+        state.is_looking = True
+        order = HoldOrder(
+            self.token,
+            state.processed_through,
+            wait_ms=0,
+            takeover=state.takeover,
+            sent_ms=self._clock.now_ms(),
+        )
         self._events.counters.holds += 1
         self._orders.hold(state.listing, order)
 
@@ -332,7 +388,8 @@
         parsed = parse_task_name(name)
         job = self._jobs.get(parsed[0]) if parsed else None
         task = job.tasks.get(parsed[1]) if job else None
-        if task is not None and task.state is TaskState.WAITING and task in job.ready:
+        is_wanted = task is not None and task in job.ready
+        if is_wanted and not self.is_deputy and not self._is_unheard(job):
             run = Run(
                 name, number, job, task, task.step.needs, RunState.RUNNING, now_ms
             )
@@ -352,15 +409,15 @@
         if state.phase is not Phase.CLEARING and state.phase is not Phase.HELD:
             return
         strangers = [run for run in state.runs.values() if run.job is None]
-        if state.phase is Phase.HELD or self._is_adoption_over(now_ms):
+        if state.phase is Phase.HELD or self._is_adoption_over(state, now_ms):
             for run in strangers:
                 if run.state is not RunState.STOPPING:
                     self._stop(state, run)
         if state.phase is Phase.CLEARING and not strangers:
             state.phase = Phase.HELD
 
-    def _is_adoption_over(self, now_ms: float) -> bool:
-        return now_ms >= self._began_ms + self._timing.adoption_ms
+    def _is_adoption_over(self, state: HeldTarget, now_ms: float) -> bool:
+        return now_ms >= state.looking_since_ms + self._timing.adoption_ms
 
     def _run_ended(self, state: HeldTarget, end: RunEnd, now_ms: float) -> None:
         run = state.runs.get((end.task, end.run))
@@ -511,22 +568,25 @@
         run.stop_sent_ms = self._clock.now_ms()
         if run.stop_wanted_ms is None:
             run.stop_wanted_ms = run.stop_sent_ms
-        order = StopOrder(run.name, run.number, self.token)
+        order = StopOrder(run.name, run.number, self.token, state.takeover)
         self._events.counters.stops += 1
         self._orders.stop(state.listing, order)
 
     def _fence(self, state: HeldTarget) -> None:
         if state.phase is not Phase.FENCED:
             state.phase = Phase.FENCED
+            state.fenced_ms = self._clock.now_ms()
             log_message("pool:target_fenced", target=state.listing.name)
 
     def _tick_target(self, state: HeldTarget, now_ms: float) -> None:
         timing = self._timing
+        if state.phase is Phase.FENCED:
+            # Whoever took the target may have adopted its runs.
+            if now_ms >= state.fenced_ms + timing.quiet_bound_ms:
+                self._lapse(state, now_ms)
+            return
         if state.lapse_ms <= now_ms and state.silent_since_ms is not None:
             self._lapse(state, now_ms)
-        if state.phase is Phase.FENCED and state.lapse_ms <= now_ms:
-            self._lapse(state, now_ms)
-            return
         for run in list(state.runs.values()):
             if run.state is RunState.STOPPING:
                 if (
@@ -536,11 +596,11 @@
                     self._stop(state, run)
             elif run.job is not None and self._is_overdue(run, now_ms):
                 self._give_up_run(state, run, now_ms)
-        if state.hold_sent_ms is None and now_ms >= state.next_hold_ms:
+        if not state.is_holding and now_ms >= state.next_hold_ms:
             self._hold(state)
         unlisted_ms = state.unlisted_since_ms
         is_gone = unlisted_ms is not None and now_ms - unlisted_ms > timing.unlisted_ms
-        if is_gone and (not state.runs or state.silent_since_ms is not None):
+        if is_gone and not state.runs:
             self._end_life(state, "not listed any more")
 
     def _is_overdue(self, run: Run, now_ms: float) -> bool:
@@ -624,15 +684,24 @@
 
     def _must_wait(self, job: ActiveJob, now_ms: float) -> bool:
         """Tell whether an earlier run of the job may still be going on somewhere."""
-        if job.job.job_id in self._ending:
+        if job.job.job_id in self._ending or self._is_unheard(job):
             return True
         if not job.is_resubmitted:
             return False
         if now_ms >= job.unheard_since_ms + self._timing.quiet_bound_ms:
             return False
-        return bool(self._missing) or any(
-            state.phase in (Phase.LOOKING, Phase.CLEARING)
-            for state in self._targets.values()
+        return (
+            self.is_deputy
+            or bool(self._missing)
+            or any(
+                state.phase in (Phase.LOOKING, Phase.CLEARING)
+                for state in self._targets.values()
+            )
+        )
+
+    def _is_unheard(self, job: ActiveJob) -> bool:
+        return bool(job.submissions) and all(
+            owner in self._unheard for owner, _ in job.submissions
         )
 
     def _place_job(
@@ -669,5 +738,7 @@
         state.add(run)
         self._events.run_started(run, state.listing.name, now_ms)
         until_ms = state.extend_lease(now_ms)
-        order = StartOrder(name, number, job.job.payload, until_ms, self.token)
+        order = StartOrder(
+            name, number, job.job.payload, until_ms, self.token, state.takeover
+        )
         self._orders.start(state.listing, order)
--- /dev/null
+++ b/hibiscusstack/pool/deputies.py
@@ -0,0 +1,55 @@
+"""Who orders the targets of a data centre that is cut off from the coordinator.
+
+Such a deputy needs no call of the log: its token is the term's with the offset of its
+own listing in the lower bits. So it is above the coordinator's, below that of any
+later term, and no other run of a host has it.
+"""
+
+__all__ = ["choose_deputy", "deputy_token", "term_token"]
+
+from collections.abc import Collection
+
+from hibiscusstack.dispatch.messages import HostName
+
+LISTING_BITS = 24
+
+
+def term_token(offset: int) -> int:
+    """Return the fencing token of the term that began at ``offset``.
+
+    >>> term_token(0) < deputy_token(0, 5) < deputy_token(0, 6) < term_token(1)
+    True
+    """
+    return (offset + 1) << LISTING_BITS
+
+
+def deputy_token(term_offset: int, listing_offset: int) -> int:
+    """Return the token of the host listed at ``listing_offset`` within a term."""
+    return term_token(term_offset) + 1 + listing_offset % ((1 << LISTING_BITS) - 1)
+
+
+def choose_deputy(
+    own: HostName,
+    listed: Collection[tuple[str, str]],
+    connected: Collection[HostName],
+) -> HostName | None:
+    """Return the deputy of the data centre of ``own``, if it is cut off as a whole.
+
+    ``listed`` are the data centre and the name of each known host, ``connected`` the
+    peers that are heard and don't hear the coordinator. More than half of the data
+    centre has to be there, and nobody of another one, though there are others.
+
+    >>> a, b = HostName("x", "a", 1), HostName("x", "b", 1)
+    >>> choose_deputy(b, [("x", "a"), ("x", "b"), ("y", "c")], [a]) == a
+    True
+    >>> choose_deputy(b, [("x", "a"), ("x", "b")], [a]) is None
+    True
+    """
+    data_centre = own.data_centre
+    elsewhere = any(listed_at != data_centre for listed_at, _ in listed)
+    if not elsewhere or any(peer.data_centre != data_centre for peer in connected):
+        return None
+    members = {own, *connected}
+    known = {name for listed_at, name in listed if listed_at == data_centre}
+    known |= {member.name for member in members}
+    return min(members) if 2 * len(members) > len(known) else None
--- a/hibiscusstack/pool/held_target.py
+++ b/hibiscusstack/pool/held_target.py
@@ -69,17 +69,20 @@
 
     listing: ListedTarget
     timing: CoordinatorTiming
+    takeover: int = 0
+    looking_since_ms: float = 0.0
     phase: Phase = Phase.LOOKING
     runs: dict[RunKey, Run] = attrs.field(factory=dict)
     used: Resources = NO_RESOURCES
     processed_through: int = 0
     clock_offset_ms: float | None = None
     lapse_ms: float = 0.0
-    hold_sent_ms: float | None = None
-    look_sent_ms: float | None = None
+    is_holding: bool = False
+    is_looking: bool = False
     next_hold_ms: float = 0.0
     silent_since_ms: float | None = None
     unlisted_since_ms: float | None = None
+    fenced_ms: float | None = None
     paused_until_ms: float = 0.0
     health: TargetHealth = attrs.field(factory=TargetHealth)
 
--- a/hibiscusstack/pool/messages.py
+++ b/hibiscusstack/pool/messages.py
@@ -35,13 +35,15 @@
     """Liveness, and which coordinator the sender knows.
 
     ``term`` is the newest term that the sender knows, -1 for none, and
-    ``hears_holder`` says whether it hears that term's holder.
+    ``hears_holder`` says whether it hears that term's holder. ``is_deputy`` says that
+    it orders the targets of its data centre meanwhile.
     """
 
     term: int
     holder: HostName | None
     hears_holder: bool
     is_draining: bool
+    is_deputy: bool = False
 
 
 @attrs.frozen
--- a/hibiscusstack/pool/orders.py
+++ b/hibiscusstack/pool/orders.py
@@ -26,7 +26,8 @@
 class StartOrder:
     """Start ``run`` of ``task``; the lease then lasts until ``until_ms``.
 
-    Times are on the target's clock.
+    ``until_ms`` is on the target's clock. ``takeover`` numbers the sender's takeovers
+    of targets, to tell whose reply a late one is; it is not sent.
     """
 
     task: str
@@ -34,6 +35,7 @@
     payload: str
     until_ms: int
     token: int
+    takeover: int = 0
 
 
 @attrs.frozen
@@ -43,6 +45,7 @@
     task: str
     run: int
     token: int
+    takeover: int = 0
 
 
 @attrs.frozen
@@ -50,13 +53,15 @@
     """Extend the lease, forget ends and list what runs and what has ended.
 
     The reply waits up to ``wait_ms`` for an end. Without ``until_ms`` the lease is
-    left as it is.
+    left as it is. ``sent_ms`` is on the sender's clock and is not sent either.
     """
 
     token: int
     acked_through: int
     wait_ms: int
     until_ms: int | None = None
+    takeover: int = 0
+    sent_ms: float = 0.0
 
 
 @attrs.frozen
