--- /dev/null
+++ b/hibiscusstack_standins/estate/tests/edges.py
@@ -0,0 +1,166 @@
+"""One host with the platform's adapter, over a network in virtual time."""
+
+__all__ = ["Edge", "QUEUE_HOST", "publish_queue"]
+
+import json
+from collections import defaultdict
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qsl
+
+import attrs
+from adapter.documents import decode_routes, decode_target
+from adapter.front import Front
+from adapter.store import StoreLog
+from adapter.workers import WorkerOrders
+from twisted.internet.defer import Deferred
+
+from hibiscusstack.daemon.pool_edge import PoolEdge, PoolEdgeParts
+from hibiscusstack.daemon.pool_host import PoolHost, PoolHostSettings
+from hibiscusstack.http.client import AnswerLost, HttpAnswer, NotSent
+from hibiscusstack.http.server import HttpRequest
+from hibiscusstack.pool.service import PoolService
+from hibiscusstack.pool.timing import CoordinatorTiming
+from hibiscusstack_standins.estate.jobs import Job, Step
+from hibiscusstack_standins.estate.messages import Outcome, Request, Unanswered
+from hibiscusstack_standins.estate.records import frame_keyed
+
+QUEUE_HOST = "q.example"
+_PREFIX = "/q/"
+_PLAIN = ("cpu", "mem_mb", "gpu", "requires", "data_rack", "anti_affinity")
+
+
+class NetworkClient:
+    """The HTTP client's calls, carried by a network; ``NAME:1`` is a party."""
+
+    def __init__(self, network, caller: str) -> None:
+        self._network = network
+        self._caller = caller
+        self._busy: defaultdict[str, set[int]] = defaultdict(set)
+
+    def request(  # noqa: PLR0917
+        self, address, method, target, body=b"", headers=(), timeout_ms=1_000
+    ) -> Deferred:
+        """Call a party on a connection that is free."""
+        callee, outcome = address.rpartition(":")[0], Deferred()
+        busy = self._busy[callee]
+        label = next(number for number in range(1_000) if number not in busy)
+        busy.add(label)
+
+        def answered(answer: Outcome) -> None:
+            busy.discard(label)
+            outcome.callback(_as_product(answer))
+
+        path, _, query = target.partition("?")
+        is_json = any(name == "Content-Type" for name, _ in headers)
+        request = Request(
+            path,
+            json.loads(body) if is_json else body,
+            dict(parse_qsl(query)),
+            dict(headers),
+            method=method,
+        )
+        self._network.call(
+            self._caller, callee, request, answered, int(timeout_ms), connection=label
+        )
+        return outcome
+
+    def close_address(self, address: str) -> None:
+        """Leave the connections to the network."""
+
+
+def _as_product(answer: Outcome) -> HttpAnswer | NotSent | AnswerLost:
+    if isinstance(answer, Unanswered):
+        is_sent = answer.cause != "refused"
+        return AnswerLost(answer.cause) if is_sent else NotSent(answer.cause)
+    body = answer.body
+    if not isinstance(body, bytes):
+        body = json.dumps(body).encode()
+    return HttpAnswer(answer.status, {}, body)
+
+
+class QuietServer:
+    """What a host asks of its HTTP servers; callers come in through ``Edge``."""
+
+    open_requests = 0
+
+    def listen(self, ip: str, port: int) -> None:
+        """Accept nothing."""
+
+    def drain(self) -> None:
+        """Close nothing."""
+
+
+@attrs.frozen
+class CallerConnection:
+    """Gives the status of the answer to the caller."""
+
+    answered: Callable[[int], None]
+
+    def answer(self, request, status, body, headers) -> None:
+        """Pass the status on."""
+        self.answered(status)
+
+
+class Edge:
+    """One run of a host, with the store and the workers of ``network``."""
+
+    def __init__(self, network, party: str, *, reactor, clock, name, port: int) -> None:
+        client, servers = NetworkClient(network, party), (QuietServer(), QuietServer())
+        log = StoreLog(client, "store:1")
+        orders = WorkerOrders(
+            client, CoordinatorTiming(), lambda: self.host.coordinator
+        )
+        self.host = PoolHost(
+            settings=PoolHostSettings(name=name, address="127.0.0.1", port=port),
+            reactor=reactor,
+            clock=clock,
+            log=log,
+            orders=orders,
+        )
+        service = PoolService(self.host.receiver, clock)
+        self.front = Front(
+            service, lambda: self.host.is_serving() and service.is_configured
+        )
+        parts = PoolEdgeParts(
+            log, decode_routes, decode_target, (servers[0], ":1"), (servers[1], ":2")
+        )
+        self.edge = PoolEdge(reactor, self.host, service, parts)
+        self.edge.start()
+
+    def post(self, job: Job, answered: Callable[[int], None]) -> HttpRequest:
+        """Send a job in as a caller does."""
+        body = {"spec": job.spec, "best_effort": True}
+        body["steps"] = [_encode_step(step) for step in job.steps]
+        connection = CallerConnection(answered)
+        request = HttpRequest(
+            "POST",
+            _PREFIX + job.id,
+            {"host": QUEUE_HOST},
+            json.dumps(body).encode(),
+            0,
+            connection,
+        )
+        self.front.answer_client(request)
+        return request
+
+    def is_ready(self) -> bool:
+        """Tell what the balancer is told."""
+        statuses: list[int] = []
+        connection = CallerConnection(statuses.append)
+        request = HttpRequest("GET", "/ready", {}, b"", 0, connection)
+        self.front.answer_readiness(request)
+        return statuses == [200]
+
+
+def _encode_step(step: Step) -> dict[str, Any]:
+    named = {name: getattr(step, name) for name in _PLAIN if getattr(step, name)}
+    after = list(step.after)
+    return {**named, "count": step.count, "estimate_ms": step.work_ms, "after": after}
+
+
+def publish_queue(store, now_ms: int, version: int = 1, **terms: Any) -> None:
+    """Write a configuration with one queue as the operator does."""
+    route = {"name": "q", "host": QUEUE_HOST, "path_prefix": _PREFIX, "service": "s"}
+    body = json.dumps({"version": version, "routes": [{**route, **terms}]})
+    store.put(now_ms, "keyed.op", frame_keyed("config", body.encode()))
