Take a holder that resigned as gone, and hand jobs to its next term

Its own heartbeat says that it does not hold the term any more, which now counts. When the same host wins the next term, jobs that it was sent before are handed to it again: it has forgotten them, and the receiver took them for sent.

--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -247,6 +247,8 @@
         if self._election.is_holder:
             self._coordinate(term)
         self._mesh.send_heartbeats()
+        # A host that holds one term after another has forgotten the jobs of the first.
+        self.receiver.coordinator_changed(None)
         self._find_coordinator()
 
     def _coordinate(self, term: Term) -> None:
@@ -274,7 +276,10 @@
         if term.holder == self._settings.name:
             return not self.is_draining
         beat = self._hears.get(term.holder)
-        return beat is None or not beat.is_draining
+        if beat is None:
+            return True
+        has_resigned = beat.term == term.offset and not beat.hears_holder
+        return not (beat.is_draining or has_resigned)
 
     def _find_coordinator(self) -> None:
         term = self._election.term
