--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -5,7 +5,6 @@
 import random
 from collections.abc import Iterable, Sequence
 
-import attrs
 from eliot import log_message
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorCore
@@ -18,6 +17,7 @@
 from hibiscusstack.host import Mesh, MeshTiming, PeerAddress, TcpNetwork
 from hibiscusstack.pool.coordinator import Coordinator
 from hibiscusstack.pool.election import Election, Term
+from hibiscusstack.pool.events import PoolEvents
 from hibiscusstack.pool.following import TopicFollower
 from hibiscusstack.pool.host_records import (
     TERM_KEY,
@@ -28,6 +28,7 @@
     encode_term,
     host_key,
 )
+from hibiscusstack.pool.host_settings import PoolHostSettings
 from hibiscusstack.pool.interfaces import Appended, AppendRefused, KeyedLog, KeyedRecord
 from hibiscusstack.pool.messages import (
     CancelSubmission,
@@ -38,30 +39,12 @@
 from hibiscusstack.pool.orders import TargetOrders
 from hibiscusstack.pool.receiving import Receiver
 from hibiscusstack.pool.targets import ListedTarget
+from hibiscusstack.pool.timing import CoordinatorTiming
 
 HOSTS_TOPIC = "hosts"
 HOSTS_WAIT_MS = 2_000
 TICK_MS = 10
-
-
-@attrs.frozen
-class PoolHostSettings:
-    """Who this host is, and the durations that govern its peers.
-
-    A peer that stays away for ``owner_grace_ms`` after its connection ended has lost
-    its callers, so its work is stopped. ``patience_ms`` is how long the holder of the
-    term may be unheard before another host claims the next.
-    """
-
-    name: HostName
-    address: str
-    port: int
-    heartbeat_ms: int = 150
-    silence_ms: int = 550
-    owner_grace_ms: int = 250
-    patience_ms: int = 200
-    longest_pause_ms: int = 700
-    connect_timeout_ms: int = 400
+MISSING_MS = 30_000
 
 
 class PoolHost:
@@ -79,16 +62,22 @@
         clock: Clock,
         log: KeyedLog,
         orders: TargetOrders,
+        timing: CoordinatorTiming | None = None,
+        events: PoolEvents | None = None,
     ) -> None:
         self.is_draining = False
         self.coordinator: Coordinator | None = None
-        self.receiver = Receiver(clock, self._send)
+        self._events = events or PoolEvents()
+        self.receiver = Receiver(clock, self._send, self._events)
+        self._timing = timing or CoordinatorTiming()
         self._settings = settings
         self._reactor = reactor
         self._clock = clock
         self._log = log
         self._orders = orders
         self._targets: tuple[ListedTarget, ...] = ()
+        self._names: set[str] = set()
+        self._missing_since_ms: dict[str, float] = {}
         self._election = Election(settings.name, settings.patience_ms)
         self._hears: dict[HostName, PoolHeartbeat] = {}
         self._away_since_ms: dict[HostName, float] = {}
@@ -120,6 +109,16 @@
         self._ticking = LoopingCall(self._tick)
         self._ticking.clock = reactor
 
+    @property
+    def name(self) -> HostName:
+        """Which host this is."""
+        return self._settings.name
+
+    @property
+    def targets(self) -> tuple[ListedTarget, ...]:
+        """The newest list of targets."""
+        return self._targets
+
     @property
     def term(self) -> Term | None:
         """The newest term that this host knows."""
@@ -144,6 +143,13 @@
     def replace_targets(self, targets: Iterable[ListedTarget]) -> None:
         """Take over a newer list of targets."""
         self._targets = tuple(targets)
+        names = {target.name for target in self._targets}
+        now_ms = self._clock.now_ms()
+        for name in self._names - names:
+            self._missing_since_ms.setdefault(name, now_ms)
+        for name in names:
+            self._missing_since_ms.pop(name, None)
+        self._names = names
         if self.coordinator is not None:
             self.coordinator.replace_targets(self._targets)
 
@@ -240,6 +246,7 @@
     def _take_term(self, term: Term) -> None:
         if not self._election.note_term(term):
             return
+        self._events.counters.terms += 1
         log_message("pool:term", token=term.offset, holder=term.holder.name)
         if self.coordinator is not None:
             self.coordinator.step_down()
@@ -252,11 +259,20 @@
         self._find_coordinator()
 
     def _coordinate(self, term: Term) -> None:
+        now_ms = self._clock.now_ms()
+        missing = [
+            name
+            for name, since_ms in self._missing_since_ms.items()
+            if now_ms - since_ms < MISSING_MS
+        ]
         self.coordinator = Coordinator(
             token=term.offset + 1,
             clock=self._clock,
             orders=self._orders,
             send_answer=self._answer,
+            timing=self._timing,
+            events=self._events,
+            missing=missing,
         )
         self.coordinator.replace_targets(self._targets)
 
--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -9,6 +9,7 @@
 
 from hibiscusstack.clock import Clock
 from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.pool.events import PoolEvents
 from hibiscusstack.pool.held_target import HeldTarget, Phase, Run, RunState
 from hibiscusstack.pool.jobs import NO_RESOURCES
 from hibiscusstack.pool.messages import JobEnd, SubmissionAnswer, SubmitPoolJob
@@ -53,6 +54,9 @@
     and the passing of time come in as calls; orders go out through ``orders``, answers
     through ``send_answer``. A task is started again only once its earlier run is known
     to have ended, or the lease that it ran under has surely lapsed.
+
+    ``missing`` names targets that were listed earlier and are not now: an earlier
+    coordinator may still have work there.
     """
 
     def __init__(
@@ -63,6 +67,8 @@
         orders: TargetOrders,
         send_answer: SendAnswer,
         timing: CoordinatorTiming | None = None,
+        events: PoolEvents | None = None,
+        missing: Iterable[str] = (),
     ) -> None:
         self.token = token
         self.is_deposed = False
@@ -70,11 +76,13 @@
         self._orders = orders
         self._send_answer = send_answer
         self._timing = timing or CoordinatorTiming()
+        self._events = events or PoolEvents()
         self._targets: dict[str, HeldTarget] = {}
         self._jobs: dict[str, ActiveJob] = {}
         self._by_submission: dict[tuple[HostName, int], ActiveJob] = {}
         self._ending: Counter[str] = Counter()
         self._queue = JobQueue()
+        self._missing = set(missing)
         self._began_ms = clock.now_ms()
 
     @property
@@ -86,6 +94,10 @@
         """Return what is known of each target."""
         return list(self._targets.values())
 
+    def waiting_jobs(self) -> list[ActiveJob]:
+        """Return the jobs with tasks that wait for room, the next one first."""
+        return list(self._queue.in_order())
+
     def replace_targets(self, listed: Iterable[ListedTarget]) -> None:
         """Take over a newer list of targets."""
         now_ms = self._clock.now_ms()
@@ -102,6 +114,7 @@
                 state.listing = target
         for name, target in by_name.items():
             if name not in self._targets:
+                self._missing.discard(name)
                 self._targets[name] = HeldTarget(target, self._timing)
                 self._hold(self._targets[name])
         self._place()
@@ -118,7 +131,12 @@
         job = self._jobs.get(message.job.job_id)
         if job is None:
             received_ms = now_ms - message.waited_ms
-            job = ActiveJob(message.job, received_ms, message.is_resubmitted)
+            job = ActiveJob(
+                message.job,
+                received_ms,
+                message.is_resubmitted,
+                unheard_since_ms=now_ms - message.unheard_ms,
+            )
             self._jobs[message.job.job_id] = job
         job.submissions.append(submission)
         self._by_submission[submission] = job
@@ -159,6 +177,7 @@
         reply: Started | Refused | FencedOut | NotReached | ReplyLost,
     ) -> None:
         """Act on the reply to a start."""
+        self._events.start_replied(reply)
         state = self._state(name, born_ms)
         if state is None:
             return
@@ -253,13 +272,14 @@
     def _hold(self, state: HeldTarget) -> None:
         """Send the next hold, which extends the lease of a target that answers."""
         now_ms = self._clock.now_ms()
-        is_held = state.phase is Phase.HELD
+        is_held = state.phase is Phase.HELD and not state.owes_stop(now_ms)
         is_sound = state.silent_since_ms is None and state.clock_offset_ms is not None
         until_ms = state.extend_lease(now_ms) if is_held and is_sound else None
         timing = self._timing
         wait_ms = timing.hold_wait_ms if is_held else timing.clearing_wait_ms
         state.hold_sent_ms = now_ms
         order = HoldOrder(self.token, state.processed_through, wait_ms, until_ms)
+        self._events.counters.holds += 1
         self._orders.hold(state.listing, order)
 
     def _look(self, state: HeldTarget) -> None:
@@ -268,6 +288,7 @@
             return
         state.look_sent_ms = self._clock.now_ms()
         order = HoldOrder(self.token, state.processed_through, 0)
+        self._events.counters.holds += 1
         self._orders.hold(state.listing, order)
 
     def _take_lists(
@@ -356,7 +377,7 @@
         elif end.how == _FAILED:
             self._note_failed(state, run, now_ms)
         else:
-            self._requeue(run, now_ms)
+            self._requeue(run, now_ms, end.how)
 
     def _credit_earlier_end(self, end: RunEnd) -> None:
         """Count an end that an earlier coordinator has not acknowledged."""
@@ -397,15 +418,21 @@
             run.job.active_count -= 1
             self._close(run.job, JobEnd.FAILED, "a task failed too often")
             return
-        self._requeue(run, now_ms)
+        self._requeue(run, now_ms, "failed")
 
-    def _vanished(self, state: HeldTarget, run: Run, now_ms: float) -> None:
+    def _vanished(
+        self,
+        state: HeldTarget,
+        run: Run,
+        now_ms: float,
+        cause: str = "not listed by the target",
+    ) -> None:
         """Take a run that its target lists no longer as ended."""
         state.remove(run)
         if run.job is None:
             self._note_gone(run)
         else:
-            self._requeue(run, now_ms)
+            self._requeue(run, now_ms, cause)
 
     def _note_gone(self, run: Run) -> None:
         parsed = parse_task_name(run.name)
@@ -415,13 +442,14 @@
         if self._ending[parsed[0]] <= 0:
             del self._ending[parsed[0]]
 
-    def _requeue(self, run: Run, now_ms: float) -> None:
+    def _requeue(self, run: Run, now_ms: float, cause: str) -> None:
         """Let the task of a run that ended without a result run again."""
         job, task = run.job, run.task
         job.active_count -= 1
         task.state = TaskState.WAITING
         if self._jobs.get(job.job.job_id) is not job:
             return
+        self._events.run_again(run, cause, now_ms)
         job.ready.insert(0, task)
         self._enqueue(job)
 
@@ -453,12 +481,14 @@
             if self._jobs.get(run.job.job.job_id) is run.job:
                 self._close(run.job, JobEnd.FAILED, f"target: {reply.reason}")
             return
-        self._requeue(run, now_ms)
+        cause = "unreached" if isinstance(reply, NotReached) else reply.reason
+        self._requeue(run, now_ms, cause)
 
     def _note_trouble(self, state: HeldTarget, now_ms: float, cause: str) -> None:
         """Look at a target that did not answer before it gets more work."""
         if state.silent_since_ms is None:
             state.silent_since_ms = now_ms
+            self._events.counters.silent_targets += 1
             log_message("pool:target_silent", target=state.listing.name, cause=cause)
         self._look(state)
 
@@ -467,6 +497,7 @@
     ) -> None:
         if state.silent_since_ms is None:
             state.silent_since_ms = now_ms
+            self._events.counters.silent_targets += 1
             log_message(
                 "pool:target_silent",
                 target=state.listing.name,
@@ -478,7 +509,10 @@
         """Order the end of a run, until the target confirms it."""
         run.state = RunState.STOPPING
         run.stop_sent_ms = self._clock.now_ms()
+        if run.stop_wanted_ms is None:
+            run.stop_wanted_ms = run.stop_sent_ms
         order = StopOrder(run.name, run.number, self.token)
+        self._events.counters.stops += 1
         self._orders.stop(state.listing, order)
 
     def _fence(self, state: HeldTarget) -> None:
@@ -516,6 +550,7 @@
         """Stop a run that hangs, to make it elsewhere."""
         run.task.barred.add(state.listing.name)
         run.task.overdue += 1
+        self._events.counters.overdue_runs += 1
         pause_ms = state.health.note_fault(now_ms)
         state.paused_until_ms = max(state.paused_until_ms, pause_ms)
         log_message(
@@ -527,18 +562,22 @@
         )
         self._stop(state, run)
 
-    def _lapse(self, state: HeldTarget, now_ms: float) -> None:
+    def _lapse(
+        self, state: HeldTarget, now_ms: float, cause: str = "the lease lapsed"
+    ) -> None:
         """Take all runs of a target whose lease has surely ended as ended."""
         for run in list(state.runs.values()):
-            self._vanished(state, run, now_ms)
+            self._vanished(state, run, now_ms, cause)
 
     def _end_life(self, state: HeldTarget, cause: str) -> None:
         """Forget a life of a target that is over, with all that ran there."""
         now_ms = self._clock.now_ms()
         log_message("pool:target_gone", target=state.listing.name, cause=cause)
         del self._targets[state.listing.name]
+        if state.silent_since_ms is not None or state.phase is Phase.LOOKING:
+            self._missing.add(state.listing.name)
         self._orders.forget(state.listing)
-        self._lapse(state, now_ms)
+        self._lapse(state, now_ms, cause)
 
     def _close(self, job: ActiveJob, end: JobEnd, cause: str = "") -> None:
         """Answer everyone who waits for a job, and stop what still runs of it."""
@@ -548,6 +587,7 @@
         if end is JobEnd.REFUSED and may_have_run:
             # A refusal would say that nothing has run.
             end = JobEnd.UNKNOWN
+        self._events.job_closed(job, end, cause, self._clock.now_ms())
         retry_ms = _RETRY_MS if end is JobEnd.REFUSED else 0
         for owner, submission in job.submissions:
             self._by_submission.pop((owner, submission), None)
@@ -588,16 +628,12 @@
             return True
         if not job.is_resubmitted:
             return False
-        settled_ms = self._began_ms + self._timing.lapse_bound_ms(
-            self._timing.longest_lease_ms
-        )
-        if now_ms >= settled_ms:
+        if now_ms >= job.unheard_since_ms + self._timing.quiet_bound_ms:
             return False
-        looking = any(
+        return bool(self._missing) or any(
             state.phase in (Phase.LOOKING, Phase.CLEARING)
             for state in self._targets.values()
         )
-        return looking or not self._targets
 
     def _place_job(
         self, job: ActiveJob, usable: list[HeldTarget], now_ms: float
@@ -631,6 +667,7 @@
         number, task.next_run = task.next_run, task.next_run + 1
         run = Run(name, number, job, task, task.step.needs, RunState.STARTING, now_ms)
         state.add(run)
+        self._events.run_started(run, state.listing.name, now_ms)
         until_ms = state.extend_lease(now_ms)
         order = StartOrder(name, number, job.job.payload, until_ms, self.token)
         self._orders.start(state.listing, order)
--- a/hibiscusstack/pool/tests/fleet.py
+++ b/hibiscusstack/pool/tests/fleet.py
@@ -139,6 +139,11 @@
             self.network.mend(*pair)
         self.streams.mend()
 
+    @property
+    def now_ms(self) -> int:
+        """Return the time of the fleet."""
+        return self.network.now_ms
+
     def coordinator(self) -> str:
         """Return the host with the newest term that coordinates."""
         terms = {
--- a/hibiscusstack/pool/tests/test_faults.py
+++ b/hibiscusstack/pool/tests/test_faults.py
@@ -168,7 +168,7 @@
     small = WorkerPlan(
         "w0", address="w0:1", capacity=Capacity(1_000, 512), is_guarded=False
     )
-    fleet.workers["w0"].restart(fleet.network.now_ms, small)
+    fleet.workers["w0"].restart(fleet.now_ms, small)
     fleet.kill(first)
     keep_submitting(fleet, 4_000)
     fleet.settle()
@@ -186,17 +186,17 @@
 )
 def test_workers_hang_fail_are_slow_or_refuse(seed, faults):
     fleet, _ = busy_fleet(seed, jobs=4)
-    fleet.workers["w2"].set_faults(fleet.network.now_ms, faults)
+    fleet.workers["w2"].set_faults(fleet.now_ms, faults)
     keep_submitting(fleet, 4_000)
-    fleet.workers["w2"].set_faults(fleet.network.now_ms, WorkerFaults())
+    fleet.workers["w2"].set_faults(fleet.now_ms, WorkerFaults())
     fleet.settle()
 
 
 @every_seed
 def test_workers_drain(seed):
     fleet, _ = busy_fleet(seed, jobs=4)
-    fleet.registry.drain(fleet.network.now_ms, "w0", 3_000)
-    fleet.registry.drain(fleet.network.now_ms, "w1", 3_000)
+    fleet.registry.drain(fleet.now_ms, "w0", 3_000)
+    fleet.registry.drain(fleet.now_ms, "w1", 3_000)
     keep_submitting(fleet, 1_000)
     drained = ("w0", "w1")
     before = [fleet.starts_on(name) for name in drained]
@@ -244,11 +244,11 @@
 @pytest.mark.parametrize("kind", ["busy", "rejecting", "reset", "silent"])
 def test_the_store_is_down_while_the_coordinator_dies(seed, kind):
     fleet, first = busy_fleet(seed, jobs=6)
-    fleet.store.set_outages(fleet.network.now_ms, [Outage(kind)])
+    fleet.store.set_outages(fleet.now_ms, [Outage(kind)])
     keep_submitting(fleet, 600)
     fleet.kill(first)
     keep_submitting(fleet, 1_500, every_ms=300)
-    fleet.store.set_outages(fleet.network.now_ms, [])
+    fleet.store.set_outages(fleet.now_ms, [])
     fleet.settle()
 
 
@@ -282,7 +282,7 @@
     """Return a fleet in which a worker has just got work in a new life."""
     fleet = Fleet(seed)
     fleet.wait_ms = 20_000
-    fleet.workers["w3"].restart(fleet.network.now_ms)
+    fleet.workers["w3"].restart(fleet.now_ms)
     fleet.submit_some(16, work_ms=1_500)
     while not fleet.starts_on("w3"):
         fleet.run(1)
@@ -290,8 +290,15 @@
 
 
 @every_seed
-def test_a_worker_returns_just_before_it_is_given_work(seed):
-    fleet_with_returned_worker(seed).settle()
+@pytest.mark.parametrize("jobs", [1, 16])
+def test_a_worker_loses_power_and_returns_before_it_is_missed(seed, jobs):
+    fleet = Fleet(seed)
+    fleet.wait_ms = 20_000
+    fleet.network.kill("w0", resets=False)
+    fleet.run(30)
+    fleet.network.revive("w0")
+    fleet.submit_some(jobs, work_ms=1_500)
+    fleet.settle()
 
 
 @every_seed
--- a/hibiscusstack_standins/estate/tests/edges.py
+++ b/hibiscusstack_standins/estate/tests/edges.py
@@ -26,6 +26,7 @@
 from hibiscusstack_standins.estate.records import frame_keyed
 
 QUEUE_HOST = "q.example"
+STORE_TIMEOUT_MS = 700
 _PREFIX = "/q/"
 _PLAIN = ("cpu", "mem_mb", "gpu", "requires", "data_rack", "anti_affinity")
 
@@ -106,8 +107,8 @@
     """One run of a host, with the store and the workers of ``network``."""
 
     def __init__(self, network, party: str, *, reactor, clock, name, port: int) -> None:
-        client, servers = NetworkClient(network, party), (QuietServer(), QuietServer())
-        log = StoreLog(client, "store:1")
+        client, server = NetworkClient(network, party), QuietServer()
+        log = StoreLog(client, "store:1", STORE_TIMEOUT_MS)
         orders = WorkerOrders(
             client, CoordinatorTiming(), lambda: self.host.coordinator
         )
@@ -123,7 +124,14 @@
             service, lambda: self.host.is_serving() and service.is_configured
         )
         parts = PoolEdgeParts(
-            log, decode_routes, decode_target, (servers[0], ":1"), (servers[1], ":2")
+            log=log,
+            decode_routes=decode_routes,
+            decode_target=decode_target,
+            callers=(server, "127.0.0.1:1"),
+            balancer=(server, "127.0.0.1:2"),
+            operators=(server, ""),
+            leave_ms=2_300,
+            drain_timeout_ms=5_300,
         )
         self.edge = PoolEdge(reactor, self.host, service, parts)
         self.edge.start()
