--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
+import attrs
 from eliot import log_message
 
 from hibiscusstack.clock import Clock
@@ -112,10 +113,14 @@
             if target is None:
                 if state.unlisted_since_ms is None:
                     state.unlisted_since_ms = now_ms
-            elif target.born_ms != state.listing.born_ms:
+            elif state.is_surely_gone(target):
                 self._end_life(state, "restarted")
+            elif target.born_ms != state.listing.born_ms:
+                # Only its own lists tell which starts reached the new life.
+                self._look(state)
             else:
                 state.unlisted_since_ms = None
+                state.is_unlisted_life = False
                 state.listing = target
         for name, target in by_name.items():
             if name not in self._targets:
@@ -270,7 +275,7 @@
         else:
             state.is_holding = False
         if isinstance(reply, HoldReply):
-            self._take_lists(state, reply, order.sent_ms, now_ms)
+            state = self._take_lists(state, reply, order.sent_ms, now_ms)
         elif isinstance(reply, FencedOut):
             self._fence(state)
         else:
@@ -349,10 +354,11 @@
 
     def _take_lists(
         self, state: HeldTarget, reply: HoldReply, sent_ms: float, now_ms: float
-    ) -> None:
+    ) -> HeldTarget:
+        """Take over what a target lists; return the state of the life that did."""
+        state.tells_life = reply.born_ms is not None
         if reply.born_ms is not None and reply.born_ms != state.listing.born_ms:
-            self._end_life(state, "another life answered")
-            return
+            state = self._begin_life(state, reply, sent_ms)
         state.note_clock(reply.clock_ms, now_ms)
         state.silent_since_ms = None
         for end in reply.ended:
@@ -366,14 +372,10 @@
         for key, run in list(state.runs.items()):
             if key in active:
                 self._confirm(state, run, now_ms)
-            elif (
-                run.known_ms is not None
-                and run.known_ms < sent_ms
-                or run.stopped_ms is not None
-                and run.stopped_ms < sent_ms
-            ):
+            elif run.was_known_before(sent_ms):
                 self._vanished(state, run, now_ms)
         self._advance(state, now_ms)
+        return state
 
     def _confirm(self, state: HeldTarget, run: Run, now_ms: float) -> None:
         run.known_ms = now_ms
@@ -629,6 +631,36 @@
         for run in list(state.runs.values()):
             self._vanished(state, run, now_ms, cause)
 
+    def _begin_life(
+        self, state: HeldTarget, reply: HoldReply, sent_ms: float
+    ) -> HeldTarget:
+        """Return the state of a new life, with the runs that may have reached it.
+
+        A start for the earlier life, sent before its end was noticed, may have been
+        taken by the new one, or still be on its way there.
+        """
+        now_ms = self._clock.now_ms()
+        log_message(
+            "pool:target_gone", target=state.listing.name, cause="another life answered"
+        )
+        listing = attrs.evolve(state.listing, born_ms=reply.born_ms)
+        self._takeovers += 1
+        new = HeldTarget(listing, self._timing, self._takeovers, now_ms)
+        new.is_unlisted_life = True
+        new.lapse_ms = now_ms + self._timing.quiet_bound_ms
+        self._targets[listing.name] = new
+        active = set(reply.active)
+        for key, run in list(state.runs.items()):
+            is_open = run.known_ms is None or run.known_ms >= sent_ms
+            if key in active or is_open:
+                state.remove(run)
+                new.add(run)
+            if key not in active and is_open:
+                run.known_ms = None
+                self._stop(new, run)
+        self._lapse(state, now_ms, "another life answered")
+        return new
+
     def _end_life(self, state: HeldTarget, cause: str) -> None:
         """Forget a life of a target that is over, with all that ran there."""
         now_ms = self._clock.now_ms()
@@ -694,7 +726,7 @@
             self.is_deputy
             or bool(self._missing)
             or any(
-                state.phase in (Phase.LOOKING, Phase.CLEARING)
+                state.phase is not Phase.HELD or state.silent_since_ms is not None
                 for state in self._targets.values()
             )
         )
--- a/hibiscusstack/pool/held_target.py
+++ b/hibiscusstack/pool/held_target.py
@@ -65,6 +65,7 @@
 
     ``lapse_ms`` is when the lease has surely ended, whichever of the extensions sent
     so far arrived. ``clock_offset_ms`` is what the target's clock is ahead, at least.
+    Of a life that is not listed yet the capacity isn't known.
     """
 
     listing: ListedTarget
@@ -77,6 +78,8 @@
     processed_through: int = 0
     clock_offset_ms: float | None = None
     lapse_ms: float = 0.0
+    tells_life: bool = False
+    is_unlisted_life: bool = False
     is_holding: bool = False
     is_looking: bool = False
     next_hold_ms: float = 0.0
@@ -96,6 +99,7 @@
         return (
             self.phase is Phase.HELD
             and not self.listing.is_leaving
+            and not self.is_unlisted_life
             and self.silent_since_ms is None
             and self.unlisted_since_ms is None
             and now_ms >= self.paused_until_ms
@@ -129,6 +133,15 @@
         self.lapse_ms = max(self.lapse_ms, now_ms + self.timing.lapse_bound_ms)
         return int(now_ms + self.clock_offset_ms + self.timing.lease_ms)
 
+    def is_surely_gone(self, listed: ListedTarget) -> bool:
+        """Tell whether ``listed`` is another life, which no start for this one reaches.
+
+        At the same address it may; then the target's own lists tell the lives apart.
+        """
+        if listed.born_ms == self.listing.born_ms:
+            return False
+        return listed.address != self.listing.address or not self.tells_life
+
     def owes_stop(self, now_ms: float) -> bool:
         """Tell whether a stop was ordered a while ago and is not confirmed.
 
