--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -292,6 +292,13 @@
         for state in list(self._targets.values()):
             self._tick_target(state, now_ms)
         self._queue.demote_late(now_ms)
+        capacity_milli = sum(
+            state.listing.capacity.cpu_milli
+            for state in self._targets.values()
+            if state.may_start(now_ms)
+        )
+        for job in self._queue.out_of_reach(now_ms, capacity_milli):
+            self._close(job, JobEnd.REFUSED, "too much work waits before it")
         for job in self._queue.hopeless(now_ms):
             self._close(job, JobEnd.REFUSED, "no room in time")
         self._place()
--- a/hibiscusstack/pool/ordering.py
+++ b/hibiscusstack/pool/ordering.py
@@ -11,16 +11,23 @@
 from hibiscusstack.pool.work import ActiveJob
 
 LATE_FACTOR = 3.0
+EARLY_PART = 0.2
+REACH_FACTOR = 2.0
 
 
 @attrs.frozen
 class OrderingPolicy:
     """When a job that waits is given up.
 
-    ``late_factor`` objectives after its arrival an answer is worth nothing.
+    ``late_factor`` objectives after its arrival an answer is worth nothing. A job that
+    has waited for ``early_part`` of its objective is refused if the jobs before it
+    leave it no room in time for ``reach_factor`` objectives: its caller can still try
+    elsewhere then.
     """
 
     late_factor: float = LATE_FACTOR
+    early_part: float = EARLY_PART
+    reach_factor: float = REACH_FACTOR
 
 
 class _Tier(IntEnum):
@@ -88,6 +95,27 @@
             and now_ms + job.chain_ms > job.received_ms + factor * job.objective_ms
         ]
 
+    def out_of_reach(self, now_ms: float, capacity_milli: int) -> list[ActiveJob]:
+        """Return the jobs to refuse early, since too much work waits before them.
+
+        ``capacity_milli`` is the processor capacity of all targets in use. Each job is
+        weighed once. The cost is one look at each waiting job.
+        """
+        policy = self._policy
+        found: list[ActiveJob] = []
+        ahead_ms = 0.0
+        for tier, _, _, job in self._entries:
+            waited_ms = now_ms - job.received_ms
+            is_due = waited_ms >= policy.early_part * job.objective_ms
+            if tier is not _Tier.STARTED and is_due and not job.is_weighed:
+                job.is_weighed = True
+                end_ms = waited_ms + ahead_ms + job.chain_ms
+                if end_ms > policy.reach_factor * job.objective_ms:
+                    found.append(job)
+                    continue
+            ahead_ms += job.waiting_work_milli_ms() / max(capacity_milli, 1)
+        return found
+
     def _insert(self, tier: _Tier, job: ActiveJob, number: int) -> None:
         entry = (tier, job.latest_start_ms, number, job)
         self._by_job[job] = entry
--- a/hibiscusstack/pool/work.py
+++ b/hibiscusstack/pool/work.py
@@ -56,6 +56,7 @@
     open_by_step: list[int] = attrs.field(factory=list)
     active_count: int = 0
     first_start_ms: float | None = None
+    is_weighed: bool = False
     run_times_ms: dict[int, float] = attrs.field(factory=dict)
     objective_ms: float = 0.0
     chain_ms: float = 0.0
@@ -82,6 +83,12 @@
         """Return when the job has to start to end within its objective."""
         return self.received_ms + self.objective_ms - self.chain_ms
 
+    def waiting_work_milli_ms(self) -> float:
+        """Return the estimated work of the tasks that wait for room."""
+        return sum(
+            task.step.needs.cpu_milli * task.step.estimate_ms for task in self.ready
+        )
+
     def note_run_time(self, task: PoolTask, run_time_ms: float) -> None:
         """Take the longest run of a step as what its other tasks need."""
         number = task.key[0]
