Store accepted jobs in the log and run them to their end

Cause: a job that is to be kept got a 503, although its clients are promised an answer at once and a state that can be asked for later. The receiving host now appends the job as a numbered append and answers when the log has it; a lost answer is repeated under its number and never becomes a refusal. The coordinator fences the earlier ones out of the progress topic, reads all jobs, runs them behind those with callers, and lets a target forget an end only once it is in the log.

Ruled out: plain topics, whose history may be gone; a condition on the end of the topic, since all hosts append there; followers at every host, whose reads and memory grow with the number of hosts.

--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -28,15 +28,24 @@
     encode_term,
     host_key,
 )
-from hibiscusstack.pool.interfaces import Appended, AppendRefused, KeyedLog, KeyedRecord
+from hibiscusstack.pool.interfaces import (
+    Appended,
+    AppendRefused,
+    KeyedRecord,
+    SequencedLog,
+)
 from hibiscusstack.pool.messages import (
+    AskStored,
     CancelSubmission,
     PoolHeartbeat,
+    StoredAnswer,
     SubmissionAnswer,
     SubmitPoolJob,
 )
 from hibiscusstack.pool.orders import TargetOrders
 from hibiscusstack.pool.receiving import Receiver
+from hibiscusstack.pool.stored.keeper import KeeperTiming
+from hibiscusstack.pool.stored.service import StoredJobs
 from hibiscusstack.pool.targets import ListedTarget
 
 HOSTS_TOPIC = "hosts"
@@ -77,8 +86,9 @@
         settings: PoolHostSettings,
         reactor: IReactorCore,
         clock: Clock,
-        log: KeyedLog,
+        log: SequencedLog,
         orders: TargetOrders,
+        stored_timing: KeeperTiming | None = None,
     ) -> None:
         self.is_draining = False
         self.coordinator: Coordinator | None = None
@@ -109,6 +119,14 @@
             ),
             rng=random.Random(settings.name.incarnation),
         )
+        self.stored = StoredJobs(
+            own=settings.name,
+            reactor=reactor,
+            clock=clock,
+            log=log,
+            send=self._send_stored,
+            timing=stored_timing,
+        )
         self._follower = TopicFollower(
             reactor,
             log,
@@ -134,6 +152,7 @@
         if self._ticking.running:
             self._ticking.stop()
         self._follower.stop()
+        self.stored.stop()
         self._mesh.stop()
 
     def drain(self) -> None:
@@ -187,6 +206,8 @@
                 self._take_term(Term(message.term, message.holder))
         elif isinstance(message, SubmissionAnswer):
             self.receiver.answered(sender, message)
+        elif isinstance(message, AskStored | StoredAnswer):
+            self.stored.take_message(sender, message)
         elif self.coordinator is None:
             return
         elif isinstance(message, SubmitPoolJob):
@@ -242,8 +263,7 @@
             return
         log_message("pool:term", token=term.offset, holder=term.holder.name)
         if self.coordinator is not None:
-            self.coordinator.step_down()
-            self.coordinator = None
+            self._stand_down(self.coordinator)
         if self._election.is_holder:
             self._coordinate(term)
         self._mesh.send_heartbeats()
@@ -256,8 +276,16 @@
             orders=self._orders,
             send_answer=self._answer,
         )
+        self.coordinator.journal = self.stored.coordinate(
+            term.offset + 1, self.coordinator
+        )
         self.coordinator.replace_targets(self._targets)
 
+    def _stand_down(self, coordinator: Coordinator) -> None:
+        coordinator.step_down()
+        self.stored.stand_down()
+        self.coordinator = None
+
     def _hears_holder(self) -> bool:
         term = self._election.term
         if term is None:
@@ -280,6 +308,10 @@
         term = self._election.term
         holder = term.holder if term and self._hears_holder() else None
         self.receiver.coordinator_changed(holder)
+        self.stored.coordinator_changed(holder)
+
+    def _send_stored(self, to: HostName, message: AskStored | StoredAnswer) -> bool:
+        return self._mesh.send(to, message).is_ok()
 
     def _send(self, to: HostName, message: SubmitPoolJob | CancelSubmission) -> bool:
         if to != self._settings.name:
@@ -310,13 +342,13 @@
         if self.coordinator is not None:
             self.coordinator.tick()
         self.receiver.tick()
+        self.stored.tick()
 
     def _resume_after(self, paused_ms: float) -> None:
         """Give up the term: its leases have lapsed, and others may have taken over."""
         log_message("pool:paused", level="warning", for_ms=int(paused_ms))
         if self.coordinator is not None:
-            self.coordinator.step_down()
-            self.coordinator = None
+            self._stand_down(self.coordinator)
         self._election.resign()
         self.receiver.refuse_all("host was paused")
 
--- a/hibiscusstack/exceptions.py
+++ b/hibiscusstack/exceptions.py
@@ -9,6 +9,7 @@
     "ExpiredError",
     "HibiscusError",
     "InvalidInputError",
+    "NotDoneError",
     "NotSentError",
     "RequestRefusedError",
     "SettingsError",
@@ -88,3 +89,7 @@
 
 class NotSentError(UnavailableError):
     """A peer could not be reached, and it is proven that nothing was sent to it."""
+
+
+class NotDoneError(UnavailableError):
+    """A peer refused a call, or was not reached: it is proven that nothing was done."""
--- a/hibiscusstack/host/codec.py
+++ b/hibiscusstack/host/codec.py
@@ -37,6 +37,8 @@
     14: pool_messages.SubmitPoolJob,
     15: pool_messages.SubmissionAnswer,
     16: pool_messages.CancelSubmission,
+    17: pool_messages.AskStored,
+    18: pool_messages.StoredAnswer,
 }
 _WRITERS = {cls: (tag, compile_writer(cls)) for tag, cls in _TAGS.items()}
 _READERS = {tag: compile_reader(cls) for tag, cls in _TAGS.items()}
--- a/hibiscusstack/host/tests/test_codec.py
+++ b/hibiscusstack/host/tests/test_codec.py
@@ -17,7 +17,13 @@
 from hibiscusstack.exceptions import DecodeError, InvalidInputError
 from hibiscusstack.host import codec
 from hibiscusstack.host.codec import MAX_FRAME_BYTES, decode_message, encode_message
-from hibiscusstack.pool.messages import PoolMessage
+from hibiscusstack.pool.messages import (
+    AskStored,
+    PoolMessage,
+    StoredAnswer,
+    StoredRequest,
+    StoredState,
+)
 
 FUZZ = settings(max_examples=300, derandomize=True, deadline=None, database=None)
 
@@ -92,6 +98,8 @@
     st.builds(messages.QueryBatch, INTEGERS),
     st.builds(messages.CancelBatch, INTEGERS),
     st.builds(messages.FetchConfiguration, INTEGERS),
+    st.builds(AskStored, INTEGERS, st.sampled_from(StoredRequest), TEXTS, TEXTS),
+    st.builds(StoredAnswer, INTEGERS, st.sampled_from(StoredState), INTEGERS),
     st.builds(
         messages.RecordsPage,
         st.lists(st.tuples(INTEGERS, TEXTS), max_size=3).map(tuple),
--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -28,6 +28,7 @@
     TargetOrders,
 )
 from hibiscusstack.pool.placing import choose_target
+from hibiscusstack.pool.stored.interfaces import TaskJournal
 from hibiscusstack.pool.targets import ListedTarget
 from hibiscusstack.pool.timing import CoordinatorTiming
 from hibiscusstack.pool.work import (
@@ -66,6 +67,7 @@
     ) -> None:
         self.token = token
         self.is_deposed = False
+        self.journal: TaskJournal | None = None
         self._clock = clock
         self._orders = orders
         self._send_answer = send_answer
@@ -75,6 +77,7 @@
         self._by_submission: dict[tuple[HostName, int], ActiveJob] = {}
         self._ending: Counter[str] = Counter()
         self._queue = JobQueue()
+        self._early_ends: list[tuple[HeldTarget, RunEnd]] = []
         self._began_ms = clock.now_ms()
 
     @property
@@ -134,7 +137,7 @@
         if job is None:
             return
         job.submissions.remove((owner, submission))
-        if not job.submissions:
+        if not job.submissions and not job.is_stored:
             self._close(job, JobEnd.REFUSED, "cancelled")
             self._place()
 
@@ -144,6 +147,37 @@
             if host == owner:
                 self.cancel(host, submission)
 
+    def run_stored(self, job: ActiveJob) -> None:
+        """Take a stored job; nothing of it starts within this call."""
+        if self.is_deposed or job.job.job_id in self._jobs:
+            return
+        self._jobs[job.job.job_id] = job
+        if not self._complete_if_done(job):
+            self._enqueue(job)
+
+    def place_stored(self) -> None:
+        """Start what was taken, where there is room."""
+        self._place()
+
+    def cancel_stored(self, job_id: str) -> None:
+        """Stop a stored job."""
+        job = self._jobs.get(job_id)
+        if job is not None:
+            self._close(job, JobEnd.REFUSED, "cancelled")
+            self._place()
+
+    def stored_recovered(self) -> None:
+        """Act on the ends and runs of stored jobs that were not known before."""
+        now_ms = self._clock.now_ms()
+        early, self._early_ends = self._early_ends, []
+        for state, end in early:
+            state.unsaved_ends.discard(end.number)
+            self._run_ended(state, end, now_ms)
+        for state in self._targets.values():
+            for run in list(state.runs.values()):
+                if run.job is None and run.state is not RunState.STOPPING:
+                    self._adopt(state, run)
+
     def step_down(self) -> None:
         """Give no further orders, since a later term has begun."""
         if self.is_deposed:
@@ -224,6 +258,8 @@
             state.hold_sent_ms = None
         if isinstance(reply, HoldReply):
             self._take_lists(state, reply, sent_ms, now_ms)
+            if state.unsaved_ends:
+                state.next_hold_ms = now_ms + state.hold_pause_ms(now_ms)
         elif isinstance(reply, FencedOut):
             self._fence(state)
         else:
@@ -259,7 +295,7 @@
         timing = self._timing
         wait_ms = timing.hold_wait_ms if is_held else timing.clearing_wait_ms
         state.hold_sent_ms = now_ms
-        order = HoldOrder(self.token, state.processed_through, wait_ms, until_ms)
+        order = HoldOrder(self.token, state.acked_through, wait_ms, until_ms)
         self._orders.hold(state.listing, order)
 
     def _look(self, state: HeldTarget) -> None:
@@ -267,7 +303,7 @@
         if state.look_sent_ms is not None:
             return
         state.look_sent_ms = self._clock.now_ms()
-        order = HoldOrder(self.token, state.processed_through, 0)
+        order = HoldOrder(self.token, state.acked_through, 0)
         self._orders.hold(state.listing, order)
 
     def _take_lists(
@@ -289,6 +325,8 @@
         for key, run in list(state.runs.items()):
             if key in active:
                 self._confirm(state, run, now_ms)
+            elif reply.has_more:
+                continue
             elif (
                 run.known_ms is not None
                 and run.known_ms < sent_ms
@@ -308,9 +346,7 @@
     ) -> None:
         """Adopt a run of a job that is known and waits for it; list any other."""
         name, number = key
-        parsed = parse_task_name(name)
-        job = self._jobs.get(parsed[0]) if parsed else None
-        task = job.tasks.get(parsed[1]) if job else None
+        job, task = self._find_task(name)
         if task is not None and task.state is TaskState.WAITING and task in job.ready:
             run = Run(
                 name, number, job, task, task.step.needs, RunState.RUNNING, now_ms
@@ -319,11 +355,34 @@
             task.next_run = max(task.next_run, number + 1)
         else:
             run = Run(name, number, None, None, NO_RESOURCES, RunState.RUNNING, now_ms)
+            parsed = parse_task_name(name)
             if parsed:
                 self._ending[parsed[0]] += 1
         run.known_ms = now_ms
         state.add(run)
 
+    def _find_task(self, name: str) -> tuple[ActiveJob | None, PoolTask | None]:
+        """Return the job and the task of that name, as far as they are known."""
+        parsed = parse_task_name(name)
+        if parsed is None:
+            return None, None
+        if self.journal is not None and parsed[0] not in self._jobs:
+            self.journal.offer(parsed[0])
+        job = self._jobs.get(parsed[0])
+        return job, job.tasks.get(parsed[1]) if job else None
+
+    def _adopt(self, state: HeldTarget, run: Run) -> None:
+        """Take over a run of a stored job that has become known after the run."""
+        job, task = self._find_task(run.name)
+        if task is None or not job.is_stored or task not in job.ready:
+            return
+        self._note_gone(run)
+        state.remove(run)
+        run.job, run.task, run.needs = job, task, task.step.needs
+        state.add(run)
+        self._activate(job, task, run.started_ms)
+        task.next_run = max(task.next_run, run.number + 1)
+
     def _advance(self, state: HeldTarget, now_ms: float) -> None:
         """Move a target on towards being held."""
         if state.phase is Phase.LOOKING:
@@ -339,9 +398,41 @@
             state.phase = Phase.HELD
 
     def _is_adoption_over(self, now_ms: float) -> bool:
+        if self.journal is not None and self.journal.is_recovering:
+            return now_ms >= self._began_ms + self._timing.recovery_ms
         return now_ms >= self._began_ms + self._timing.adoption_ms
 
     def _run_ended(self, state: HeldTarget, end: RunEnd, now_ms: float) -> None:
+        """Act on an end, which its target forgets once what it means is saved."""
+        journal = self.journal
+        if journal is None:
+            self._act_on_end(state, end, now_ms)
+            return
+        parsed = parse_task_name(end.task)
+        job_id = parsed[0] if parsed else ""
+        if journal.is_recovering and job_id not in self._jobs:
+            # It may be the end of a stored job that has not been read yet.
+            state.note_unsaved(end.number, now_ms)
+            self._early_ends.append((state, end))
+            return
+        self._act_on_end(state, end, now_ms)
+        if journal.is_unsaved(job_id):
+            state.note_unsaved(end.number, now_ms)
+            journal.when_saved(job_id, lambda: self._end_saved(state, end.number))
+
+    def _end_saved(self, state: HeldTarget, number: int) -> None:
+        state.unsaved_ends.discard(number)
+        if not state.unsaved_ends and state.silent_since_ms is None:
+            state.next_hold_ms = 0.0
+            if self._targets.get(state.listing.name) is state:
+                self._hold_if_due(state)
+
+    def _hold_if_due(self, state: HeldTarget) -> None:
+        is_idle = state.hold_sent_ms is None and not self.is_deposed
+        if is_idle and self._clock.now_ms() >= state.next_hold_ms:
+            self._hold(state)
+
+    def _act_on_end(self, state: HeldTarget, end: RunEnd, now_ms: float) -> None:
         run = state.runs.get((end.task, end.run))
         if run is None:
             self._credit_earlier_end(end)
@@ -350,27 +441,60 @@
         job, task = run.job, run.task
         if job is None or task is None:
             self._note_gone(run)
+            job, task = self._find_task(run.name)
+            if task is not None and job.is_stored:
+                self._credit_stored_end(job, task, end)
             return
         if end.how == _DONE:
+            if job.is_stored:
+                self.journal.task_done(job.job.job_id, task.key)
             self._note_done(state, run, now_ms)
         elif end.how == _FAILED:
+            if job.is_stored:
+                self.journal.task_failed(job.job.job_id, task.key, run.number)
             self._note_failed(state, run, now_ms)
         else:
             self._requeue(run, now_ms)
 
     def _credit_earlier_end(self, end: RunEnd) -> None:
         """Count an end that an earlier coordinator has not acknowledged."""
-        parsed = parse_task_name(end.task)
-        job = self._jobs.get(parsed[0]) if parsed else None
-        task = job.tasks.get(parsed[1]) if job else None
+        job, task = self._find_task(end.task)
         if task is None:
             return
         task.next_run = max(task.next_run, end.run + 1)
-        if end.how == _DONE and task in job.ready:
+        if job.is_stored:
+            self._credit_stored_end(job, task, end)
+        elif end.how == _DONE and task in job.ready:
             job.ready.remove(task)
             job.note_done(task)
             self._complete_if_done(job)
 
+    def _credit_stored_end(self, job: ActiveJob, task: PoolTask, end: RunEnd) -> None:
+        """Count an end for good, also one of a task that runs again."""
+        job_id = job.job.job_id
+        if task.state is TaskState.DONE:
+            return
+        if end.how == _FAILED and self.journal.task_failed(job_id, task.key, end.run):
+            task.failures += 1
+            if task.failures >= job.job.max_attempts:
+                self._close(job, JobEnd.FAILED, "a task failed too often")
+        if end.how != _DONE:
+            return
+        self.journal.task_done(job_id, task.key)
+        if task.state is TaskState.ACTIVE:
+            self._abandon_task(task)
+        elif task in job.ready:
+            job.ready.remove(task)
+        job.note_done(task)
+        if not self._complete_if_done(job):
+            self._enqueue(job)
+
+    def _abandon_task(self, task: PoolTask) -> None:
+        for state in self._targets.values():
+            for run in list(state.runs.values()):
+                if run.task is task:
+                    self._abandon(state, run)
+
     def _note_done(self, state: HeldTarget, run: Run, now_ms: float) -> None:
         state.health.note_success()
         job, task = run.job, run.task
@@ -383,9 +507,10 @@
         if job.ready:
             self._enqueue(job)
 
-    def _complete_if_done(self, job: ActiveJob) -> None:
+    def _complete_if_done(self, job: ActiveJob) -> bool:
         if job.is_complete:
             self._close(job, JobEnd.COMPLETED)
+        return job.is_complete
 
     def _note_failed(self, state: HeldTarget, run: Run, now_ms: float) -> None:
         state.paused_until_ms = max(
@@ -544,6 +669,8 @@
         """Answer everyone who waits for a job, and stop what still runs of it."""
         self._jobs.pop(job.job.job_id, None)
         self._queue.discard(job)
+        if job.is_stored:
+            self.journal.job_ended(job.job.job_id, end)
         may_have_run = job.first_start_ms is not None or job.is_resubmitted
         if end is JobEnd.REFUSED and may_have_run:
             # A refusal would say that nothing has run.
@@ -622,6 +749,8 @@
         job.active_count += 1
         if job.first_start_ms is None:
             job.first_start_ms = now_ms
+            if job.is_stored:
+                self.journal.task_started(job.job.job_id)
 
     def _start(
         self, state: HeldTarget, job: ActiveJob, task: PoolTask, now_ms: float
--- a/hibiscusstack/pool/held_target.py
+++ b/hibiscusstack/pool/held_target.py
@@ -14,6 +14,10 @@
 
 RunKey = tuple[str, int]
 
+_SHORTEST_PAUSE_MS = 20.0
+_LONGEST_PAUSE_MS = 200.0
+_MOST_UNSAVED = 300
+
 
 class Phase(Enum):
     """How far the takeover of a target is.
@@ -64,6 +68,8 @@
 
     ``lapse_ms`` is when the lease has surely ended, whichever of the extensions sent
     so far arrived. ``clock_offset_ms`` is what the target's clock is ahead, at least.
+    ``unsaved_ends`` are those that the log does not have yet, so that the target has
+    to remember them.
     """
 
     listing: ListedTarget
@@ -72,6 +78,8 @@
     runs: dict[RunKey, Run] = attrs.field(factory=dict)
     used: Resources = NO_RESOURCES
     processed_through: int = 0
+    unsaved_ends: set[int] = attrs.field(factory=set)
+    unsaved_since_ms: float = 0.0
     clock_offset_ms: float | None = None
     lapse_ms: float = 0.0
     hold_sent_ms: float | None = None
@@ -87,6 +95,29 @@
         """Return the room that no run takes."""
         return self.listing.capacity.minus(self.used)
 
+    @property
+    def acked_through(self) -> int:
+        """Return the last end that the target may forget, with all before it."""
+        if self.unsaved_ends:
+            return min(self.unsaved_ends) - 1
+        return self.processed_through
+
+    def note_unsaved(self, number: int, now_ms: float) -> None:
+        """Let the target remember an end until it is saved."""
+        if not self.unsaved_ends:
+            self.unsaved_since_ms = now_ms
+        self.unsaved_ends.add(number)
+
+    def hold_pause_ms(self, now_ms: float) -> float:
+        """Return how long to wait with a hold, which ends at once meanwhile.
+
+        A hold does not wait for an end while the target remembers others.
+        """
+        if not self.unsaved_ends:
+            return 0.0
+        waited_ms = now_ms - self.unsaved_since_ms
+        return max(_SHORTEST_PAUSE_MS, min(_LONGEST_PAUSE_MS, waited_ms / 2))
+
     def may_start(self, now_ms: float) -> bool:
         """Tell whether new work may be started here."""
         return (
@@ -95,6 +126,7 @@
             and self.silent_since_ms is None
             and self.unlisted_since_ms is None
             and now_ms >= self.paused_until_ms
+            and len(self.unsaved_ends) < _MOST_UNSAVED
         )
 
     def add(self, run: Run) -> None:
--- a/hibiscusstack/pool/interfaces.py
+++ b/hibiscusstack/pool/interfaces.py
@@ -3,12 +3,17 @@
 __all__ = [
     "AppendRefused",
     "Appended",
+    "Fenced",
     "KeyedLog",
     "KeyedPage",
     "KeyedRecord",
+    "OutOfSequence",
+    "Producer",
     "Readiness",
+    "SequencedLog",
 ]
 
+from collections.abc import Sequence
 from typing import Protocol
 
 import attrs
@@ -69,6 +74,52 @@
         """Append a record, if ``at`` is given only where the topic ends there."""
 
 
+@attrs.frozen
+class Producer:
+    """A writer that numbers its appends to a topic, from any number on in each epoch.
+
+    Once a topic has seen an epoch, it refuses every lower one of the same name.
+    """
+
+    name: str
+    epoch: int
+
+
+@attrs.frozen
+class Fenced:
+    """Nothing was appended, since a higher epoch of the producer has begun."""
+
+
+@attrs.frozen
+class OutOfSequence:
+    """Nothing was appended, since the producer's next append has another number."""
+
+    expected: int
+
+
+class SequencedLog(KeyedLog, Protocol):
+    """A keyed log that does an append once, however often it is sent.
+
+    Calls fail with :class:`~hibiscusstack.exceptions.NotDoneError` when nothing was
+    done, and with another :class:`~hibiscusstack.exceptions.UnavailableError` when
+    that is open.
+    """
+
+    def begin_epoch(
+        self, topic: str, producer: Producer
+    ) -> Deferred[Appended | Fenced]:
+        """Let no lower epoch append any more; the offset is the end of the topic."""
+
+    def append_numbered(
+        self,
+        topic: str,
+        records: Sequence[tuple[str, bytes]],
+        producer: Producer,
+        number: int,
+    ) -> Deferred[Appended | Fenced | OutOfSequence]:
+        """Append all records or none; an empty value drops its key."""
+
+
 class Readiness(Protocol):
     """Tells the balancer whether to send connections here."""
 
--- a/hibiscusstack/pool/messages.py
+++ b/hibiscusstack/pool/messages.py
@@ -1,10 +1,14 @@
 """Messages between hosts about pools, as plain typed data."""
 
 __all__ = [
+    "AskStored",
     "CancelSubmission",
     "JobEnd",
     "PoolHeartbeat",
     "PoolMessage",
+    "StoredAnswer",
+    "StoredRequest",
+    "StoredState",
     "SubmissionAnswer",
     "SubmitPoolJob",
 ]
@@ -75,4 +79,49 @@
     submission: int
 
 
-PoolMessage = PoolHeartbeat | SubmitPoolJob | SubmissionAnswer | CancelSubmission
+class StoredRequest(Enum):
+    """What is asked about stored jobs."""
+
+    READ = "read"
+    CANCEL = "cancel"
+    COUNT = "count"
+
+
+class StoredState(Enum):
+    """Where a stored job stands; ``UNKNOWN`` says that there is no such job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen
+class AskStored:
+    """A question to the coordinator about a stored job, or about a queue."""
+
+    question: int
+    request: StoredRequest
+    queue: str
+    job_id: str = ""
+
+
+@attrs.frozen
+class StoredAnswer:
+    """The answer; ``pending`` counts the jobs of the queue that have not begun."""
+
+    question: int
+    state: StoredState
+    pending: int = 0
+
+
+PoolMessage = (
+    PoolHeartbeat
+    | SubmitPoolJob
+    | SubmissionAnswer
+    | CancelSubmission
+    | AskStored
+    | StoredAnswer
+)
--- a/hibiscusstack/pool/ordering.py
+++ b/hibiscusstack/pool/ordering.py
@@ -27,9 +27,10 @@
     STARTED = 0
     IN_TIME = 1
     LATE = 2
+    STORED = 3
 
 
-_Entry = tuple[_Tier, float, int, ActiveJob]
+_Entry = tuple[int, float, int, ActiveJob]
 
 
 class JobQueue:
@@ -37,7 +38,9 @@
 
     Those that have begun come first, since what they have done already is lost
     otherwise. Then come those that can still end within their objective, by the time
-    at which they have to start; the others follow, in the same order.
+    at which they have to start; the others follow, in the same order. Stored jobs,
+    for which nobody waits, come last, by their priority, unless that is higher than
+    of any other job seen so far; such jobs are queued like the others.
     """
 
     def __init__(self, policy: OrderingPolicy | None = None) -> None:
@@ -45,6 +48,7 @@
         self._entries: list[_Entry] = []
         self._by_job: dict[ActiveJob, _Entry] = {}
         self._count = 0
+        self._highest_priority: int | None = None
 
     def __len__(self) -> int:
         return len(self._by_job)
@@ -56,7 +60,7 @@
         """Queue a job, or move one that is queued to its present place."""
         self.discard(job)
         self._count += 1
-        self._insert(_tier_of(job, now_ms), job, self._count)
+        self._insert(self._tier_of(job, now_ms), job, self._count)
 
     def discard(self, job: ActiveJob) -> None:
         """Remove a job, if it is queued."""
@@ -85,20 +89,26 @@
             job
             for tier, _, _, job in self._entries
             if tier is _Tier.LATE
+            and not job.is_stored
             and now_ms + job.chain_ms > job.received_ms + factor * job.objective_ms
         ]
 
-    def _insert(self, tier: _Tier, job: ActiveJob, number: int) -> None:
+    def _tier_of(self, job: ActiveJob, now_ms: float) -> int:
+        priority, highest = job.job.priority, self._highest_priority
+        if not job.is_stored:
+            if highest is None or priority < highest:
+                self._highest_priority = priority
+        elif highest is None or priority >= highest:
+            return _Tier.STORED + priority
+        if job.first_start_ms is not None:
+            return _Tier.STARTED
+        return _Tier.LATE if job.latest_start_ms < now_ms else _Tier.IN_TIME
+
+    def _insert(self, tier: int, job: ActiveJob, number: int) -> None:
         entry = (tier, job.latest_start_ms, number, job)
         self._by_job[job] = entry
         insort(self._entries, entry, key=_key)
 
 
-def _tier_of(job: ActiveJob, now_ms: float) -> _Tier:
-    if job.first_start_ms is not None:
-        return _Tier.STARTED
-    return _Tier.LATE if job.latest_start_ms < now_ms else _Tier.IN_TIME
-
-
-def _key(entry: _Entry) -> tuple[_Tier, float, int]:
+def _key(entry: _Entry) -> tuple[int, float, int]:
     return entry[:3]
--- a/hibiscusstack/pool/orders.py
+++ b/hibiscusstack/pool/orders.py
@@ -85,12 +85,16 @@
 
 @attrs.frozen
 class HoldReply:
-    """What runs on a target and which ends it remembers."""
+    """What runs on a target and which ends it remembers.
+
+    ``has_more`` says that it remembers more ends than it lists.
+    """
 
     clock_ms: int
     born_ms: int | None
     active: tuple[tuple[str, int], ...]
     ended: tuple[RunEnd, ...]
+    has_more: bool = False
 
 
 @attrs.frozen
--- /dev/null
+++ b/hibiscusstack/pool/stored/ledger.py
@@ -0,0 +1,168 @@
+"""All stored jobs that a coordinator knows, from the records in the log."""
+
+__all__ = ["Ledger", "StoredJob"]
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+
+import attrs
+from eliot import log_message
+
+from hibiscusstack.exceptions import DecodeError
+from hibiscusstack.pool.interfaces import KeyedRecord
+from hibiscusstack.pool.messages import StoredState
+from hibiscusstack.pool.stored.progress import JobProgress
+from hibiscusstack.pool.stored.records import (
+    TERM_KEY,
+    JobRecord,
+    ProgressRecord,
+    decode_job_record,
+    decode_progress,
+    decode_terms,
+)
+
+_LIVE = (StoredState.QUEUED, StoredState.RUNNING)
+
+
+@attrs.define(eq=False)
+class StoredJob:
+    """One job. ``state`` is what may be shown, ``final`` how it has ended.
+
+    ``final`` is shown once its record is in the log. What only a live job needs is
+    dropped with that. Runs are numbered from ``first_run`` on.
+    """
+
+    job_id: str
+    queue: str
+    state: StoredState
+    record: JobRecord | None = None
+    progress: JobProgress | None = None
+    final: StoredState | None = None
+    ended_ms: float | None = None
+    first_run: int = 1
+
+    @property
+    def is_live(self) -> bool:
+        """Tell whether the job has not ended for good."""
+        return self.state in _LIVE
+
+    def progress_record(self) -> ProgressRecord:
+        """Return what the log has to say of the job now."""
+        if self.final is not None:
+            return ProgressRecord(self.queue, self.final)
+        return ProgressRecord(self.queue, self.state, self.progress)
+
+
+class Ledger:
+    """Jobs by id, their states, and what can be dropped from the log.
+
+    Records may come again in any number: the first record of a job counts, and one
+    of a job that has ended changes nothing. ``keep_ms`` is how long a job is known
+    after its end.
+    """
+
+    def __init__(self, keep_ms: float) -> None:
+        self.terms = 0
+        self._keep_ms = keep_ms
+        self._jobs: dict[str, StoredJob] = {}
+        self._queued: Counter[str] = Counter()
+        self._recovered: dict[str, ProgressRecord] = {}
+        self._spent: set[str] = set()
+        self._ended: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._jobs)
+
+    def find(self, job_id: str) -> StoredJob | None:
+        """Return a job that is known."""
+        return self._jobs.get(job_id)
+
+    def pending(self, queue: str) -> int:
+        """Return how many jobs of a queue have not begun."""
+        return self._queued[queue]
+
+    def take_progress(self, records: Iterable[KeyedRecord], now_ms: float) -> None:
+        """Take how far all jobs were when the earlier coordinators ended."""
+        for record in records:
+            try:
+                self._take_progress(record, now_ms)
+            except DecodeError as error:
+                log_message("pool:record_refused", level="error", cause=str(error))
+
+    def take_jobs(self, records: Sequence[KeyedRecord]) -> list[StoredJob]:
+        """Take records of accepted jobs; return those that are new."""
+        found = []
+        for record in records:
+            if record.value is None:
+                continue
+            known = self._jobs.get(record.key)
+            if known is not None:
+                if not known.is_live:
+                    self._spent.add(record.key)
+                continue
+            try:
+                found.append(self._add(decode_job_record(record)))
+            except DecodeError as error:
+                log_message("pool:record_refused", level="error", cause=str(error))
+        return found
+
+    def note_started(self, job: StoredJob) -> None:
+        """Note that a task of the job has started."""
+        if job.state is StoredState.QUEUED:
+            job.state = StoredState.RUNNING
+            self._queued[job.queue] -= 1
+
+    def note_final_saved(self, job: StoredJob, now_ms: float) -> None:
+        """Show a job as ended; its record in the log is spent."""
+        if job.state is StoredState.QUEUED:
+            self._queued[job.queue] -= 1
+        job.state = job.final
+        job.record = job.progress = None
+        job.ended_ms = now_ms
+        self._ended[job.job_id] = now_ms
+        self._spent.add(job.job_id)
+
+    def take_spent(self) -> list[str]:
+        """Return the jobs whose first record is of no use any more, once."""
+        spent = list(self._spent)
+        self._spent.clear()
+        return spent
+
+    def expire(self, now_ms: float) -> list[str]:
+        """Forget the jobs that ended long ago, and return their ids."""
+        expired = []
+        for job_id, ended_ms in self._ended.items():
+            if now_ms - ended_ms < self._keep_ms:
+                break
+            expired.append(job_id)
+        for job_id in expired:
+            del self._ended[job_id]
+            del self._jobs[job_id]
+        return expired
+
+    def _take_progress(self, record: KeyedRecord, now_ms: float) -> None:
+        if record.value is None:
+            return
+        if record.key == TERM_KEY:
+            self.terms = decode_terms(record)
+            return
+        found = decode_progress(record)
+        if found.progress is not None:
+            self._recovered[record.key] = found
+            return
+        job = StoredJob(record.key, found.queue, found.state, final=found.state)
+        job.ended_ms = self._ended[record.key] = now_ms
+        self._jobs[record.key] = job
+
+    def _add(self, record: JobRecord) -> StoredJob:
+        job_id = record.job.job_id
+        recovered = self._recovered.pop(job_id, None)
+        progress = JobProgress.of_steps(record.job.steps)
+        if recovered is not None and len(recovered.progress.done) == len(progress.done):
+            progress = recovered.progress
+        job = StoredJob(job_id, record.queue, StoredState.QUEUED, record, progress)
+        self._jobs[job_id] = job
+        self._queued[record.queue] += 1
+        if progress.is_begun:
+            self.note_started(job)
+        return job
--- /dev/null
+++ b/hibiscusstack/pool/stored/progress.py
@@ -0,0 +1,56 @@
+"""How far a stored job is: which tasks are done, and which runs failed."""
+
+__all__ = ["JobProgress"]
+
+import attrs
+
+from hibiscusstack.pool.jobs import Step, TaskKey
+
+
+@attrs.define(eq=False)
+class JobProgress:
+    """The ends of a job's tasks that count for good.
+
+    ``done`` has one set of bits for each step, ``failed`` the numbers of the runs
+    that failed. An end that is noted again changes nothing.
+
+    >>> progress = JobProgress.of_steps((Step(3, None),))
+    >>> progress.note_done((0, 2)), progress.note_done((0, 2)), progress.done
+    (True, False, [4])
+    """
+
+    done: list[int]
+    failed: dict[TaskKey, list[int]] = attrs.field(factory=dict)
+
+    @classmethod
+    def of_steps(cls, steps: tuple[Step, ...]) -> "JobProgress":
+        """Return the progress of a job that has not begun."""
+        return cls([0] * len(steps))
+
+    @property
+    def is_begun(self) -> bool:
+        """Tell whether any end is noted."""
+        return any(self.done) or bool(self.failed)
+
+    def is_done(self, key: TaskKey) -> bool:
+        """Tell whether a task has ended ``done``."""
+        return bool(self.done[key[0]] >> key[1] & 1)
+
+    def note_done(self, key: TaskKey) -> bool:
+        """Note that a task is done; return whether that is news."""
+        if self.is_done(key):
+            return False
+        self.done[key[0]] |= 1 << key[1]
+        return True
+
+    def note_failed(self, key: TaskKey, run: int) -> bool:
+        """Note that a run failed; return whether that is news."""
+        runs = self.failed.setdefault(key, [])
+        if run in runs:
+            return False
+        runs.append(run)
+        return True
+
+    def next_run(self, key: TaskKey) -> int:
+        """Return a run number above all that are noted for a task."""
+        return max(self.failed.get(key, ()), default=0) + 1
--- /dev/null
+++ b/hibiscusstack/pool/stored/records.py
@@ -0,0 +1,180 @@
+"""The records of stored jobs in the log.
+
+One topic has a record of each job that was accepted, the other one of how far it is.
+Both have the job's id as their key.
+"""
+
+__all__ = [
+    "JOBS_TOPIC",
+    "MAX_RECORD_BYTES",
+    "MAX_TASKS",
+    "PROGRESS_TOPIC",
+    "TERM_KEY",
+    "JobRecord",
+    "ProgressRecord",
+    "decode_job_record",
+    "decode_progress",
+    "decode_terms",
+    "encode_job_record",
+    "encode_progress",
+    "encode_terms",
+]
+
+import json
+from typing import Any
+
+import attrs
+
+from hibiscusstack.exceptions import DecodeError
+from hibiscusstack.pool.interfaces import KeyedRecord
+from hibiscusstack.pool.jobs import PoolJob, Resources, Step
+from hibiscusstack.pool.messages import StoredState
+from hibiscusstack.pool.stored.progress import JobProgress
+
+JOBS_TOPIC = "stored jobs"
+PROGRESS_TOPIC = "stored progress"
+TERM_KEY = "terms"
+MAX_RECORD_BYTES = 262_144
+MAX_TASKS = 100_000
+_VERSION = 1
+_JOB_FIELDS = 10
+_STEP_FIELDS = 9
+
+
+@attrs.frozen
+class JobRecord:
+    """A job as it was accepted; ``submitted_ms`` is a time of day."""
+
+    queue: str
+    job: PoolJob
+    submitted_ms: int
+
+
+@attrs.frozen
+class ProgressRecord:
+    """How far a job is; one that has ended has only its state."""
+
+    queue: str
+    state: StoredState
+    progress: JobProgress | None = None
+
+
+def encode_job_record(record: JobRecord) -> bytes:
+    """Return the value of the record of an accepted job."""
+    job = record.job
+    steps = [_step_values(step) for step in job.steps]
+    terms = [job.pool, job.priority, job.max_attempts, job.stretch]
+    return _dump(
+        [
+            _VERSION,
+            record.queue,
+            record.submitted_ms,
+            *terms,
+            job.target_latency_ms,
+            job.payload,
+            steps,
+        ]
+    )
+
+
+def decode_job_record(record: KeyedRecord) -> JobRecord:
+    """Return the job of a record.
+
+    Raises :class:`~hibiscusstack.exceptions.DecodeError` for a value that is broken.
+    """
+    values = _load(record)
+    try:
+        if len(values) != _JOB_FIELDS:
+            raise ValueError(len(values))
+        _, queue, submitted_ms, pool, priority, attempts, stretch = values[:7]
+        job = PoolJob(
+            job_id=record.key,
+            pool=pool,
+            payload=values[8],
+            steps=tuple(map(_read_step, values[9])),
+            priority=priority,
+            max_attempts=attempts,
+            stretch=stretch,
+            target_latency_ms=values[7],
+        )
+    except (ValueError, TypeError):
+        raise DecodeError(record.key, "a stored job", record.value[:80]) from None
+    return JobRecord(queue, job, submitted_ms)
+
+
+def encode_progress(record: ProgressRecord) -> bytes:
+    """Return the value of the record of how far a job is."""
+    values: list[Any] = [_VERSION, record.queue, record.state.value]
+    if record.progress is not None:
+        progress = record.progress
+        values.append([f"{bits:x}" for bits in progress.done])
+        values.append([[*key, runs] for key, runs in progress.failed.items()])
+    return _dump(values)
+
+
+def decode_progress(record: KeyedRecord) -> ProgressRecord:
+    """Return how far the job of a record is.
+
+    Raises :class:`~hibiscusstack.exceptions.DecodeError` for a value that is broken.
+    """
+    values = _load(record)
+    try:
+        queue, state = values[1], StoredState(values[2])
+        progress = None
+        if len(values) > 3:
+            failed = {(row[0], row[1]): row[2] for row in values[4]}
+            progress = JobProgress([int(bits, 16) for bits in values[3]], failed)
+    except (ValueError, TypeError, IndexError):
+        raise DecodeError(record.key, "progress", record.value[:80]) from None
+    return ProgressRecord(queue, state, progress)
+
+
+def encode_terms(count: int) -> bytes:
+    """Return the value of the record that counts the terms."""
+    return _dump([_VERSION, count])
+
+
+def decode_terms(record: KeyedRecord) -> int:
+    """Return how many coordinators have taken over so far."""
+    values = _load(record)
+    if len(values) != 2 or type(values[1]) is not int:
+        raise DecodeError(record.key, "a count of terms", values)
+    return values[1]
+
+
+def _step_values(step: Step) -> list[Any]:
+    needs = step.needs
+    return [
+        step.count,
+        needs.cpu_milli,
+        needs.memory_mb,
+        needs.accelerators,
+        step.estimate_ms,
+        step.after,
+        step.requires,
+        step.data_rack,
+        step.anti_affinity,
+    ]
+
+
+def _read_step(values: list[Any]) -> Step:
+    if len(values) != _STEP_FIELDS:
+        raise ValueError(len(values))
+    count, cpu, memory, accelerators, estimate_ms, after = values[:6]
+    needs = Resources(cpu, memory, accelerators)
+    return Step(count, needs, estimate_ms, tuple(after), *values[6:])
+
+
+def _dump(values: list[Any]) -> bytes:
+    text = json.dumps(values, separators=(",", ":"), ensure_ascii=False)
+    return text.encode(errors="surrogatepass")
+
+
+def _load(record: KeyedRecord) -> list[Any]:
+    try:
+        values = json.loads(record.value or b"")
+    except (ValueError, RecursionError):
+        raise DecodeError(record.key, "JSON", (record.value or b"")[:80]) from None
+    if not isinstance(values, list) or not values or values[0] != _VERSION:
+        raise DecodeError(record.key, f"version {_VERSION}", record.value[:80])
+    return values
--- /dev/null
+++ b/hibiscusstack/pool/stored/service.py
@@ -0,0 +1,166 @@
+"""Stored jobs at one host: what callers hand in and ask, and the keeper of a term."""
+
+__all__ = ["StoredJobs"]
+
+import time
+from collections.abc import Callable
+
+from twisted.internet.interfaces import IReactorTime
+
+from hibiscusstack.clock import Clock
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.pool.interfaces import Producer, SequencedLog
+from hibiscusstack.pool.jobs import PoolJob
+from hibiscusstack.pool.messages import (
+    AskStored,
+    StoredAnswer,
+    StoredRequest,
+    StoredState,
+)
+from hibiscusstack.pool.stored.asking import Asker
+from hibiscusstack.pool.stored.interfaces import JobRunner
+from hibiscusstack.pool.stored.keeper import Keeper, KeeperTiming
+from hibiscusstack.pool.stored.records import JOBS_TOPIC, JobRecord
+from hibiscusstack.pool.stored.submitting import (
+    JobSubmitter,
+    SubmitAnswer,
+)
+from hibiscusstack.pool.stored.writer import BatchWriter
+
+SUBMIT_LINGER_MS = 2
+
+SendStored = Callable[[HostName, AskStored | StoredAnswer], bool]
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
+class StoredJobs:
+    """Takes stored jobs at any host, and keeps them where the coordinator is.
+
+    ``send`` carries messages to other hosts; what is for this host is taken here.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: HostName,
+        reactor: IReactorTime,
+        clock: Clock,
+        log: SequencedLog,
+        send: SendStored,
+        timing: KeeperTiming | None = None,
+        wall_ms: Callable[[], int] = _wall_ms,
+    ) -> None:
+        self.keeper: Keeper | None = None
+        self._own = own
+        self._reactor = reactor
+        self._clock = clock
+        self._log = log
+        self._send = send
+        self._timing = timing
+        self._wall_ms = wall_ms
+        producer = Producer(f"{own.data_centre}/{own.name}/{own.incarnation}", 1)
+        self._writer = BatchWriter(
+            reactor,
+            log,
+            JOBS_TOPIC,
+            producer,
+            linger_ms=SUBMIT_LINGER_MS,
+            on_fenced=lambda: None,
+        )
+        self._submitter = JobSubmitter(self._writer, clock)
+        self._asker = Asker(clock, self._ask)
+
+    def coordinate(self, token: int, runner: JobRunner) -> Keeper:
+        """Keep the stored jobs of the term with this token."""
+        self.stand_down()
+        self.keeper = Keeper(
+            reactor=self._reactor,
+            clock=self._clock,
+            wall_ms=self._wall_ms,
+            log=self._log,
+            token=token,
+            runner=runner,
+            timing=self._timing,
+        )
+        self.keeper.start()
+        return self.keeper
+
+    def stand_down(self) -> None:
+        """Leave the stored jobs to another coordinator."""
+        if self.keeper is not None:
+            self.keeper.stop()
+            self.keeper = None
+
+    def stop(self) -> None:
+        """Read and write nothing more."""
+        self.stand_down()
+        self._writer.stop()
+
+    def coordinator_changed(self, coordinator: HostName | None) -> None:
+        """Ask another coordinator from now on."""
+        self._asker.coordinator_changed(coordinator)
+
+    def take_message(self, sender: HostName, message: AskStored | StoredAnswer) -> None:
+        """Act on a message of a host."""
+        if isinstance(message, StoredAnswer):
+            self._asker.answered(sender, message)
+        elif self.keeper is not None:
+            self._reply(self.keeper, sender, message)
+
+    def tick(self) -> None:
+        """Act on the passing of time; to be called every few milliseconds."""
+        self._submitter.tick()
+        self._asker.tick()
+        if self.keeper is not None:
+            self.keeper.tick()
+
+    def submit(
+        self,
+        queue: str,
+        job: PoolJob,
+        timeout_ms: float | None,
+        answer: Callable[[SubmitAnswer], None],
+    ) -> None:
+        """Store a job."""
+        record = JobRecord(queue, job, self._wall_ms())
+        self._submitter.submit(record, timeout_ms, answer)
+
+    def ask(
+        self,
+        request: StoredRequest,
+        queue: str,
+        job_id: str,
+        timeout_ms: float | None,
+        answer: Callable[[StoredAnswer | None], None],
+    ) -> Callable[[], None]:
+        """Ask the coordinator; return what to call when the caller has gone."""
+        return self._asker.ask(request, queue, job_id, timeout_ms, answer)
+
+    def _ask(self, to: HostName, message: AskStored) -> bool:
+        if to != self._own:
+            return self._send(to, message)
+        if self.keeper is None:
+            return False
+        self._reply(self.keeper, to, message)
+        return True
+
+    def _reply(self, keeper: Keeper, to: HostName, message: AskStored) -> None:
+        def answer(state: StoredState, pending: int = 0) -> None:
+            reply = StoredAnswer(message.question, state, pending)
+            if to == self._own:
+                self._reactor.callLater(0, self._asker.answered, to, reply)
+            else:
+                self._send(to, reply)
+
+        match message.request:
+            case StoredRequest.READ:
+                keeper.read(message.queue, message.job_id, answer)
+            case StoredRequest.CANCEL:
+                keeper.cancel(message.queue, message.job_id, answer)
+            case StoredRequest.COUNT:
+                keeper.count(
+                    message.queue, lambda count: answer(StoredState.UNKNOWN, count)
+                )
--- /dev/null
+++ b/hibiscusstack/pool/stored/submitting.py
@@ -0,0 +1,114 @@
+"""Taking jobs into the log at the host that received them."""
+
+__all__ = ["Accepted", "JobSubmitter", "NotAccepted", "SubmitAnswer", "Undecided"]
+
+from collections.abc import Callable
+
+import attrs
+
+from hibiscusstack.clock import Clock
+from hibiscusstack.pool.stored.records import (
+    MAX_RECORD_BYTES,
+    MAX_TASKS,
+    JobRecord,
+    encode_job_record,
+)
+from hibiscusstack.pool.stored.writer import BatchWriter
+
+REFUSE_AFTER_MS = 1_000
+GIVE_UP_AFTER_MS = 5_000
+_MARGIN_MS = 50
+
+
+@attrs.frozen
+class Accepted:
+    """The job stands in the log."""
+
+
+@attrs.frozen
+class NotAccepted:
+    """The job does not stand in the log, and never will by this request."""
+
+    cause: str
+
+
+@attrs.frozen
+class Undecided:
+    """The job may stand in the log, or come to stand there."""
+
+
+SubmitAnswer = Accepted | NotAccepted | Undecided
+OnAnswer = Callable[[SubmitAnswer], None]
+
+
+@attrs.define(eq=False)
+class _Waiting:
+    refuse_ms: float
+    give_up_ms: float
+    answer: OnAnswer
+
+
+class JobSubmitter:
+    """Appends jobs, and answers each request when the outcome is sure.
+
+    A record that was never sent, or only to be refused, can be withdrawn, and its
+    caller gets a refusal. Once an answer of the log was lost the record may appear
+    at any time, so its caller is never refused.
+    """
+
+    def __init__(self, writer: BatchWriter, clock: Clock) -> None:
+        self._writer = writer
+        self._clock = clock
+        self._waiting: dict[str, list[_Waiting]] = {}
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def submit(
+        self, record: JobRecord, timeout_ms: float | None, answer: OnAnswer
+    ) -> None:
+        """Append a job; a job that is on its way already is joined."""
+        job_id = record.job.job_id
+        value = encode_job_record(record)
+        if len(value) + len(job_id) >= MAX_RECORD_BYTES:
+            answer(NotAccepted("too large to be stored"))
+            return
+        if sum(step.count for step in record.job.steps) > MAX_TASKS:
+            answer(NotAccepted("too many tasks"))
+            return
+        now_ms = self._clock.now_ms()
+        limit_ms = GIVE_UP_AFTER_MS if timeout_ms is None else timeout_ms - _MARGIN_MS
+        waiting = _Waiting(
+            now_ms + min(REFUSE_AFTER_MS, limit_ms), now_ms + limit_ms, answer
+        )
+        others = self._waiting.get(job_id)
+        if others is not None:
+            others.append(waiting)
+            return
+        self._waiting[job_id] = [waiting]
+        self._writer.put(job_id, lambda: value, lambda: self._saved(job_id))
+
+    def tick(self) -> None:
+        """Answer those that have waited long enough."""
+        now_ms = self._clock.now_ms()
+        for job_id, waiting in list(self._waiting.items()):
+            due = [each for each in waiting if now_ms >= each.refuse_ms]
+            if due and self._writer.withdraw(job_id):
+                self._answer_all(job_id, NotAccepted("the log takes nothing"))
+            else:
+                self._give_up(job_id, waiting, now_ms)
+
+    def _give_up(self, job_id: str, waiting: list[_Waiting], now_ms: float) -> None:
+        over = [each for each in waiting if now_ms >= each.give_up_ms]
+        for each in over:
+            waiting.remove(each)
+            each.answer(Undecided())
+        if not waiting:
+            del self._waiting[job_id]
+
+    def _saved(self, job_id: str) -> None:
+        self._answer_all(job_id, Accepted())
+
+    def _answer_all(self, job_id: str, answer: SubmitAnswer) -> None:
+        for waiting in self._waiting.pop(job_id, ()):
+            waiting.answer(answer)
--- /dev/null
+++ b/hibiscusstack/pool/stored/writer.py
@@ -0,0 +1,124 @@
+"""Appending records in numbered batches, each once, whatever becomes of answers."""
+
+__all__ = ["BatchWriter"]
+
+from collections.abc import Callable
+
+from eliot import log_message
+from twisted.internet.interfaces import IDelayedCall, IReactorTime
+from twisted.python.failure import Failure
+
+from hibiscusstack.exceptions import NotDoneError
+from hibiscusstack.pool.interfaces import (
+    Appended,
+    Fenced,
+    OutOfSequence,
+    Producer,
+    SequencedLog,
+)
+from hibiscusstack.pool.stored.batch import BatchQueue, OnSaved
+
+FIRST_PAUSE_MS = 50
+LONGEST_PAUSE_MS = 800
+
+
+class BatchWriter:
+    """Appends to one topic as one producer, one batch at a time.
+
+    The first record that finds nothing on its way waits ``linger_ms`` for others.
+    ``on_fenced`` is called when a higher epoch of the producer has begun; nothing is
+    appended from then on.
+    """
+
+    def __init__(
+        self,
+        reactor: IReactorTime,
+        log: SequencedLog,
+        topic: str,
+        producer: Producer,
+        *,
+        linger_ms: int,
+        on_fenced: Callable[[], None],
+    ) -> None:
+        self._reactor = reactor
+        self._log = log
+        self._topic = topic
+        self._producer = producer
+        self._linger_ms = linger_ms
+        self._on_fenced = on_fenced
+        self._queue = BatchQueue()
+        self._timer: IDelayedCall | None = None
+        self._is_sending = False
+        self._is_stopped = False
+        self._failures = 0
+
+    def __len__(self) -> int:
+        return len(self._queue)
+
+    def put(
+        self, key: str, encode: Callable[[], bytes], on_saved: OnSaved | None = None
+    ) -> None:
+        """Append a record soon; an empty value drops the key."""
+        self._queue.put(key, encode, on_saved)
+        if self._timer is None and not self._is_sending:
+            self._send_after(self._linger_ms)
+
+    def withdraw(self, key: str) -> bool:
+        """Drop a record that waits; return whether it is sure not to be appended."""
+        return self._queue.withdraw(key)
+
+    def stop(self) -> None:
+        """Send nothing more."""
+        self._is_stopped = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+    def _send_after(self, pause_ms: float) -> None:
+        if not self._is_stopped:
+            self._timer = self._reactor.callLater(pause_ms / 1000, self._send)
+
+    def _send(self) -> None:
+        self._timer = None
+        batch = self._queue.next_batch()
+        if batch is None or self._is_stopped:
+            return
+        self._is_sending = True
+        appended = self._log.append_numbered(
+            self._topic, batch.records, self._producer, batch.number
+        )
+        appended.addCallbacks(self._answered, self._failed)
+
+    def _answered(self, answer: Appended | Fenced | OutOfSequence) -> None:
+        self._is_sending = False
+        if self._is_stopped:
+            return
+        self._failures = 0
+        if isinstance(answer, Fenced):
+            self.stop()
+            log_message("pool:writer_fenced", topic=self._topic)
+            self._on_fenced()
+            return
+        if isinstance(answer, OutOfSequence):
+            self._queue.out_of_sequence(answer.expected)
+        else:
+            self._queue.done()
+        if len(self._queue) and self._timer is None:
+            self._send_after(self._linger_ms)
+
+    def _failed(self, failure: Failure) -> None:
+        self._is_sending = False
+        if self._is_stopped:
+            return
+        if not self._failures:
+            log_message(
+                "pool:append_failed",
+                topic=self._topic,
+                cause=failure.getErrorMessage(),
+            )
+        self._failures += 1
+        if failure.check(NotDoneError):
+            self._queue.refused()
+        else:
+            self._queue.lost()
+        pause_ms = min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** min(self._failures, 5))
+        self._send_after(pause_ms)
--- a/hibiscusstack/pool/timing.py
+++ b/hibiscusstack/pool/timing.py
@@ -10,7 +10,9 @@
     """Durations in milliseconds; the longest lease is what a target grants at most.
 
     A start without a reply for ``start_timeout_ms`` is stopped and made elsewhere. A
-    target may run its clock ``clock_drift`` slower than this host.
+    target may run its clock ``clock_drift`` slower than this host. Runs that nobody
+    asked for are stopped after ``adoption_ms``, or after ``recovery_ms`` while the
+    stored jobs are being read.
     """
 
     lease_ms: int = 900
@@ -20,6 +22,7 @@
     start_timeout_ms: int = 60
     order_retry_ms: int = 100
     adoption_ms: int = 60
+    recovery_ms: int = 500
     unlisted_ms: int = 2_500
     clock_drift: float = 0.03
     lapse_margin_ms: int = 30
--- a/hibiscusstack/pool/work.py
+++ b/hibiscusstack/pool/work.py
@@ -42,7 +42,7 @@
     """A job in progress, with everyone who waits for its answer.
 
     Times are on the clock of this host. ``tasks`` holds every task, ``ready`` those
-    that may start now, in order.
+    that may start now, in order. Nobody waits for a job that ``is_stored``.
     """
 
     job: PoolJob
@@ -57,6 +57,7 @@
     run_times_ms: dict[int, float] = attrs.field(factory=dict)
     objective_ms: float = 0.0
     chain_ms: float = 0.0
+    is_stored: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Lay out all tasks, and make those ready that wait for no step."""
