--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -47,10 +47,13 @@
 from hibiscusstack.pool.stored.keeper import KeeperTiming
 from hibiscusstack.pool.stored.service import StoredJobs
 from hibiscusstack.pool.targets import ListedTarget
+from hibiscusstack.pool.timing import CoordinatorTiming
 
 HOSTS_TOPIC = "hosts"
 HOSTS_WAIT_MS = 2_000
 TICK_MS = 10
+MISSING_MS = 30_000
+SECLUSION_MS = CoordinatorTiming().seclusion_ms
 
 
 @attrs.frozen
@@ -65,9 +68,9 @@
     name: HostName
     address: str
     port: int
-    heartbeat_ms: int = 150
-    silence_ms: int = 550
-    owner_grace_ms: int = 250
+    heartbeat_ms: int = 100
+    silence_ms: int = 400
+    owner_grace_ms: int = 100
     patience_ms: int = 200
     longest_pause_ms: int = 700
     connect_timeout_ms: int = 400
@@ -99,6 +102,8 @@
         self._log = log
         self._orders = orders
         self._targets: tuple[ListedTarget, ...] = ()
+        self._names: set[str] = set()
+        self._missing_since_ms: dict[str, float] = {}
         self._election = Election(settings.name, settings.patience_ms)
         self._hears: dict[HostName, PoolHeartbeat] = {}
         self._away_since_ms: dict[HostName, float] = {}
@@ -134,6 +139,7 @@
             self._take_records,
             wait_ms=HOSTS_WAIT_MS,
             on_end=self._election.note_end,
+            clock=clock,
         )
         self._ticking = LoopingCall(self._tick)
         self._ticking.clock = reactor
@@ -163,6 +169,13 @@
     def replace_targets(self, targets: Iterable[ListedTarget]) -> None:
         """Take over a newer list of targets."""
         self._targets = tuple(targets)
+        names = {target.name for target in self._targets}
+        now_ms = self._clock.now_ms()
+        for name in self._names - names:
+            self._missing_since_ms.setdefault(name, now_ms)
+        for name in names:
+            self._missing_since_ms.pop(name, None)
+        self._names = names
         if self.coordinator is not None:
             self.coordinator.replace_targets(self._targets)
 
@@ -270,11 +283,18 @@
         self._find_coordinator()
 
     def _coordinate(self, term: Term) -> None:
+        now_ms = self._clock.now_ms()
+        missing = [
+            name
+            for name, since_ms in self._missing_since_ms.items()
+            if now_ms - since_ms < MISSING_MS
+        ]
         self.coordinator = Coordinator(
             token=term.offset + 1,
             clock=self._clock,
             orders=self._orders,
             send_answer=self._answer,
+            missing=missing,
         )
         self.coordinator.journal = self.stored.coordinate(
             term.offset + 1, self.coordinator
@@ -342,8 +362,21 @@
         if self.coordinator is not None:
             self.coordinator.tick()
         self.receiver.tick()
+        self.stored.note_seclusion(self._is_secluded())
         self.stored.tick()
 
+    def _is_secluded(self) -> bool:
+        """Tell whether an unheard host may have begun a term some time ago."""
+        if self._clock.now_ms() - self._follower.known_ms < SECLUSION_MS:
+            return False
+        heard = {(peer.data_centre, peer.name) for peer in self._hears}
+        own = self._settings.name
+        heard.add((own.data_centre, own.name))
+        listed = {
+            (host.name.data_centre, host.name.name) for host in self._hosts.values()
+        }
+        return not listed <= heard
+
     def _resume_after(self, paused_ms: float) -> None:
         """Give up the term: its leases have lapsed, and others may have taken over."""
         log_message("pool:paused", level="warning", for_ms=int(paused_ms))
--- a/hibiscusstack/pool/following.py
+++ b/hibiscusstack/pool/following.py
@@ -9,6 +9,7 @@
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 from twisted.python.failure import Failure
 
+from hibiscusstack.clock import Clock, SystemClock
 from hibiscusstack.exceptions import ExpiredError
 from hibiscusstack.pool.interfaces import KeyedLog, KeyedPage, KeyedRecord
 
@@ -23,7 +24,8 @@
 
     ``take`` gets the records in order; its second argument says that they are the
     newest of all keys, in place of everything before. ``wait_ms`` is how long a read
-    waits for a record, ``pause_ms`` how long to wait between two reads.
+    waits for a record, ``pause_ms`` how long to wait between two reads. All records
+    that stood in the topic at ``known_ms`` by ``clock`` were taken.
     """
 
     def __init__(
@@ -36,6 +38,7 @@
         wait_ms: int,
         pause_ms: int = 0,
         on_end: Callable[[int], None] | None = None,
+        clock: Clock | None = None,
     ) -> None:
         self.pause_ms = pause_ms
         self.is_in_touch = False
@@ -47,6 +50,8 @@
         self._on_end = on_end
         self._offset: int | None = None
         self._failures = 0
+        self._clock = clock or SystemClock()
+        self.known_ms = self._begun_ms = self._clock.now_ms()
         self._timer: IDelayedCall | None = None
         self._is_stopped = False
 
@@ -63,6 +68,7 @@
     def _read(self) -> None:
         if self._is_stopped:
             return
+        self._begun_ms = self._clock.now_ms()
         if self._offset is None:
             answered: Deferred[KeyedPage] = self._log.read_newest(self._topic)
             answered.addCallback(self._took, True)
@@ -76,6 +82,7 @@
             return
         self._failures = 0
         self.is_in_touch = True
+        self.known_ms = self._begun_ms
         self._offset = page.end
         if page.records or is_whole:
             self._take(page.records, is_whole)
--- a/hibiscusstack/pool/held_target.py
+++ b/hibiscusstack/pool/held_target.py
@@ -53,6 +53,7 @@
     state: RunState
     started_ms: float
     known_ms: float | None = None
+    stop_wanted_ms: float | None = None
     stop_sent_ms: float | None = None
     stopped_ms: float | None = None
 
@@ -69,7 +70,7 @@
     ``lapse_ms`` is when the lease has surely ended, whichever of the extensions sent
     so far arrived. ``clock_offset_ms`` is what the target's clock is ahead, at least.
     ``unsaved_ends`` are those that the log does not have yet, so that the target has
-    to remember them.
+    to remember them. Until ``lapsing_until_ms`` the lease is left to lapse.
     """
 
     listing: ListedTarget
@@ -80,6 +81,7 @@
     processed_through: int = 0
     unsaved_ends: set[int] = attrs.field(factory=set)
     unsaved_since_ms: float = 0.0
+    lapsing_until_ms: float = 0.0
     clock_offset_ms: float | None = None
     lapse_ms: float = 0.0
     hold_sent_ms: float | None = None
@@ -126,7 +128,9 @@
             and self.silent_since_ms is None
             and self.unlisted_since_ms is None
             and now_ms >= self.paused_until_ms
+            and now_ms >= self.lapsing_until_ms
             and len(self.unsaved_ends) < _MOST_UNSAVED
+            and not self.owes_stop(now_ms)
         )
 
     def add(self, run: Run) -> None:
@@ -153,7 +157,17 @@
 
     def extend_lease(self, now_ms: float) -> int:
         """Return the lease's new end on the target's clock, counted as sent."""
-        lease_ms = self.timing.lease_ms
-        lapse_ms = now_ms + self.timing.lapse_bound_ms(lease_ms)
-        self.lapse_ms = max(self.lapse_ms, lapse_ms)
-        return int(now_ms + self.clock_offset_ms + lease_ms)
+        self.lapse_ms = max(self.lapse_ms, now_ms + self.timing.lapse_bound_ms)
+        return int(now_ms + self.clock_offset_ms + self.timing.lease_ms)
+
+    def owes_stop(self, now_ms: float) -> bool:
+        """Tell whether a stop was ordered a while ago and is not confirmed.
+
+        The lease must not be extended then, since it is all that ends the run.
+        """
+        return any(
+            run.state is RunState.STOPPING
+            and run.stopped_ms is None
+            and now_ms - run.stop_wanted_ms > self.timing.stop_notice_ms
+            for run in self.runs.values()
+        )
--- a/hibiscusstack/pool/stored/interfaces.py
+++ b/hibiscusstack/pool/stored/interfaces.py
@@ -51,6 +51,9 @@
     def cancel_stored(self, job_id: str) -> None:
         """Stop a stored job."""
 
+    def release_stored(self) -> None:
+        """Leave all stored jobs, and stop their runs."""
+
     def stored_recovered(self) -> None:
         """Act on what was left open while some stored jobs were not known."""
 
--- a/hibiscusstack/pool/stored/keeper.py
+++ b/hibiscusstack/pool/stored/keeper.py
@@ -38,7 +38,7 @@
 
 PRODUCER = "coordinator"
 RETRY_MS = 200
-SETTLING_MS = 2_000
+SETTLING_MS = 4_000
 NEARLY_FULL_BYTES = 900_000
 
 OnState = Callable[[StoredState], None]
@@ -108,6 +108,7 @@
         self._is_stopped = False
         self._is_refreshing = False
         self._is_feeding = False
+        self._is_secluded = False
         self._began_ms = clock.now_ms()
         self._asked: list[Callable[[], None]] = []
         self._next_drop_ms = clock.now_ms() + self._timing.drop_ms
@@ -123,6 +124,28 @@
         self._writer.stop()
         self._dropper.stop()
 
+    def note_seclusion(self, is_secluded: bool) -> None:
+        """Leave the jobs while another coordinator may have them.
+
+        Afterwards they are taken up again like those of an earlier term.
+        """
+        if is_secluded and not self._is_secluded and not self.is_recovering:
+            self._leave_jobs()
+        elif self._is_secluded and not is_secluded:
+            self._is_secluded = False
+            self._count_term()
+
+    def _leave_jobs(self) -> None:
+        log_message("pool:stored_left", level="warning", token=self._producer.epoch)
+        self._is_secluded = self.is_recovering = True
+        self._is_term_counted = False
+        self._backlog = Backlog()
+        self._runner.release_stored()
+        for job in self._ledger.open_jobs():
+            job.is_early = True
+            job.first_run = first_run_of(self._ledger.terms + 1)
+            self._backlog.add(job)
+
     def tick(self) -> None:
         """Drop what is of no use any more; to be called every few milliseconds."""
         now_ms = self._clock.now_ms()
@@ -218,10 +241,13 @@
         if self._is_stopped:
             return
         self._ledger.take_progress(page.records, self._clock.now_ms())
+        self._count_term()
+        self._follower.start()
+
+    def _count_term(self) -> None:
         self._ledger.terms += 1
         value = encode_terms(self._ledger.terms)
         self._writer.put(TERM_KEY, lambda: value, self._term_counted)
-        self._follower.start()
 
     def _retry(self, step: Callable[[], None]) -> Callable[[Failure], None]:
         def failed(failure: Failure) -> None:
@@ -239,7 +265,7 @@
         is_early = self.is_recovering or self._clock.now_ms() < settled_ms
         for job in self._ledger.take_jobs(records):
             if is_early:
-                # An earlier coordinator may have started it.
+                job.is_early = True
                 job.first_run = first_run_of(self._ledger.terms)
             self._backlog.add(job)
         self._has_read = True
@@ -271,8 +297,7 @@
     def _run(self, job: StoredJob) -> None:
         age_ms = max(0, self._wall_ms() - job.record.submitted_ms)
         received_ms = self._clock.now_ms() - age_ms
-        active = revive_job(job.record.job, job.progress, received_ms, job.first_run)
-        self._runner.run_stored(active)
+        self._runner.run_stored(revive_job(job, received_ms))
 
     def _settle(self, job_id: str) -> None:
         """Let another job have the turn of one that has begun or ended."""
--- a/hibiscusstack/pool/stored/ledger.py
+++ b/hibiscusstack/pool/stored/ledger.py
@@ -29,7 +29,8 @@
     """One job. ``state`` is what may be shown, ``final`` how it has ended.
 
     ``final`` is shown once its record is in the log. What only a live job needs is
-    dropped with that. Runs are numbered from ``first_run`` on.
+    dropped with that. Runs are numbered from ``first_run`` on; an earlier coordinator
+    may have started some of a job that ``is_early``.
     """
 
     job_id: str
@@ -40,6 +41,7 @@
     final: StoredState | None = None
     ended_ms: float | None = None
     first_run: int = 1
+    is_early: bool = False
 
     @property
     def is_live(self) -> bool:
@@ -77,6 +79,10 @@
         """Return a job that is known."""
         return self._jobs.get(job_id)
 
+    def open_jobs(self) -> list[StoredJob]:
+        """Return the jobs that have not ended."""
+        return [job for job in self._jobs.values() if job.final is None]
+
     def pending(self, queue: str) -> int:
         """Return how many jobs of a queue have not begun."""
         return self._queued[queue]
--- a/hibiscusstack/pool/stored/reviving.py
+++ b/hibiscusstack/pool/stored/reviving.py
@@ -2,8 +2,7 @@
 
 __all__ = ["first_run_of", "revive_job"]
 
-from hibiscusstack.pool.jobs import PoolJob
-from hibiscusstack.pool.stored.progress import JobProgress
+from hibiscusstack.pool.stored.ledger import StoredJob
 from hibiscusstack.pool.work import ActiveJob
 
 RUNS_OF_A_TERM = 16
@@ -21,13 +20,12 @@
     return 1 + RUNS_OF_A_TERM * (terms - 1)
 
 
-def revive_job(
-    job: PoolJob, progress: JobProgress, received_ms: float, first_run: int
-) -> ActiveJob:
+def revive_job(job: StoredJob, received_ms: float) -> ActiveJob:
     """Return the job with all that is known to have ended."""
-    active = ActiveJob(job, received_ms, is_resubmitted=True, is_stored=True)
+    progress = job.progress
+    active = ActiveJob(job.record.job, received_ms, job.is_early, is_stored=True)
     for key, task in active.tasks.items():
-        task.next_run = max(first_run, progress.next_run(key))
+        task.next_run = max(job.first_run, progress.next_run(key))
         task.failures = len(progress.failed.get(key, ()))
         if progress.is_done(key):
             if task in active.ready:
--- a/hibiscusstack/pool/stored/service.py
+++ b/hibiscusstack/pool/stored/service.py
@@ -103,6 +103,11 @@
         """Ask another coordinator from now on."""
         self._asker.coordinator_changed(coordinator)
 
+    def note_seclusion(self, is_secluded: bool) -> None:
+        """Note whether another host may have begun a term unheard."""
+        if self.keeper is not None:
+            self.keeper.note_seclusion(is_secluded)
+
     def take_message(self, sender: HostName, message: AskStored | StoredAnswer) -> None:
         """Act on a message of a host."""
         if isinstance(message, StoredAnswer):
--- a/hibiscusstack/pool/stored/tests/site.py
+++ b/hibiscusstack/pool/stored/tests/site.py
@@ -18,6 +18,7 @@
 from hibiscusstack.dispatch.messages import HostName
 from hibiscusstack.http.client import AnswerLost, HttpAnswer, NotSent
 from hibiscusstack.pool.coordinator import Coordinator
+from hibiscusstack.pool.following import TopicFollower
 from hibiscusstack.pool.jobs import PoolJob, Resources, Step
 from hibiscusstack.pool.messages import StoredRequest, StoredState
 from hibiscusstack.pool.stored.service import StoredJobs
@@ -41,6 +42,8 @@
 POOL = "s"
 TICK_MS = 10
 LISTING_MS = 200
+HOSTS_WAIT_MS = 2_000
+SECLUSION_MS = CoordinatorTiming().seclusion_ms
 _STATUS = {Accepted: 200, NotAccepted: 503}
 
 
@@ -131,6 +134,15 @@
             timing=site.timing,
             wall_ms=self.reactor.now_ms,
         )
+        self._follower = TopicFollower(
+            self.reactor,
+            StoreLog(NetworkClient(site.network, name), "store:1"),
+            "hosts",
+            lambda *_: None,
+            wait_ms=HOSTS_WAIT_MS,
+            clock=self.reactor,
+        )
+        self._follower.start()
         self._tick()
 
     def coordinate(self, token: int) -> None:
@@ -162,6 +174,9 @@
     def _tick(self) -> None:
         if self.coordinator is not None:
             self.coordinator.tick()
+        unknown_ms = self.reactor.now_ms() - self._follower.known_ms
+        is_apart = self.own.name in self.site.apart
+        self.stored.note_seclusion(unknown_ms >= SECLUSION_MS and is_apart)
         self.stored.tick()
         self.reactor.callLater(TICK_MS / 1000, self._tick)
 
@@ -210,6 +225,7 @@
         self.clients: dict[str, StoredClient] = {}
         self.hosts: dict[str, SiteHost] = {}
         self.token = 0
+        self.apart: set[str] = set()
         self.holder: HostName | None = None
         for number in range(hosts):
             self.start(f"h{number}")
@@ -239,6 +255,25 @@
         self.workers.append(worker)
         self.network.add(name, worker)
 
+    def cut_off(self, *names: str) -> None:
+        """Part some hosts and workers from everything else."""
+        parties = ["store", *self.hosts, *(w.plan.id for w in self.workers)]
+        self.apart.update(names)
+        for name in names:
+            for other in parties:
+                if other not in names:
+                    self.network.cut(name, other)
+
+    def mend(self) -> None:
+        """End all cuts; hosts learn of the term that has begun meanwhile."""
+        for name in self.apart:
+            for other in ("store", *self.hosts, *(w.plan.id for w in self.workers)):
+                self.network.mend(name, other)
+        self.apart.clear()
+        for host in self.hosts.values():
+            if host.own != self.holder:
+                host.stand_down()
+
     def take_over(self, name: str, is_told: bool = True) -> None:
         """Begin a term; an earlier holder may not be told that it is over."""
         self.token += 1
