--- a/hibiscusstack/pool/stored/tests/site.py
+++ b/hibiscusstack/pool/stored/tests/site.py
@@ -1,6 +1,6 @@
 """Hosts with stored jobs, the platform's store and its workers in virtual time."""
 
-__all__ = ["Site", "StoredClient", "capacity"]
+__all__ = ["Front", "Site", "StoredClient", "capacity"]
 
 import json
 import math
@@ -36,6 +36,7 @@
 
 sys.path.insert(0, str(Path(__file__).parents[4] / "platform"))
 
+from adapter.front import Front  # noqa: E402
 from adapter.store import StoreLog  # noqa: E402
 from adapter.workers import WorkerOrders  # noqa: E402
 
