--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -5,7 +5,6 @@
 import random
 from collections.abc import Iterable, Sequence
 
-import attrs
 from eliot import log_message
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorCore
@@ -18,6 +17,7 @@
 from hibiscusstack.host import Mesh, MeshTiming, PeerAddress, TcpNetwork
 from hibiscusstack.pool.coordinator import Coordinator
 from hibiscusstack.pool.election import Election, Term
+from hibiscusstack.pool.events import PoolEvents
 from hibiscusstack.pool.following import TopicFollower
 from hibiscusstack.pool.host_records import (
     TERM_KEY,
@@ -28,6 +28,7 @@
     encode_term,
     host_key,
 )
+from hibiscusstack.pool.host_settings import PoolHostSettings
 from hibiscusstack.pool.interfaces import (
     Appended,
     AppendRefused,
@@ -53,27 +54,6 @@
 HOSTS_WAIT_MS = 2_000
 TICK_MS = 10
 MISSING_MS = 30_000
-SECLUSION_MS = CoordinatorTiming().seclusion_ms
-
-
-@attrs.frozen
-class PoolHostSettings:
-    """Who this host is, and the durations that govern its peers.
-
-    A peer that stays away for ``owner_grace_ms`` after its connection ended has lost
-    its callers, so its work is stopped. ``patience_ms`` is how long the holder of the
-    term may be unheard before another host claims the next.
-    """
-
-    name: HostName
-    address: str
-    port: int
-    heartbeat_ms: int = 100
-    silence_ms: int = 400
-    owner_grace_ms: int = 100
-    patience_ms: int = 200
-    longest_pause_ms: int = 700
-    connect_timeout_ms: int = 400
 
 
 class PoolHost:
@@ -91,11 +71,15 @@
         clock: Clock,
         log: SequencedLog,
         orders: TargetOrders,
+        timing: CoordinatorTiming | None = None,
         stored_timing: KeeperTiming | None = None,
+        events: PoolEvents | None = None,
     ) -> None:
         self.is_draining = False
         self.coordinator: Coordinator | None = None
-        self.receiver = Receiver(clock, self._send)
+        self._events = events or PoolEvents()
+        self.receiver = Receiver(clock, self._send, self._events)
+        self._timing = timing or CoordinatorTiming()
         self._settings = settings
         self._reactor = reactor
         self._clock = clock
@@ -144,6 +128,16 @@
         self._ticking = LoopingCall(self._tick)
         self._ticking.clock = reactor
 
+    @property
+    def name(self) -> HostName:
+        """Which host this is."""
+        return self._settings.name
+
+    @property
+    def targets(self) -> tuple[ListedTarget, ...]:
+        """The newest list of targets."""
+        return self._targets
+
     @property
     def term(self) -> Term | None:
         """The newest term that this host knows."""
@@ -274,6 +268,7 @@
     def _take_term(self, term: Term) -> None:
         if not self._election.note_term(term):
             return
+        self._events.counters.terms += 1
         log_message("pool:term", token=term.offset, holder=term.holder.name)
         if self.coordinator is not None:
             self._stand_down(self.coordinator)
@@ -294,6 +289,8 @@
             clock=self._clock,
             orders=self._orders,
             send_answer=self._answer,
+            timing=self._timing,
+            events=self._events,
             missing=missing,
         )
         self.coordinator.journal = self.stored.coordinate(
@@ -367,7 +364,8 @@
 
     def _is_secluded(self) -> bool:
         """Tell whether an unheard host may have begun a term some time ago."""
-        if self._clock.now_ms() - self._follower.known_ms < SECLUSION_MS:
+        unknown_ms = self._clock.now_ms() - self._follower.known_ms
+        if unknown_ms < self._timing.seclusion_ms:
             return False
         heard = {(peer.data_centre, peer.name) for peer in self._hears}
         own = self._settings.name
--- a/hibiscusstack/pool/stored/tests/site.py
+++ b/hibiscusstack/pool/stored/tests/site.py
@@ -43,6 +43,7 @@
 POOL = "s"
 TICK_MS = 10
 LISTING_MS = 200
+STORE_MS = 700
 HOSTS_WAIT_MS = 2_000
 SECLUSION_MS = CoordinatorTiming().seclusion_ms
 _STATUS = {Accepted: 200, NotAccepted: 503}
@@ -130,14 +131,14 @@
             own=self.own,
             reactor=self.reactor,
             clock=self.reactor,
-            log=StoreLog(NetworkClient(site.network, name), "store:1"),
+            log=StoreLog(NetworkClient(site.network, name), "store:1", STORE_MS),
             send=self._send,
             timing=site.timing,
             wall_ms=self.reactor.now_ms,
         )
         self._follower = TopicFollower(
             self.reactor,
-            StoreLog(NetworkClient(site.network, name), "store:1"),
+            StoreLog(NetworkClient(site.network, name), "store:1", STORE_MS),
             "hosts",
             lambda *_: None,
             wait_ms=HOSTS_WAIT_MS,
