--- a/hibiscusstack/settings/pool_sections.py
+++ b/hibiscusstack/settings/pool_sections.py
@@ -21,6 +21,7 @@
 
 _PEERS = PoolHostSettings(HostName("", "", 0), "", 0)
 _TARGETS = CoordinatorTiming()
+_SHOWN_S = 120
 _BOUND = Number(1, MAX_DURATION_MS, is_optional=True)
 
 
@@ -186,10 +187,10 @@
 class PoolStoredSettings:
     """Jobs that are kept in the log."""
 
-    shown_s: int = key(
-        Number(1, 86_400),
-        "For how long the state of a job is shown after its end.",
-        120,
+    shown_s: int | None = key(
+        Number(1, 86_400, is_optional=True),
+        "For how long the state of a job is shown after its end; nothing means 120.",
+        None,
     )
     late_repeat_s: int = key(
         Number(1, 86_400),
@@ -200,7 +201,7 @@
     @property
     def keep_ms(self) -> int:
         """How long a job is known after its end."""
-        return 1000 * (self.shown_s + self.late_repeat_s)
+        return 1000 * ((self.shown_s or _SHOWN_S) + self.late_repeat_s)
 
 
 @attrs.frozen
