--- a/hibiscusstack/pool/stored/keeper.py
+++ b/hibiscusstack/pool/stored/keeper.py
@@ -113,6 +113,11 @@
         self._asked: list[Callable[[], None]] = []
         self._next_drop_ms = clock.now_ms() + self._timing.drop_ms
 
+    @property
+    def has_jobs(self) -> bool:
+        """Tell whether any job is known."""
+        return len(self._ledger) > 0
+
     def start(self) -> None:
         """Begin to recover what is in the log."""
         self._begin_epoch()
--- a/hibiscusstack/pool/stored/service.py
+++ b/hibiscusstack/pool/stored/service.py
@@ -40,6 +40,7 @@
     """Takes stored jobs at any host, and keeps them where the coordinator is.
 
     ``send`` carries messages to other hosts; what is for this host is taken here.
+    ``has_jobs`` says whether any stored job was heard of.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         wall_ms: Callable[[], int] = _wall_ms,
     ) -> None:
         self.keeper: Keeper | None = None
+        self.has_jobs = False
         self._own = own
         self._reactor = reactor
         self._clock = clock
@@ -121,6 +123,7 @@
         self._asker.tick()
         if self.keeper is not None:
             self.keeper.tick()
+            self.has_jobs |= self.keeper.has_jobs
 
     def submit(
         self,
@@ -130,6 +133,7 @@
         answer: Callable[[SubmitAnswer], None],
     ) -> None:
         """Store a job."""
+        self.has_jobs = True
         record = JobRecord(queue, job, self._wall_ms())
         self._submitter.submit(record, timeout_ms, answer)
 
--- a/hibiscusstack/pool/stored/tests/site.py
+++ b/hibiscusstack/pool/stored/tests/site.py
@@ -43,6 +43,8 @@
 POOL = "s"
 TICK_MS = 10
 LISTING_MS = 200
+TERM_TOKENS = 100
+DEPUTY_TOKENS = 50
 STORE_MS = 700
 HOSTS_WAIT_MS = 2_000
 SECLUSION_MS = CoordinatorTiming().seclusion_ms
@@ -148,6 +150,20 @@
         self._tick()
 
     def coordinate(self, token: int) -> None:
+        """Coordinate in the term with this token."""
+        self._new_coordinator(token)
+        journal = self.stored.coordinate(token, self.coordinator)
+        self.coordinator.journal = journal
+        self.coordinator.replace_targets(self.site.listed())
+        self._list_targets()
+
+    def stand_in(self, token: int, names: tuple[str, ...]) -> None:
+        """Order some targets in place of the coordinator."""
+        self._new_coordinator(token, is_deputy=True, voids_ends=True)
+        targets = [each for each in self.site.listed() if each.name in names]
+        self.coordinator.replace_targets(targets)
+
+    def _new_coordinator(self, token: int, **terms) -> None:
         orders = WorkerOrders(
             NetworkClient(self.site.network, self.own.name),
             CoordinatorTiming(),
@@ -158,11 +174,8 @@
             clock=self.reactor,
             orders=orders,
             send_answer=lambda *_: None,
+            **terms,
         )
-        journal = self.stored.coordinate(token, self.coordinator)
-        self.coordinator.journal = journal
-        self.coordinator.replace_targets(self.site.listed())
-        self._list_targets()
 
     def stand_down(self) -> None:
         if self.coordinator is not None:
@@ -266,6 +279,16 @@
                 if other not in names:
                     self.network.cut(name, other)
 
+    def stand_in(self, name: str, *workers: str) -> None:
+        """Let a host order workers that are cut off with it."""
+        self.hosts[name].stand_in(self.token + DEPUTY_TOKENS, workers)
+
+    def retake(self) -> None:
+        """Let the holder begin another term, and end the work of deputies."""
+        self.mend()
+        self.token += TERM_TOKENS
+        self.hosts[self.holder.name].coordinator.renew(self.token)
+
     def mend(self) -> None:
         """End all cuts; hosts learn of the term that has begun meanwhile."""
         for name in self.apart:
@@ -278,7 +301,7 @@
 
     def take_over(self, name: str, is_told: bool = True) -> None:
         """Begin a term; an earlier holder may not be told that it is over."""
-        self.token += 1
+        self.token += TERM_TOKENS
         if is_told:
             for host in self.hosts.values():
                 host.stand_down()
--- a/hibiscusstack/pool/stored/tests/test_site.py
+++ b/hibiscusstack/pool/stored/tests/test_site.py
@@ -252,6 +252,24 @@
     assert_all_kept(site, clients)
 
 
+@pytest.mark.parametrize("seed", range(12))
+@pytest.mark.parametrize("after_ms", [50, 500, 900])
+def test_a_deputy_loses_no_end_of_a_stored_job(seed, after_ms):
+    site = Site(seed, workers=6)
+    clients = run_load(site, 40, every_ms=30, hosts=("h0", "h2"))
+    long = site.new_job(Step(6, 1_500, cpu=1_000))
+    site.submit(long, "h0")
+    clients.append(long)
+    site.network.run(site.random.randint(200, 900))
+    site.cut_off("h1", "w0", "w1")
+    site.network.run(after_ms)
+    site.stand_in("h1", "w0", "w1")
+    site.network.run(site.random.randint(300, 4_000))
+    site.retake()
+    site.network.run(15_000)
+    assert_all_kept(site, clients)
+
+
 def test_a_coordinator_that_is_cut_off_alone_takes_its_jobs_up_again():
     site = Site(workers=3)
     client = site.new_job(Step(4, 2_000, cpu=1_000))
