--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -326,6 +326,8 @@
             self._step_down()
             if is_own:
                 self._coordinate(term)
+            # A host that holds one term after another may have forgotten its jobs.
+            self.receiver.coordinator_changed(None)
         self._mesh.send_heartbeats()
         self._find_coordinator()
 
@@ -372,7 +374,10 @@
         if term.holder == self._settings.name:
             return not self.is_draining
         beat = self._hears.get(term.holder)
-        return beat is None or not beat.is_draining
+        if beat is None:
+            return True
+        has_resigned = beat.term == term.offset and not beat.hears_holder
+        return not (beat.is_draining or has_resigned)
 
     def _find_coordinator(self) -> None:
         self.receiver.coordinator_changed(self._find_holder())
