--- a/hibiscusstack_standins/estate/tests/edges.py
+++ b/hibiscusstack_standins/estate/tests/edges.py
@@ -121,7 +121,9 @@
         )
         service = PoolService(self.host.receiver, clock)
         self.front = Front(
-            service, lambda: self.host.is_serving() and service.is_configured
+            service,
+            self.host.stored,
+            lambda: self.host.is_serving() and service.is_configured,
         )
         parts = PoolEdgeParts(
             log=log,
--- a/hibiscusstack/pool/stored/tests/site.py
+++ b/hibiscusstack_standins/estate/tests/stored_site.py
@@ -4,15 +4,16 @@
 
 import json
 import math
-import sys
 from base64 import b64decode
 from collections import defaultdict
 from collections.abc import Callable
-from pathlib import Path
 from random import Random
 from urllib.parse import parse_qsl
 
 import attrs
+from adapter.front import Front
+from adapter.store import StoreLog
+from adapter.workers import WorkerOrders
 from twisted.internet.defer import Deferred
 
 from hibiscusstack.dispatch.messages import HostName
@@ -34,12 +35,6 @@
 from hibiscusstack_standins.estate.store_service import StoreService
 from hibiscusstack_standins.estate.worker import Worker, WorkerPlan
 
-sys.path.insert(0, str(Path(__file__).parents[4] / "platform"))
-
-from adapter.front import Front  # noqa: E402
-from adapter.store import StoreLog  # noqa: E402
-from adapter.workers import WorkerOrders  # noqa: E402
-
 POOL = "s"
 TICK_MS = 10
 LISTING_MS = 200
--- a/hibiscusstack/pool/stored/tests/test_mixed_faults.py
+++ b/hibiscusstack_standins/estate/tests/test_stored_faults.py
@@ -3,10 +3,10 @@
 import pytest
 
 from hibiscusstack.pool.messages import StoredState
-from hibiscusstack.pool.stored.tests.site import Site
 from hibiscusstack_standins.estate.jobs import Step
 from hibiscusstack_standins.estate.network import Lateness
 from hibiscusstack_standins.estate.store_service import LostAnswers, Outage
+from hibiscusstack_standins.estate.tests.stored_site import Site
 from hibiscusstack_standins.estate.worker import WorkerFaults
 
 JOBS = 60
--- a/hibiscusstack/pool/stored/tests/test_front.py
+++ b/hibiscusstack_standins/estate/tests/test_stored_front.py
@@ -7,9 +7,9 @@
 
 from hibiscusstack.pool.routes import Route, RouteTable
 from hibiscusstack.pool.service import PoolService
-from hibiscusstack.pool.stored.tests.site import POOL, Front, Site
 from hibiscusstack_standins.estate.jobs import Job, Step
 from hibiscusstack_standins.estate.store_service import LostAnswers, Outage
+from hibiscusstack_standins.estate.tests.stored_site import POOL, Front, Site
 
 JOB_ID = "5c0e7a21d94b36f8"
 STEPS = [{"count": 2, "cpu": 500, "estimatems": 1000}]
--- a/hibiscusstack/pool/stored/tests/test_site.py
+++ b/hibiscusstack_standins/estate/tests/test_stored_site.py
@@ -5,10 +5,10 @@
 
 from hibiscusstack.pool.messages import StoredState
 from hibiscusstack.pool.stored.keeper import KeeperTiming
-from hibiscusstack.pool.stored.tests.site import Site, capacity
 from hibiscusstack_standins.estate.events import EndsAcked
 from hibiscusstack_standins.estate.jobs import Step
 from hibiscusstack_standins.estate.store_service import LostAnswers, Outage
+from hibiscusstack_standins.estate.tests.stored_site import Site, capacity
 
 
 def test_a_job_is_accepted_run_and_shown_by_any_host():
