Test the coordinator of a pool alone

Cause: what it orders when was only seen through whole fleets, where another rule may hide a broken one.

--- /dev/null
+++ b/hibiscusstack/pool/tests/site.py
@@ -0,0 +1,163 @@
+"""A coordinator alone, with targets whose replies the test gives."""
+
+__all__ = ["OWNER", "PEER", "Site", "make_job", "make_target"]
+
+import attrs
+
+from hibiscusstack.clock import ManualClock
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.pool.coordinator import Coordinator
+from hibiscusstack.pool.jobs import PoolJob, Resources, Step
+from hibiscusstack.pool.messages import SubmitPoolJob
+from hibiscusstack.pool.orders import HoldReply, RunEnd, Started, Stopped
+from hibiscusstack.pool.targets import ListedTarget
+
+OWNER = HostName("dc1", "a", 1)
+PEER = HostName("dc1", "b", 1)
+BORN_MS = 5
+NEEDS = Resources(500, 64)
+
+
+def make_target(name="t1", **fields):
+    """Return a target that holds four tasks."""
+    capacity = Resources(2_000, 512)
+    target = ListedTarget(name, "p", f"{name}:1", BORN_MS, capacity, "dc1")
+    return attrs.evolve(target, **fields)
+
+
+def make_job(name="j", *counts, **terms):
+    """Return a job whose steps of 50 ms follow one another."""
+    steps = tuple(
+        Step(count, NEEDS, 50, tuple(range(number)))
+        for number, count in enumerate(counts or (1,))
+    )
+    terms = {"max_attempts": 2, "target_latency_ms": 10_000} | terms
+    return PoolJob(name, "p", "", steps, **terms)
+
+
+class Site:
+    """Keeps the orders and answers of a coordinator.
+
+    ``starts`` and the like hold the target and the order, ``answers`` the ends by job
+    in the order in which they came.
+    """
+
+    def __init__(self, *names, **options):
+        self.clock = ManualClock(10_000)
+        self.starts, self.stops, self.holds, self.answers = [], [], [], []
+        self.open_holds = []
+        self.submissions = 0
+        self.coordinator = Coordinator(
+            token=3,
+            clock=self.clock,
+            orders=self,
+            send_answer=lambda _, answer: self.answers.append(answer),
+            **options,
+        )
+        self.targets = [make_target(name) for name in names]
+        self.coordinator.replace_targets(self.targets)
+
+    def start(self, target, order):
+        """Keep the order."""
+        self.starts.append((target, order))
+
+    def stop(self, target, order):
+        """Keep the order."""
+        self.stops.append((target, order))
+
+    def hold(self, target, order):
+        """Keep the order."""
+        self.holds.append((target, order))
+        self.open_holds.append((target, order))
+
+    def forget(self, target):
+        """Close nothing."""
+
+    def state(self, name):
+        """Return what the coordinator knows of a target."""
+        known = self.coordinator.targets()
+        return next(state for state in known if state.listing.name == name)
+
+    def last_hold(self, name):
+        """Return the newest hold for a target."""
+        return next(sent for sent in reversed(self.holds) if sent[0].name == name)
+
+    def reply_to_hold(self, name, active=(), *, sent=None, **fields):
+        """Reply to the open holds of a target, or to one that is given."""
+        for target, order in self._take_open(name) if sent is None else [sent]:
+            reply = HoldReply(self.clock.now_ms(), target.born_ms, tuple(active), ())
+            reply = attrs.evolve(reply, **fields)
+            self.coordinator.hold_replied(name, target.born_ms, order, reply)
+
+    def list_again(self, name, active=()):
+        """Reply to the open holds, and a while later to those that follow."""
+        for _ in range(2):
+            self.reply_to_hold(name, active)
+            self.pass_time(10)
+
+    def fail_hold(self, name, reply):
+        """Give another reply to the open holds."""
+        for target, order in self._take_open(name):
+            self.coordinator.hold_replied(name, target.born_ms, order, reply)
+
+    def _take_open(self, name):
+        found = [sent for sent in self.open_holds if sent[0].name == name]
+        self.open_holds = [sent for sent in self.open_holds if sent not in found]
+        return found
+
+    def end(self, name, run, how="done", number=1, active=()):
+        """Tell the end of a run with the newest hold."""
+        self.reply_to_hold(name, active, ended=(RunEnd(number, *run, how),))
+
+    def take(self, *names):
+        """Let targets with nothing on them be taken over."""
+        for name in names:
+            self.reply_to_hold(name)
+
+    def reply_to_start(self, reply=None, sent=None):
+        """Reply to a start, the newest one unless another is given."""
+        target, order = sent or self.starts[-1]
+        reply = reply or Started(self.clock.now_ms())
+        self.coordinator.start_replied(target.name, target.born_ms, order, reply)
+
+    def reply_to_stop(self, sent=None):
+        """Confirm a stop, the newest one unless another is given."""
+        target, order = sent or self.stops[-1]
+        reply = Stopped(self.clock.now_ms())
+        self.coordinator.stop_replied(target.name, target.born_ms, order, reply)
+
+    def submit(self, job=None, owner=OWNER, unheard_ms=None):
+        """Submit a job, as a resubmitted one if ``unheard_ms`` is given."""
+        self.submissions += 1
+        message = SubmitPoolJob(
+            self.submissions,
+            job or make_job(),
+            0,
+            unheard_ms is not None,
+            unheard_ms or 0,
+        )
+        self.coordinator.submit(owner, message)
+        return self.submissions
+
+    def run(self, name="t1", job=None):
+        """Submit a job and let its first run begin at a target."""
+        self.submit(job)
+        target, order = self.starts[-1]
+        assert target.name == name
+        self.reply_to_start()
+        return order.task, order.run
+
+    def pass_time(self, duration_ms):
+        """Let time pass in ticks."""
+        while duration_ms > 0:
+            self.clock.advance(min(10, duration_ms))
+            duration_ms -= 10
+            self.coordinator.tick()
+
+    def started(self):
+        """Return where which runs were started."""
+        return [(target.name, order.task, order.run) for target, order in self.starts]
+
+    def ends(self):
+        """Return how the submissions ended."""
+        return [answer.end for answer in self.answers]
