Cut a data centre off in the fleet, with callers inside

Cause: the only cut zone of the fleet had one host, so that no deputy was ever chosen there. Two zones of three hosts and three workers; the zone without and with the coordinator is cut, and a host dies inside.

--- a/hibiscusstack/pool/tests/fleet.py
+++ b/hibiscusstack/pool/tests/fleet.py
@@ -3,7 +3,7 @@
 __all__ = ["Caller", "Fleet"]
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 from random import Random
 
 import attrs
@@ -31,9 +31,14 @@
 
 @attrs.define(eq=False)
 class Caller:
-    """One caller with one job, which it sends until it is answered."""
+    """One caller with one job, which it sends until it is answered.
+
+    One in a ``zone`` reaches only the hosts there.
+    """
 
     job: Job
+    zone: str = ""
+    sent_ms: int = 0
     host: str = ""
     attempt: int = 0
     statuses: list[int | None] = attrs.field(factory=list)
@@ -56,11 +61,19 @@
     """Hosts, workers, a store and callers; one seed gives one run.
 
     ``hosts`` are parties ``h1`` and so on; those that are killed have no edge.
+    ``zones`` says which hosts and workers are where; all others are in zone ``z``.
     """
 
     def __init__(
-        self, seed: int = 0, *, hosts: int = 3, workers: int = 4, **terms
+        self,
+        seed: int = 0,
+        *,
+        hosts: int = 3,
+        workers: int = 4,
+        zones: Mapping[str, Collection[str]] | None = None,
+        **terms,
     ) -> None:
+        self.zones = zones or {}
         self.network = Network(seed, delay_ms=(1, 3))
         self.random = Random(seed)
         self.catalog = Catalog()
@@ -88,7 +101,7 @@
         plan = WorkerPlan(
             name,
             address=f"{name}:1",
-            zone="z",
+            zone=self.zone_of(name),
             capacity=Capacity(GUARD_CPU, 32_768),
             is_guarded=False,
             clock_rate=0.98 if name == "w1" else 1.0,
@@ -97,10 +110,20 @@
         self.network.add(name, worker)
         return worker
 
+    def zone_of(self, name: str) -> str:
+        """Return the zone of a host or a worker."""
+        found = (zone for zone, members in self.zones.items() if name in members)
+        return next(found, "z")
+
+    def members(self, zone: str) -> tuple[list[str], list[str]]:
+        """Return the hosts and the workers of a zone."""
+        hosts = [name for name in self.host_names if self.zone_of(name) == zone]
+        return hosts, [name for name in self.workers if self.zone_of(name) == zone]
+
     def start(self, name: str) -> None:
         """Start a host, or start it again."""
         reactor = HostReactor(self.streams, name)
-        own = HostName("z", name, self.network.now_ms)
+        own = HostName(self.zone_of(name), name, self.network.now_ms)
         port = int(name[1:])
         self.edges[name] = Edge(
             self.network, name, reactor=reactor, clock=reactor, name=own, port=port
@@ -133,8 +156,20 @@
             self.network.cut(one, other)
             self.streams.cuts.add(frozenset((one, other)))
 
+    def cut_zone(self, zone: str) -> None:
+        """Cut a zone off from the store and from all other zones."""
+        hosts, workers = self.members(zone)
+        elsewhere = [name for name in self.host_names if name not in hosts]
+        far_workers = [name for name in self.workers if name not in workers]
+        for host in hosts:
+            self.cut(host, ["store", *elsewhere, *far_workers])
+        for host in elsewhere:
+            self.cut(host, workers)
+        self.registry.cut_off.update(workers)
+
     def mend(self) -> None:
         """End all cuts."""
+        self.registry.cut_off.clear()
         for pair in self.streams.cuts:
             self.network.mend(*pair)
         self.streams.mend()
@@ -157,22 +192,22 @@
         """Return all hosts but one."""
         return [other for other in self.host_names if other != name]
 
-    def submit(self, *steps: Step, host: str = "") -> Caller:
+    def submit(self, *steps: Step, host: str = "", zone: str = "") -> Caller:
         """Let a caller send a job in, at any host unless one is named."""
         number = len(self.callers)
         job = Job(f"{number:016x}", spec=f"job {number}", steps=steps, best_effort=True)
         self.catalog.add(job)
-        caller = Caller(job)
+        caller = Caller(job, zone, self.now_ms)
         self.callers.append(caller)
         self._send(caller, host)
         return caller
 
-    def submit_some(self, count: int, **step) -> list[Caller]:
+    def submit_some(self, count: int, zone: str = "", **step) -> list[Caller]:
         """Let callers send jobs of a few tasks in two steps."""
         defaults = {"count": 2, "work_ms": 300, "cpu": 500, "mem_mb": 64} | step
         first = Step(**defaults)
         second = attrs.evolve(first, count=1, after=(0,))
-        return [self.submit(first, second) for _ in range(count)]
+        return [self.submit(first, second, zone=zone) for _ in range(count)]
 
     def cancel(self, caller: Caller) -> None:
         """Let a caller go for good."""
@@ -220,8 +255,9 @@
         if caller.is_over:
             return
         caller.attempt += 1
-        choices = [name for name in self.rotation if name != caller.host]
-        caller.host = host or self.random.choice(choices or self.host_names)
+        in_reach = self.members(caller.zone)[0] if caller.zone else self.host_names
+        choices = [n for n in self.rotation if n in in_reach and n != caller.host]
+        caller.host = host or self.random.choice(choices or in_reach)
         if caller.host not in self.edges:
             self._after(1, caller, self._broken)
             return
--- /dev/null
+++ b/hibiscusstack/pool/tests/test_zones.py
@@ -0,0 +1,116 @@
+"""A data centre that is cut off as a whole, with callers inside."""
+
+import pytest
+
+from hibiscusstack.pool.held_target import Phase
+from hibiscusstack.pool.tests.fleet import Fleet
+
+SEEDS = range(4)
+ZONES = {
+    "x": ("h1", "h2", "h3", "w0", "w1", "w2"),
+    "y": ("h4", "h5", "h6", "w3", "w4", "w5"),
+}
+WORK_MS = 100
+SERVED_MS = 1_500
+# A job that the lost coordinator had waits until its lease has surely lapsed.
+HANDED_ON_MS = 2_400
+PROMPT_MS = 600
+every_seed = pytest.mark.parametrize("seed", SEEDS)
+
+
+def zoned_fleet(seed):
+    """Return a busy fleet, and the zones with its coordinator and without."""
+    fleet = Fleet(seed, hosts=6, workers=6, zones=ZONES)
+    for zone in ZONES:
+        fleet.submit_some(5, zone, work_ms=WORK_MS)
+    fleet.run(60 + 40 * seed)
+    first = fleet.zone_of(fleet.coordinator())
+    return fleet, first, next(zone for zone in ZONES if zone != first)
+
+
+def keep_submitting(fleet, duration_ms, zones=tuple(ZONES)):
+    """Let callers in zones send jobs while time passes; return all of them."""
+    callers = []
+    for _ in range(0, duration_ms, 150):
+        for zone in zones:
+            callers += fleet.submit_some(1, zone, work_ms=WORK_MS)
+        fleet.run(150)
+    return callers
+
+
+def deputies(fleet):
+    """Return the hosts that stand in for the coordinator."""
+    edges = fleet.edges.items()
+    return [name for name, edge in edges if edge.host.heartbeat().is_deputy]
+
+
+def latest_ms(callers, zones=tuple(ZONES)):
+    """Return the longest time from a submission in these zones to its answer."""
+    times = [c.completed_ms - c.sent_ms for c in callers if c.zone in zones]
+    return max(times)
+
+
+def check_taken_back(fleet):
+    """Check that one coordinator holds all targets again, and uses them."""
+    assert deputies(fleet) == []
+    held = fleet.edges[fleet.coordinator()].host.coordinator.targets()
+    assert {state.listing.name for state in held} == set(fleet.workers)
+    assert {state.phase for state in held} == {Phase.HELD}
+    before = {name: len(fleet.starts_on(name)) for name in fleet.workers}
+    fleet.submit_some(24, work_ms=WORK_MS)
+    fleet.run(1_500)
+    assert [n for n in before if len(fleet.starts_on(n)) == before[n]] == []
+
+
+@every_seed
+@pytest.mark.parametrize("cut_ms", [500, 5_500])
+def test_a_deputy_serves_a_zone_that_is_cut_off(seed, cut_ms):
+    fleet, _, zone = zoned_fleet(seed)
+    fleet.cut_zone(zone)
+    early = keep_submitting(fleet, SERVED_MS // 2)
+    later = keep_submitting(fleet, SERVED_MS // 2)
+    (deputy,) = deputies(fleet)
+    assert fleet.zone_of(deputy) == zone
+    later += keep_submitting(fleet, cut_ms)
+    fleet.run(2_000)
+    assert latest_ms(early) < HANDED_ON_MS and latest_ms(later) < PROMPT_MS
+    fleet.mend()
+    fleet.run(3_500)
+    check_taken_back(fleet)
+    fleet.settle(5_000)
+
+
+@every_seed
+def test_the_zone_of_the_coordinator_is_cut_off(seed):
+    fleet, zone, _ = zoned_fleet(seed)
+    fleet.cut_zone(zone)
+    early = keep_submitting(fleet, SERVED_MS)
+    later = keep_submitting(fleet, 4_500)
+    fleet.run(1_000)
+    assert latest_ms(early) < HANDED_ON_MS and latest_ms(later) < PROMPT_MS
+    assert latest_ms(early, [zone]) < 2 * PROMPT_MS
+    assert deputies(fleet) == [] and fleet.zone_of(fleet.coordinator()) != zone
+    fleet.mend()
+    fleet.run(3_500)
+    check_taken_back(fleet)
+    fleet.settle(5_000)
+
+
+@every_seed
+@pytest.mark.parametrize("with_coordinator", [False, True])
+def test_a_host_dies_in_a_zone_that_is_cut_off(seed, with_coordinator):
+    fleet, first, other = zoned_fleet(seed)
+    zone = first if with_coordinator else other
+    fleet.cut_zone(zone)
+    keep_submitting(fleet, SERVED_MS)
+    giving = fleet.coordinator() if with_coordinator else deputies(fleet)[0]
+    hosts = fleet.members(zone)[0]
+    fleet.kill(giving if giving in hosts else hosts[seed % 3], resets=bool(seed % 2))
+    early = keep_submitting(fleet, SERVED_MS)
+    later = keep_submitting(fleet, 3_000)
+    fleet.run(1_000)
+    assert latest_ms(early) < HANDED_ON_MS and latest_ms(later) < PROMPT_MS
+    fleet.mend()
+    fleet.run(3_500)
+    check_taken_back(fleet)
+    fleet.settle(5_000)
