Count two runs of a host as one for a deputy

Cause: the majority of a data centre was counted by runs of hosts, so that a host that was heard under its earlier run as well counted twice (test_another_run_of_a_host_counts_once). Not seen in a fleet.

--- a/hibiscusstack/pool/deputies.py
+++ b/hibiscusstack/pool/deputies.py
@@ -52,4 +52,5 @@
     members = {own, *connected}
     known = {name for listed_at, name in listed if listed_at == data_centre}
     known |= {member.name for member in members}
-    return min(members) if 2 * len(members) > len(known) else None
+    here = {member.name for member in members}
+    return min(members) if 2 * len(here) > len(known) else None
