--- /dev/null
+++ b/hibiscusstack/pool/tests/test_ordering.py
@@ -0,0 +1,91 @@
+"""Which waiting job gets room first, and which is given up."""
+
+from random import Random
+
+from hibiscusstack.pool.ordering import JobQueue
+from hibiscusstack.pool.tests.site import make_job
+from hibiscusstack.pool.work import ActiveJob
+
+
+def waiting(name, latest_start_ms, begun=False):
+    """Return a job of 50 ms that has to start by then; its objective is 150 ms."""
+    job = ActiveJob(make_job(name, target_latency_ms=100), latest_start_ms - 100, False)
+    job.first_start_ms = 0 if begun else None
+    return job
+
+
+def names(queue):
+    return [job.job.job_id for job in queue.in_order()]
+
+
+def queue_of(*jobs, now_ms=0):
+    queue = JobQueue()
+    for job in jobs:
+        queue.add(job, now_ms)
+    return queue
+
+
+def test_begun_jobs_go_first_and_others_by_their_latest_start():
+    queue = queue_of(waiting("b", 300), waiting("a", 200), waiting("c", 900, True))
+    assert names(queue) == ["c", "a", "b"]
+
+
+def test_equal_jobs_go_in_the_order_of_their_arrival():
+    assert names(queue_of(*(waiting(name, 200) for name in "cab"))) == ["c", "a", "b"]
+
+
+def test_jobs_that_are_late_already_wait_for_those_in_time():
+    queue = queue_of(waiting("late", 100), waiting("b", 300), now_ms=200)
+    assert names(queue) == ["b", "late"]
+    queue.demote_late(300)
+    assert names(queue) == ["b", "late"]
+    queue.add(waiting("c", 400), 300)
+    queue.demote_late(301)
+    assert names(queue) == ["c", "late", "b"]
+
+
+def test_a_begun_job_is_neither_demoted_nor_hopeless():
+    queue = queue_of(waiting("begun", 100, True), waiting("b", 300))
+    queue.demote_late(10_000)
+    assert names(queue) == ["begun", "b"]
+    assert [job.job.job_id for job in queue.hopeless(10_000)] == ["b"]
+
+
+def test_a_job_is_hopeless_when_it_would_end_after_three_objectives():
+    job = waiting("a", 100)
+    queue = queue_of(job)
+    queue.demote_late(101)
+    last_ms = job.received_ms + 3 * 150 - 50
+    assert queue.hopeless(last_ms) == []
+    assert queue.hopeless(last_ms + 1) == [job]
+
+
+def test_a_job_that_begins_moves_and_one_that_is_discarded_is_gone():
+    first, second = waiting("a", 100), waiting("b", 200)
+    queue = queue_of(first, second)
+    second.first_start_ms = 0
+    queue.add(second, 0)
+    assert names(queue) == ["b", "a"] and len(queue) == 2
+    queue.discard(second)
+    queue.discard(second)
+    assert names(queue) == ["a"] and second not in queue and first in queue
+
+
+def test_the_order_holds_whatever_is_added_demoted_and_discarded():
+    rng, queue, known, now_ms = Random(3), JobQueue(), [], 0
+    for number in range(500):
+        job = waiting(str(number), rng.randrange(3_000), rng.random() < 0.2)
+        queue.add(job, now_ms)
+        known.append(job)
+        if rng.random() < 0.4:
+            queue.discard(known.pop(rng.randrange(len(known))))
+        now_ms += rng.randrange(10)
+        queue.demote_late(now_ms)
+        found = list(queue.in_order())
+        assert sorted(map(id, found)) == sorted(map(id, known))
+        ranks = [
+            (job.first_start_ms is None, job.latest_start_ms < now_ms) for job in found
+        ]
+        begun = [rank for rank in ranks if not rank[0]]
+        assert ranks[: len(begun)] == begun
+        assert ranks[len(begun) :] == sorted(ranks[len(begun) :])
