Leave aside what was logged before a test of events

Cause: eliot keeps messages until a first destination is there and gives it all of them, so that test_events failed after test_coordinator in one run.

--- a/hibiscusstack/pool/tests/test_events.py
+++ b/hibiscusstack/pool/tests/test_events.py
@@ -40,6 +40,8 @@
         found.append({name: event[name] for name in event if name not in own})
 
     add_destinations(take)
+    # The first destination is also given what was logged before it.
+    found.clear()
     yield found
     remove_destination(take)
 
