Send a fenced target no further holds

Cause: each refusal for the token was answered with the next hold at once, so that holds went to and fro without a pause until the target was taken back (test_a_fenced_target_is_not_asked_again_and_again: 10 replies, 10 holds; now 0). A new term, or another life in the list, still looks at the target.

--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -280,7 +280,9 @@
             self._fence(state)
         else:
             self._hold_failed(state, reply, now_ms)
-        if not state.is_holding and now_ms >= state.next_hold_ms:
+        # A target that is fenced goes on to refuse.
+        is_due = state.phase is not Phase.FENCED and now_ms >= state.next_hold_ms
+        if is_due and not state.is_holding:
             self._hold(state)
         self._place()
 
--- a/hibiscusstack/pool/tests/test_coordinator.py
+++ b/hibiscusstack/pool/tests/test_coordinator.py
@@ -187,6 +187,16 @@
     assert site.started()[1:] == [("t2", run[0], 2)]
 
 
+def test_a_fenced_target_is_not_asked_again_and_again():
+    site = Site("t1")
+    site.take("t1")
+    sent = len(site.holds)
+    for _ in range(10):
+        site.fail_hold("t1", FencedOut())
+        site.pass_time(10)
+    assert len(site.holds) == sent
+
+
 def test_a_renewed_term_keeps_held_targets_and_looks_at_fenced_ones():
     site = Site("t1", "t2")
     site.take("t1", "t2")
