Use a new life whose entry came before its first reply

Cause: the entry of a new life at the same address only made the coordinator look; the state that the reply began then waited for a list that had come already, so that the target got no work until any entry changed (test_another_life_that_was_listed_before_it_answered_gets_work).

--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -82,6 +82,7 @@
         self._send_answer = send_answer
         self._timing = timing or CoordinatorTiming()
         self._events = events or PoolEvents()
+        self._listed: dict[str, ListedTarget] = {}
         self._targets: dict[str, HeldTarget] = {}
         self._jobs: dict[str, ActiveJob] = {}
         self._by_submission: dict[tuple[HostName, int], ActiveJob] = {}
@@ -107,7 +108,7 @@
     def replace_targets(self, listed: Iterable[ListedTarget]) -> None:
         """Take over a newer list of targets."""
         now_ms = self._clock.now_ms()
-        by_name = {target.name: target for target in listed}
+        self._listed = by_name = {target.name: target for target in listed}
         for name, state in list(self._targets.items()):
             target = by_name.get(name)
             if target is None:
@@ -645,10 +646,13 @@
         log_message(
             "pool:target_gone", target=state.listing.name, cause="another life answered"
         )
-        listing = attrs.evolve(state.listing, born_ms=reply.born_ms)
+        listing = self._listed.get(state.listing.name)
+        is_listed = listing is not None and listing.born_ms == reply.born_ms
+        if not is_listed:
+            listing = attrs.evolve(state.listing, born_ms=reply.born_ms)
         self._takeovers += 1
         new = HeldTarget(listing, self._timing, self._takeovers, now_ms)
-        new.is_unlisted_life = True
+        new.is_unlisted_life = not is_listed
         new.lapse_ms = now_ms + self._timing.quiet_bound_ms
         self._targets[listing.name] = new
         active = set(reply.active)
--- a/hibiscusstack/pool/tests/test_coordinator.py
+++ b/hibiscusstack/pool/tests/test_coordinator.py
@@ -270,6 +270,16 @@
     assert site.ends() == [JobEnd.COMPLETED]
 
 
+def test_another_life_that_was_listed_before_it_answered_gets_work():
+    site = Site("t1")
+    site.take("t1")
+    site.coordinator.replace_targets([make_target(born_ms=6)])
+    site.reply_to_hold("t1", born_ms=6)
+    site.submit()
+    site.list_again("t1")
+    assert len(site.starts) == 1 and site.starts[0][0].born_ms == 6
+
+
 def test_another_life_is_listed_at_another_address():
     site = Site("t1")
     site.take("t1")
