Let a job with an adopted run count as begun in the queue

Cause: a job of several tasks stayed where it was queued when one of its runs was adopted, so that it could be given up for being late while that run went on (test_a_job_with_an_adopted_run_is_not_given_up_for_being_late).

--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -399,6 +399,9 @@
                 name, number, job, task, task.step.needs, RunState.RUNNING, now_ms
             )
             self._activate(job, task, now_ms)
+            # A job that has begun goes first, and is not given up for being late.
+            self._queue.discard(job)
+            self._enqueue(job)
             task.next_run = max(task.next_run, number + 1)
         else:
             run = Run(name, number, None, None, NO_RESOURCES, RunState.RUNNING, now_ms)
--- a/hibiscusstack/pool/tests/test_coordinator.py
+++ b/hibiscusstack/pool/tests/test_coordinator.py
@@ -319,6 +319,14 @@
     assert site.started()[1:] == [("t1", run[0], 2)]
 
 
+def test_a_job_with_an_adopted_run_is_not_given_up_for_being_late():
+    site = Site("t1")
+    site.submit(make_job("j", 2, target_latency_ms=100), unheard_ms=0)
+    site.reply_to_hold("t1", [("j.0.0.0", 1), STRANGER])
+    site.pass_time(1_000)
+    assert site.answers == []
+
+
 def test_a_hung_run_is_made_elsewhere_with_twice_the_time():
     site = Site("t1", "t2")
     site.take("t1", "t2")
