--- a/hibiscusstack/pool/tests/test_coordinator.py
+++ b/hibiscusstack/pool/tests/test_coordinator.py
@@ -49,6 +49,15 @@
     assert site.ends() == [JobEnd.COMPLETED]
 
 
+def test_an_adopted_run_that_ends_without_a_result_is_made_again():
+    site = Site("t1")
+    site.submit(unheard_ms=0)
+    site.reply_to_hold("t1", [("j.0.0.0", 4)])
+    site.pass_time(10)
+    site.end("t1", ("j.0.0.0", 4), "lapsed")
+    assert site.started() == [("t1", "j.0.0.0", 5)]
+
+
 def test_an_end_that_an_earlier_coordinator_left_counts():
     site = Site("t1")
     site.submit(make_job("j", 1, 1), unheard_ms=0)
@@ -159,6 +168,31 @@
     assert site.last_hold("t1")[1].until_ms is not None
 
 
+def test_a_stop_that_was_just_sent_holds_nothing_up():
+    site = Site("t1")
+    site.take("t1")
+    run = site.run()
+    site.coordinator.cancel(OWNER, 1)
+    site.pass_time(TIMING.stop_notice_ms)
+    site.submit(make_job("next"))
+    site.reply_to_hold("t1", [run])
+    assert len(site.starts) == 2
+    assert site.last_hold("t1")[1].until_ms is not None
+
+
+def test_a_job_that_comes_again_waits_for_the_end_of_its_stopped_run():
+    site = Site("t1", "t2")
+    site.take("t1", "t2")
+    site.run()
+    site.coordinator.cancel(OWNER, 1)
+    site.submit()
+    site.reply_to_stop()
+    site.pass_time(10)
+    assert len(site.starts) == 1
+    site.list_again("t1")
+    assert len(site.starts) == 2
+
+
 def test_a_late_reply_to_an_earlier_takeover_changes_nothing():
     site = Site("t1")
     site.take("t1")
@@ -270,6 +304,19 @@
     assert site.ends() == [JobEnd.COMPLETED]
 
 
+def test_a_run_that_another_life_lists_is_not_made_again():
+    site = Site("t1", "t2")
+    site.take("t1", "t2")
+    run = site.run()
+    site.fail_hold("t1", ReplyLost("reset"))
+    site.pass_time(TIMING.order_retry_ms)
+    site.reply_to_hold("t1", [run], born_ms=6)
+    site.pass_time(10)
+    assert len(site.starts) == 1 and site.stops == []
+    site.end("t1", run)
+    assert site.ends() == [JobEnd.COMPLETED]
+
+
 def test_another_life_that_was_listed_before_it_answered_gets_work():
     site = Site("t1")
     site.take("t1")
