--- a/hibiscusstack/pool/ordering.py
+++ b/hibiscusstack/pool/ordering.py
@@ -98,9 +98,12 @@
     def out_of_reach(self, now_ms: float, capacity_milli: int) -> list[ActiveJob]:
         """Return the jobs to refuse early, since too much work waits before them.
 
-        ``capacity_milli`` is the processor capacity of all targets in use. Each job is
-        weighed once. The cost is one look at each waiting job.
+        ``capacity_milli`` is the processor capacity of all targets in use; without any,
+        as during a takeover, nothing is known. Each job is weighed once. The cost is
+        one look at each waiting job.
         """
+        if not capacity_milli:
+            return []
         policy = self._policy
         found: list[ActiveJob] = []
         ahead_ms = 0.0
@@ -113,7 +116,7 @@
                 if end_ms > policy.reach_factor * job.objective_ms:
                     found.append(job)
                     continue
-            ahead_ms += job.waiting_work_milli_ms() / max(capacity_milli, 1)
+            ahead_ms += job.waiting_work_milli_ms() / capacity_milli
         return found
 
     def _insert(self, tier: _Tier, job: ActiveJob, number: int) -> None:
--- a/hibiscusstack/pool/tests/test_coordinator.py
+++ b/hibiscusstack/pool/tests/test_coordinator.py
@@ -347,6 +347,16 @@
     assert site.answers[0].retry_ms > 0
 
 
+def test_jobs_are_not_given_up_early_while_no_target_is_held():
+    site = Site("t1")
+    for name in ("one", "two"):
+        site.submit(make_job(name, target_latency_ms=1_000), unheard_ms=0)
+    site.pass_time(400)
+    assert site.answers == []
+    site.take("t1")
+    assert len(site.starts) == 2
+
+
 def test_a_resubmitted_job_is_never_refused():
     site = Site("t1")
     site.submit(make_job("j", target_latency_ms=100), unheard_ms=0)
