--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -89,6 +89,7 @@
         self._send_answer = send_answer
         self._timing = timing or CoordinatorTiming()
         self._events = events or PoolEvents()
+        self._listed: dict[str, ListedTarget] = {}
         self._targets: dict[str, HeldTarget] = {}
         self._jobs: dict[str, ActiveJob] = {}
         self._by_submission: dict[tuple[HostName, int], ActiveJob] = {}
@@ -116,7 +117,7 @@
     def replace_targets(self, listed: Iterable[ListedTarget]) -> None:
         """Take over a newer list of targets."""
         now_ms = self._clock.now_ms()
-        by_name = {target.name: target for target in listed}
+        self._listed = by_name = {target.name: target for target in listed}
         for name, state in list(self._targets.items()):
             target = by_name.get(name)
             if target is None:
@@ -339,7 +340,9 @@
             self._fence(state)
         else:
             self._hold_failed(state, reply, now_ms)
-        if not state.is_holding and now_ms >= state.next_hold_ms:
+        # A target that is fenced goes on to refuse.
+        is_due = state.phase is not Phase.FENCED and now_ms >= state.next_hold_ms
+        if is_due and not state.is_holding:
             self._hold(state)
         self._place()
 
@@ -469,6 +472,9 @@
                 name, number, job, task, task.step.needs, RunState.RUNNING, now_ms
             )
             self._activate(job, task, now_ms)
+            # A job that has begun goes first, and is not given up for being late.
+            self._queue.discard(job)
+            self._enqueue(job)
             task.next_run = max(task.next_run, number + 1)
         else:
             run = Run(name, number, None, None, NO_RESOURCES, RunState.RUNNING, now_ms)
@@ -810,10 +816,13 @@
         log_message(
             "pool:target_gone", target=state.listing.name, cause="another life answered"
         )
-        listing = attrs.evolve(state.listing, born_ms=reply.born_ms)
+        listing = self._listed.get(state.listing.name)
+        is_listed = listing is not None and listing.born_ms == reply.born_ms
+        if not is_listed:
+            listing = attrs.evolve(state.listing, born_ms=reply.born_ms)
         self._takeovers += 1
         new = HeldTarget(listing, self._timing, self._takeovers, now_ms)
-        new.is_unlisted_life = True
+        new.is_unlisted_life = not is_listed
         new.lapse_ms = now_ms + self._timing.quiet_bound_ms
         self._targets[listing.name] = new
         active = set(reply.active)
