Show hosts of pools on a stand-in of the users' platform

Cause: `make demo` shows hibiscusd only; hosts of pools had no run on real sockets that a newcomer can start. `make demo-platform` starts the estate (`hibiscus-standins estate`: store, six workers, registry, balancer), three hosts by platform/edge.py with settings from the template, and callers of 200 jobs; it kills the coordinator, starts it again, stops the next one by TERM, and lets the estate's auditor judge all runs. It exits with 1 for a job without an answer, a broken rule or a faulty stop, and ends after 55 s at the latest.

Ruled out: the settings' variable in place of an argument (the platform's names stay in the adapter, test_names); appending to logs (a host that is started again would be read with its old ports).

Tests moved, not eased: fill_in of test_template.py, publish_queue and the job's body of edges.py are now modules of the estate.

Not run: the target itself with a fresh .venv; the script ran by an interpreter with the locked packages.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,10 @@
 demo: setup
 	$(PYTHON) -m scripts.demo
 
+.PHONY: demo-platform
+demo-platform: setup
+	$(PYTHON) -m scripts.demo_platform $(ARGUMENTS)
+
 .PHONY: settings-page
 settings-page: setup
 	$(PYTHON) -c "from hibiscusstack.settings import describe_settings as d; print(d(), end='')" > docs/SETTINGS.md
--- a/hibiscusstack/pool/tests/fleet.py
+++ b/hibiscusstack/pool/tests/fleet.py
@@ -15,10 +15,11 @@
 from hibiscusstack_standins.estate.jobs import Catalog, Job, Step
 from hibiscusstack_standins.estate.log_store import LogStore
 from hibiscusstack_standins.estate.network import Network
+from hibiscusstack_standins.estate.queues import publish_queue
 from hibiscusstack_standins.estate.registry import Registry
 from hibiscusstack_standins.estate.runs import Capacity
 from hibiscusstack_standins.estate.store_service import StoreService
-from hibiscusstack_standins.estate.tests.edges import Edge, publish_queue
+from hibiscusstack_standins.estate.tests.edges import Edge
 from hibiscusstack_standins.estate.worker import Worker, WorkerPlan
 
 RESEND_MS = 1_300
--- a/hibiscusstack_standins/estate/tests/edges.py
+++ b/hibiscusstack_standins/estate/tests/edges.py
@@ -1,11 +1,10 @@
 """One host with the platform's adapter, over a network in virtual time."""
 
-__all__ = ["Edge", "QUEUE_HOST", "publish_queue"]
+__all__ = ["Edge"]
 
 import json
 from collections import defaultdict
 from collections.abc import Callable
-from typing import Any
 from urllib.parse import parse_qsl
 
 import attrs
@@ -21,14 +20,11 @@
 from hibiscusstack.http.server import HttpRequest
 from hibiscusstack.pool.service import PoolService
 from hibiscusstack.pool.timing import CoordinatorTiming
-from hibiscusstack_standins.estate.jobs import Job, Step
+from hibiscusstack_standins.estate.jobs import Job
 from hibiscusstack_standins.estate.messages import Outcome, Request, Unanswered
-from hibiscusstack_standins.estate.records import frame_keyed
+from hibiscusstack_standins.estate.queues import QUEUE_HOST, encode_job, job_path
 
-QUEUE_HOST = "q.example"
 STORE_TIMEOUT_MS = 700
-_PREFIX = "/q/"
-_PLAIN = ("cpu", "mem_mb", "gpu", "requires", "data_rack", "anti_affinity")
 
 
 class NetworkClient:
@@ -138,14 +134,12 @@
 
     def post(self, job: Job, answered: Callable[[int], None]) -> HttpRequest:
         """Send a job in as a caller does."""
-        body = {"spec": job.spec, "best_effort": True}
-        body["steps"] = [_encode_step(step) for step in job.steps]
         connection = CallerConnection(answered)
         request = HttpRequest(
             "POST",
-            _PREFIX + job.id,
+            job_path(job),
             {"host": QUEUE_HOST},
-            json.dumps(body).encode(),
+            encode_job(job),
             0,
             connection,
         )
@@ -159,16 +153,3 @@
         request = HttpRequest("GET", "/ready", {}, b"", 0, connection)
         self.front.answer_readiness(request)
         return statuses == [200]
-
-
-def _encode_step(step: Step) -> dict[str, Any]:
-    named = {name: getattr(step, name) for name in _PLAIN if getattr(step, name)}
-    after = list(step.after)
-    return {**named, "count": step.count, "estimate_ms": step.work_ms, "after": after}
-
-
-def publish_queue(store, now_ms: int, version: int = 1, **terms: Any) -> None:
-    """Write a configuration with one queue as the operator does."""
-    route = {"name": "q", "host": QUEUE_HOST, "path_prefix": _PREFIX, "service": "s"}
-    body = json.dumps({"version": version, "routes": [{**route, **terms}]})
-    store.put(now_ms, "keyed.op", frame_keyed("config", body.encode()))
--- a/hibiscusstack_standins/main.py
+++ b/hibiscusstack_standins/main.py
@@ -12,6 +12,7 @@
 from twisted.internet.defer import Deferred
 from twisted.web.server import Site
 
+from hibiscusstack_standins.estate.site import EstateSite
 from hibiscusstack_standins.fleet import FleetPlan, TargetFleet
 from hibiscusstack_standins.journal import StartJournal
 from hibiscusstack_standins.platform import platform_application
@@ -21,6 +22,7 @@
 examples:
   hibiscus-standins platform --ready-file platform.json
   hibiscus-standins targets --count 24 --platform http://127.0.0.1:8500
+  hibiscus-standins estate --workers 6 --ready-file estate.json
 
 A process prints one JSON line with its addresses once it listens. Faults are set by
 POST /control/faults, starts are read by GET /control/starts.
@@ -41,12 +43,15 @@
         epilog=_EPILOG,
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
-    commands = parser.add_subparsers(required=True, metavar="platform|targets")
+    commands = parser.add_subparsers(required=True, metavar="platform|targets|estate")
     platform = commands.add_parser("platform", help="a log and a live list")
     platform.set_defaults(serve=_serve_platform)
     targets = commands.add_parser("targets", help="targets, each on its own port")
     targets.set_defaults(serve=_serve_targets)
-    for command in (platform, targets):
+    estate = commands.add_parser("estate", help="a site for hosts of pools")
+    estate.set_defaults(serve=_serve_estate)
+    estate.add_argument("--workers", type=int, default=6)
+    for command in (platform, targets, estate):
         command.add_argument("--address", default="127.0.0.1")
         command.add_argument("--port", type=int, default=0, help="0: the kernel's pick")
         command.add_argument("--ready-file", type=Path, help="gets the JSON line too")
@@ -92,6 +97,14 @@
     registered.addCallbacks(lambda _: _announce(arguments, ready), _give_up)
 
 
+def _serve_estate(arguments: argparse.Namespace) -> None:
+    estate = EstateSite(reactor, arguments.workers, arguments.address)
+    site = Site(estate.control().resource())
+    listening = listen(reactor, site, arguments.address, arguments.port)
+    ready = {"port": listening.getHost().port, "store_port": estate.store_port}
+    _announce(arguments, {"role": "estate", **ready})
+
+
 def _register(base_address: str, entries: list[dict]) -> Deferred:
     registered = treq.put(f"{base_address}/control/hosts", json={"hosts": entries})
     return registered.addCallback(treq.content)
--- a/scripts/processes.py
+++ b/scripts/processes.py
@@ -1,6 +1,6 @@
 """The processes of a small site: stand-ins and dispatcher hosts."""
 
-__all__ = ["EntryHost", "Site"]
+__all__ = ["EntryHost", "ProcessGroup", "Site", "StartError", "request_json"]
 
 import json
 import shlex
@@ -74,16 +74,53 @@
         return self.process.wait(STOP_TIMEOUT_S)
 
 
-class Site:
+class ProcessGroup:
+    """Processes that are started and ended together, with logs in one folder."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self._processes: list[subprocess.Popen] = []
+
+    def stop(self) -> None:
+        """End every process that this group started."""
+        running = [p for p in self._processes if p.poll() is None]
+        for process in running:
+            process.kill()
+        for process in running:
+            process.wait()
+
+    def _start_standin(self, name: str, arguments: list[str]) -> dict[str, Any]:
+        ready = self.folder / f"{name}.json"
+        ready.unlink(missing_ok=True)
+        command = [str(BIN / "hibiscus-standins"), *arguments]
+        log = self.folder / f"{name}.log"
+        process = self._start([*command, "--ready-file", str(ready)], log)
+        self._wait_for(process, log, ready.exists)
+        return json.loads(ready.read_text())
+
+    def _start(self, command: list[str], log: Path) -> subprocess.Popen:
+        with log.open("wb") as output:
+            process = subprocess.Popen(command, stdout=output, stderr=output)
+        self._processes.append(process)
+        return process
+
+    def _wait_for(self, process: subprocess.Popen, log: Path, is_ready) -> None:
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while not is_ready():
+            if process.poll() is not None or time.monotonic() > deadline:
+                raise StartError(f"not ready, see {log}:\n{log.read_text()[-2000:]}")
+            time.sleep(0.05)
+
+
+class Site(ProcessGroup):
     """One data centre's processes, all on this machine; ports by the kernel."""
 
     def __init__(self, folder: Path, more_settings: str = "") -> None:
-        self.folder = folder
+        super().__init__(folder)
         self.more_settings = more_settings
         self.hosts: dict[str, EntryHost] = {}
         self.platform_url = ""
         self.targets_url = ""
-        self._processes: list[subprocess.Popen] = []
 
     def start_platform(self) -> None:
         """Start the stand-in of the platform."""
@@ -153,36 +190,6 @@
             raise StartError(f"{command} ended with {done.returncode}: {done.stderr}")
         return done.stdout
 
-    def stop(self) -> None:
-        """End every process that this site started."""
-        running = [p for p in self._processes if p.poll() is None]
-        for process in running:
-            process.kill()
-        for process in running:
-            process.wait()
-
-    def _start_standin(self, name: str, arguments: list[str]) -> dict[str, Any]:
-        ready = self.folder / f"{name}.json"
-        ready.unlink(missing_ok=True)
-        command = [str(BIN / "hibiscus-standins"), *arguments]
-        log = self.folder / f"{name}.log"
-        process = self._start([*command, "--ready-file", str(ready)], log)
-        self._wait_for(process, log, ready.exists)
-        return json.loads(ready.read_text())
-
-    def _start(self, command: list[str], log: Path) -> subprocess.Popen:
-        with log.open("wb") as output:
-            process = subprocess.Popen(command, stdout=output, stderr=output)
-        self._processes.append(process)
-        return process
-
-    def _wait_for(self, process: subprocess.Popen, log: Path, is_ready) -> None:
-        deadline = time.monotonic() + START_TIMEOUT_S
-        while not is_ready():
-            if process.poll() is not None or time.monotonic() > deadline:
-                raise StartError(f"not ready, see {log}:\n{log.read_text()[-2000:]}")
-            time.sleep(0.05)
-
     def _list_host(self, host: EntryHost, state: str) -> None:
         entry = {
             "name": host.name,
