--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -30,15 +30,24 @@
     host_key,
 )
 from hibiscusstack.pool.host_settings import PoolHostSettings
-from hibiscusstack.pool.interfaces import Appended, AppendRefused, KeyedLog, KeyedRecord
+from hibiscusstack.pool.interfaces import (
+    Appended,
+    AppendRefused,
+    KeyedRecord,
+    SequencedLog,
+)
 from hibiscusstack.pool.messages import (
+    AskStored,
     CancelSubmission,
     PoolHeartbeat,
+    StoredAnswer,
     SubmissionAnswer,
     SubmitPoolJob,
 )
 from hibiscusstack.pool.orders import TargetOrders
 from hibiscusstack.pool.receiving import Receiver
+from hibiscusstack.pool.stored.keeper import KeeperTiming
+from hibiscusstack.pool.stored.service import StoredJobs
 from hibiscusstack.pool.targets import ListedTarget
 from hibiscusstack.pool.timing import CoordinatorTiming
 
@@ -69,9 +78,10 @@
         settings: PoolHostSettings,
         reactor: IReactorCore,
         clock: Clock,
-        log: KeyedLog,
+        log: SequencedLog,
         orders: TargetOrders,
         timing: CoordinatorTiming | None = None,
+        stored_timing: KeeperTiming | None = None,
         events: PoolEvents | None = None,
     ) -> None:
         self.is_draining = False
@@ -114,6 +124,14 @@
             ),
             rng=random.Random(settings.name.incarnation),
         )
+        self.stored = StoredJobs(
+            own=settings.name,
+            reactor=reactor,
+            clock=clock,
+            log=log,
+            send=self._send_stored,
+            timing=stored_timing,
+        )
         self._follower = TopicFollower(
             reactor,
             log,
@@ -121,6 +139,7 @@
             self._take_records,
             wait_ms=HOSTS_WAIT_MS,
             on_end=self._note_read,
+            clock=clock,
         )
         self._ticking = LoopingCall(self._tick)
         self._ticking.clock = reactor
@@ -149,6 +168,7 @@
         if self._ticking.running:
             self._ticking.stop()
         self._follower.stop()
+        self.stored.stop()
         self._mesh.stop()
 
     def drain(self) -> None:
@@ -188,6 +208,7 @@
             hears_holder=self._hears_staying_holder(),
             is_draining=self.is_draining,
             is_deputy=self._is_deputy(),
+            has_stored=self.stored.has_jobs,
         )
 
     def peer_connected(self, peer: HostName) -> None:
@@ -212,12 +233,15 @@
         if isinstance(message, PoolHeartbeat):
             before = self._hears.get(sender)
             self._hears[sender] = message
+            self.stored.has_jobs |= message.has_stored
             if message.is_deputy != (before is not None and before.is_deputy):
                 self._find_coordinator()
             if message.holder is not None:
                 self._take_term(Term(message.term, message.holder))
         elif isinstance(message, SubmissionAnswer):
             self.receiver.answered(sender, message)
+        elif isinstance(message, AskStored | StoredAnswer):
+            self.stored.take_message(sender, message)
         elif self.coordinator is None:
             return
         elif isinstance(message, SubmitPoolJob):
@@ -310,6 +334,7 @@
     def _step_down(self) -> None:
         if self.coordinator is not None:
             self.coordinator.step_down()
+            self.stored.stand_down()
             self.coordinator = None
 
     def _coordinate(self, term: Term) -> None:
@@ -328,6 +353,9 @@
             events=self._events,
             missing=missing,
         )
+        self.coordinator.journal = self.stored.coordinate(
+            term.offset + 1, self.coordinator
+        )
         self.coordinator.replace_targets(self._targets)
 
     def _hears_holder(self) -> bool:
@@ -353,6 +381,12 @@
 
     def _find_coordinator(self) -> None:
         self.receiver.coordinator_changed(self._find_holder())
+        term = self._election.term
+        holder = term.holder if term and self._hears_holder() else None
+        self.stored.coordinator_changed(holder)
+
+    def _send_stored(self, to: HostName, message: AskStored | StoredAnswer) -> bool:
+        return self._mesh.send(to, message).is_ok()
 
     def _find_holder(self) -> HostName | None:
         """Return the coordinator, or else the deputy that stands in for it here."""
@@ -417,6 +451,7 @@
             timing=self._timing,
             events=self._events,
             is_deputy=True,
+            voids_ends=self.stored.has_jobs,
         )
         self.coordinator.replace_targets(self._own_targets())
         self._find_coordinator()
@@ -481,6 +516,21 @@
             self.coordinator.note_unheard(self._unheard_peers())
             self.coordinator.tick()
         self.receiver.tick()
+        self.stored.note_seclusion(self._is_secluded())
+        self.stored.tick()
+
+    def _is_secluded(self) -> bool:
+        """Tell whether an unheard host may have begun a term some time ago."""
+        unknown_ms = self._clock.now_ms() - self._follower.known_ms
+        if unknown_ms < self._timing.seclusion_ms:
+            return False
+        heard = {(peer.data_centre, peer.name) for peer in self._hears}
+        own = self._settings.name
+        heard.add((own.data_centre, own.name))
+        listed = {
+            (host.name.data_centre, host.name.name) for host in self._hosts.values()
+        }
+        return not listed <= heard
 
     def _resume_after(self, paused_ms: float) -> None:
         """Give up the term: its leases have lapsed, and others may have taken over."""
--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -2,6 +2,7 @@
 
 __all__ = ["Coordinator", "SendAnswer"]
 
+import math
 from collections import Counter
 from collections.abc import Callable, Iterable
 
@@ -30,6 +31,7 @@
     TargetOrders,
 )
 from hibiscusstack.pool.placing import choose_target
+from hibiscusstack.pool.stored.interfaces import TaskJournal
 from hibiscusstack.pool.targets import ListedTarget
 from hibiscusstack.pool.timing import CoordinatorTiming
 from hibiscusstack.pool.work import (
@@ -59,7 +61,9 @@
     ``missing`` names targets that were listed earlier and are not now: an earlier
     coordinator may still have work there. A deputy has only some of the targets, and
     the coordinator that it stands in for may still be at work elsewhere: it adopts no
-    run, and waits as long as that one may take to notice.
+    run, and waits as long as that one may take to notice. With ``voids_ends`` it lets
+    the leases lapse that it finds, so that ends of stored jobs, which it does not know,
+    do not count.
     """
 
     def __init__(
@@ -73,21 +77,27 @@
         events: PoolEvents | None = None,
         missing: Iterable[str] = (),
         is_deputy: bool = False,
+        voids_ends: bool = False,
     ) -> None:
         self.token = token
         self.is_deposed = False
         self.is_deputy = is_deputy
+        self._voids_ends = voids_ends
+        self.journal: TaskJournal | None = None
         self._clock = clock
         self._orders = orders
         self._send_answer = send_answer
         self._timing = timing or CoordinatorTiming()
         self._events = events or PoolEvents()
+        self._listed: dict[str, ListedTarget] = {}
         self._targets: dict[str, HeldTarget] = {}
         self._jobs: dict[str, ActiveJob] = {}
         self._by_submission: dict[tuple[HostName, int], ActiveJob] = {}
         self._ending: Counter[str] = Counter()
         self._queue = JobQueue()
+        self._early_ends: list[tuple[HeldTarget, RunEnd]] = []
         self._missing = set(missing)
+        self._began_ms = clock.now_ms()
         self._unheard: set[HostName] = set()
         self._takeovers = 0
 
@@ -107,7 +117,7 @@
     def replace_targets(self, listed: Iterable[ListedTarget]) -> None:
         """Take over a newer list of targets."""
         now_ms = self._clock.now_ms()
-        by_name = {target.name: target for target in listed}
+        self._listed = by_name = {target.name: target for target in listed}
         for name, state in list(self._targets.items()):
             target = by_name.get(name)
             if target is None:
@@ -161,7 +171,7 @@
         if job is None:
             return
         job.submissions.remove((owner, submission))
-        if not job.submissions:
+        if not job.submissions and not job.is_stored:
             self._close(job, JobEnd.REFUSED, "cancelled")
             self._place()
 
@@ -171,6 +181,54 @@
             if host == owner:
                 self.cancel(host, submission)
 
+    def run_stored(self, job: ActiveJob) -> None:
+        """Take a stored job; nothing of it starts within this call."""
+        if self.is_deposed or job.job.job_id in self._jobs:
+            return
+        self._jobs[job.job.job_id] = job
+        job.unheard_since_ms = self._began_ms + self._timing.seclusion_ms
+        if not self._complete_if_done(job):
+            self._enqueue(job)
+
+    def place_stored(self) -> None:
+        """Start what was taken, where there is room."""
+        self._place()
+
+    def cancel_stored(self, job_id: str) -> None:
+        """Stop a stored job."""
+        job = self._jobs.get(job_id)
+        if job is not None:
+            self._close(job, JobEnd.REFUSED, "cancelled")
+            self._place()
+
+    def release_stored(self) -> None:
+        """Leave all stored jobs, and stop their runs.
+
+        Where any of them ran or has ended unsaved, the lease lapses as well: ends of
+        before then do not count, so that another coordinator may run the tasks anew.
+        """
+        lapsed_ms = self._clock.now_ms() + self._timing.lapse_bound_ms
+        for state in self._targets.values():
+            runs = [run for run in state.runs.values() if run.job is not None]
+            if state.unsaved_ends or any(run.job.is_stored for run in runs):
+                state.lapsing_until_ms = lapsed_ms
+        for job in [job for job in self._jobs.values() if job.is_stored]:
+            del self._jobs[job.job.job_id]
+            self._queue.discard(job)
+            self._abandon_runs(job)
+
+    def stored_recovered(self) -> None:
+        """Act on the ends and runs of stored jobs that were not known before."""
+        now_ms = self._clock.now_ms()
+        early, self._early_ends = self._early_ends, []
+        for state, end in early:
+            state.unsaved_ends.discard(end.number)
+            self._run_ended(state, end, now_ms)
+        for state in self._targets.values():
+            for run in list(state.runs.values()):
+                if run.job is None and run.state is not RunState.STOPPING:
+                    self._adopt(state, run)
+
     def note_unheard(self, owners: Iterable[HostName]) -> None:
         """Start nothing for hosts that were not heard lately.
 
@@ -276,11 +334,15 @@
             state.is_holding = False
         if isinstance(reply, HoldReply):
             state = self._take_lists(state, reply, order.sent_ms, now_ms)
+            if state.unsaved_ends:
+                state.next_hold_ms = now_ms + state.hold_pause_ms(now_ms)
         elif isinstance(reply, FencedOut):
             self._fence(state)
         else:
             self._hold_failed(state, reply, now_ms)
-        if not state.is_holding and now_ms >= state.next_hold_ms:
+        # A target that is fenced goes on to refuse.
+        is_due = state.phase is not Phase.FENCED and now_ms >= state.next_hold_ms
+        if is_due and not state.is_holding:
             self._hold(state)
         self._place()
 
@@ -292,6 +354,13 @@
         for state in list(self._targets.values()):
             self._tick_target(state, now_ms)
         self._queue.demote_late(now_ms)
+        capacity_milli = sum(
+            state.listing.capacity.cpu_milli
+            for state in self._targets.values()
+            if state.may_start(now_ms)
+        )
+        for job in self._queue.out_of_reach(now_ms, capacity_milli):
+            self._close(job, JobEnd.REFUSED, "no room in time")
         for job in self._queue.hopeless(now_ms):
             self._close(job, JobEnd.REFUSED, "no room in time")
         self._place()
@@ -305,13 +374,19 @@
     def _take_target(self, target: ListedTarget, now_ms: float) -> None:
         self._takeovers += 1
         state = HeldTarget(target, self._timing, self._takeovers, now_ms)
+        if self._voids_ends:
+            state.lapsing_until_ms = math.inf
         self._targets[target.name] = state
         self._hold(state)
 
     def _leave_runs(self, state: HeldTarget) -> None:
         """Give up the jobs with runs at a target that another coordinator took."""
         for run in list(state.runs.values()):
-            if run.job is not None and run.job.job.job_id in self._jobs:
+            if run.job is not None and run.job.is_stored:
+                run.job.is_resubmitted = True
+                run.job.unheard_since_ms = self._clock.now_ms()
+                self._vanished(state, run, self._clock.now_ms())
+            elif run.job is not None and run.job.job.job_id in self._jobs:
                 self._close(run.job, JobEnd.UNKNOWN, "another host took its target")
         for run in list(state.runs.values()):
             state.remove(run)
@@ -321,6 +396,7 @@
         """Send the next hold, which extends the lease of a target that answers."""
         now_ms = self._clock.now_ms()
         is_held = state.phase is Phase.HELD and not state.owes_stop(now_ms)
+        is_held = is_held and now_ms >= state.lapsing_until_ms
         is_sound = state.silent_since_ms is None and state.clock_offset_ms is not None
         until_ms = state.extend_lease(now_ms) if is_held and is_sound else None
         timing = self._timing
@@ -329,7 +405,7 @@
         self._events.counters.holds += 1
         order = HoldOrder(
             self.token,
-            state.processed_through,
+            state.acked_through,
             wait_ms,
             until_ms,
             state.takeover,
@@ -344,7 +420,7 @@
         state.is_looking = True
         order = HoldOrder(
             self.token,
-            state.processed_through,
+            state.acked_through,
             wait_ms=0,
             takeover=state.takeover,
             sent_ms=self._clock.now_ms(),
@@ -372,6 +448,8 @@
         for key, run in list(state.runs.items()):
             if key in active:
                 self._confirm(state, run, now_ms)
+            elif reply.has_more:
+                continue
             elif run.was_known_before(sent_ms):
                 self._vanished(state, run, now_ms)
         self._advance(state, now_ms)
@@ -387,27 +465,53 @@
     ) -> None:
         """Adopt a run of a job that is known and waits for it; list any other."""
         name, number = key
-        parsed = parse_task_name(name)
-        job = self._jobs.get(parsed[0]) if parsed else None
-        task = job.tasks.get(parsed[1]) if job else None
+        job, task = self._find_task(name)
         is_wanted = task is not None and task in job.ready
         if is_wanted and not self.is_deputy and not self._is_unheard(job):
             run = Run(
                 name, number, job, task, task.step.needs, RunState.RUNNING, now_ms
             )
             self._activate(job, task, now_ms)
+            # A job that has begun goes first, and is not given up for being late.
+            self._queue.discard(job)
+            self._enqueue(job)
             task.next_run = max(task.next_run, number + 1)
         else:
             run = Run(name, number, None, None, NO_RESOURCES, RunState.RUNNING, now_ms)
+            parsed = parse_task_name(name)
             if parsed:
                 self._ending[parsed[0]] += 1
         run.known_ms = now_ms
         state.add(run)
 
+    def _find_task(self, name: str) -> tuple[ActiveJob | None, PoolTask | None]:
+        """Return the job and the task of that name, as far as they are known."""
+        parsed = parse_task_name(name)
+        if parsed is None:
+            return None, None
+        if self.journal is not None and parsed[0] not in self._jobs:
+            self.journal.offer(parsed[0])
+        job = self._jobs.get(parsed[0])
+        return job, job.tasks.get(parsed[1]) if job else None
+
+    def _adopt(self, state: HeldTarget, run: Run) -> None:
+        """Take over a run of a stored job that has become known after the run."""
+        job, task = self._find_task(run.name)
+        if task is None or not job.is_stored or task not in job.ready:
+            return
+        self._note_gone(run)
+        state.remove(run)
+        run.job, run.task, run.needs = job, task, task.step.needs
+        state.add(run)
+        self._activate(job, task, run.started_ms)
+        task.next_run = max(task.next_run, run.number + 1)
+
     def _advance(self, state: HeldTarget, now_ms: float) -> None:
         """Move a target on towards being held."""
         if state.phase is Phase.LOOKING:
             state.phase = Phase.CLEARING
+            if self._voids_ends:
+                state.lapsing_until_ms = now_ms + self._timing.lapse_bound_ms
         if state.phase is not Phase.CLEARING and state.phase is not Phase.HELD:
             return
         strangers = [run for run in state.runs.values() if run.job is None]
@@ -419,9 +523,44 @@
             state.phase = Phase.HELD
 
     def _is_adoption_over(self, state: HeldTarget, now_ms: float) -> bool:
-        return now_ms >= state.looking_since_ms + self._timing.adoption_ms
+        is_recovering = self.journal is not None and self.journal.is_recovering
+        timing = self._timing
+        wait_ms = timing.recovery_ms if is_recovering else timing.adoption_ms
+        return now_ms >= state.looking_since_ms + wait_ms
 
     def _run_ended(self, state: HeldTarget, end: RunEnd, now_ms: float) -> None:
+        """Act on an end, which its target forgets once what it means is saved."""
+        journal = self.journal
+        parsed = parse_task_name(end.task)
+        job_id = parsed[0] if parsed else ""
+        if journal is None:
+            if now_ms < state.lapsing_until_ms and job_id not in self._jobs:
+                state.note_unsaved(end.number, now_ms)
+            self._act_on_end(state, end, now_ms)
+            return
+        if journal.is_recovering and job_id not in self._jobs:
+            # It may be the end of a stored job that has not been read yet.
+            state.note_unsaved(end.number, now_ms)
+            self._early_ends.append((state, end))
+            return
+        self._act_on_end(state, end, now_ms)
+        if journal.is_unsaved(job_id):
+            state.note_unsaved(end.number, now_ms)
+            journal.when_saved(job_id, lambda: self._end_saved(state, end.number))
+
+    def _end_saved(self, state: HeldTarget, number: int) -> None:
+        state.unsaved_ends.discard(number)
+        if not state.unsaved_ends and state.silent_since_ms is None:
+            state.next_hold_ms = 0.0
+            if self._targets.get(state.listing.name) is state:
+                self._hold_if_due(state)
+
+    def _hold_if_due(self, state: HeldTarget) -> None:
+        is_idle = not state.is_holding and not self.is_deposed
+        if is_idle and self._clock.now_ms() >= state.next_hold_ms:
+            self._hold(state)
+
+    def _act_on_end(self, state: HeldTarget, end: RunEnd, now_ms: float) -> None:
         run = state.runs.get((end.task, end.run))
         if run is None:
             self._credit_earlier_end(end)
@@ -430,27 +569,60 @@
         job, task = run.job, run.task
         if job is None or task is None:
             self._note_gone(run)
+            job, task = self._find_task(run.name)
+            if task is not None and job.is_stored:
+                self._credit_stored_end(job, task, end)
             return
         if end.how == _DONE:
+            if job.is_stored:
+                self.journal.task_done(job.job.job_id, task.key)
             self._note_done(state, run, now_ms)
         elif end.how == _FAILED:
+            if job.is_stored:
+                self.journal.task_failed(job.job.job_id, task.key, run.number)
             self._note_failed(state, run, now_ms)
         else:
             self._requeue(run, now_ms, end.how)
 
     def _credit_earlier_end(self, end: RunEnd) -> None:
         """Count an end that an earlier coordinator has not acknowledged."""
-        parsed = parse_task_name(end.task)
-        job = self._jobs.get(parsed[0]) if parsed else None
-        task = job.tasks.get(parsed[1]) if job else None
+        job, task = self._find_task(end.task)
         if task is None:
             return
         task.next_run = max(task.next_run, end.run + 1)
-        if end.how == _DONE and task in job.ready:
+        if job.is_stored:
+            self._credit_stored_end(job, task, end)
+        elif end.how == _DONE and task in job.ready:
             job.ready.remove(task)
             job.note_done(task)
             self._complete_if_done(job)
 
+    def _credit_stored_end(self, job: ActiveJob, task: PoolTask, end: RunEnd) -> None:
+        """Count an end for good, also one of a task that runs again."""
+        job_id = job.job.job_id
+        if task.state is TaskState.DONE:
+            return
+        if end.how == _FAILED and self.journal.task_failed(job_id, task.key, end.run):
+            task.failures += 1
+            if task.failures >= job.job.max_attempts:
+                self._close(job, JobEnd.FAILED, "a task failed too often")
+        if end.how != _DONE:
+            return
+        self.journal.task_done(job_id, task.key)
+        if task.state is TaskState.ACTIVE:
+            self._abandon_task(task)
+        elif task in job.ready:
+            job.ready.remove(task)
+        job.note_done(task)
+        if not self._complete_if_done(job):
+            self._enqueue(job)
+
+    def _abandon_task(self, task: PoolTask) -> None:
+        for state in self._targets.values():
+            for run in list(state.runs.values()):
+                if run.task is task:
+                    self._abandon(state, run)
+
     def _note_done(self, state: HeldTarget, run: Run, now_ms: float) -> None:
         state.health.note_success()
         job, task = run.job, run.task
@@ -463,9 +635,10 @@
         if job.ready:
             self._enqueue(job)
 
-    def _complete_if_done(self, job: ActiveJob) -> None:
+    def _complete_if_done(self, job: ActiveJob) -> bool:
         if job.is_complete:
             self._close(job, JobEnd.COMPLETED)
+        return job.is_complete
 
     def _note_failed(self, state: HeldTarget, run: Run, now_ms: float) -> None:
         state.paused_until_ms = max(
@@ -583,12 +756,12 @@
     def _tick_target(self, state: HeldTarget, now_ms: float) -> None:
         timing = self._timing
         if state.phase is Phase.FENCED:
-            # Whoever took the target may have adopted its runs.
-            if now_ms >= state.fenced_ms + timing.quiet_bound_ms:
-                self._lapse(state, now_ms)
+            self._lapse_fenced(state, now_ms)
             return
         if state.lapse_ms <= now_ms and state.silent_since_ms is not None:
             self._lapse(state, now_ms)
+        if self._voids_ends and now_ms >= state.lapsing_until_ms:
+            state.unsaved_ends.clear()
         for run in list(state.runs.values()):
             if run.state is RunState.STOPPING:
                 if (
@@ -643,10 +816,13 @@
         log_message(
             "pool:target_gone", target=state.listing.name, cause="another life answered"
         )
-        listing = attrs.evolve(state.listing, born_ms=reply.born_ms)
+        listing = self._listed.get(state.listing.name)
+        is_listed = listing is not None and listing.born_ms == reply.born_ms
+        if not is_listed:
+            listing = attrs.evolve(state.listing, born_ms=reply.born_ms)
         self._takeovers += 1
         new = HeldTarget(listing, self._timing, self._takeovers, now_ms)
-        new.is_unlisted_life = True
+        new.is_unlisted_life = not is_listed
         new.lapse_ms = now_ms + self._timing.quiet_bound_ms
         self._targets[listing.name] = new
         active = set(reply.active)
@@ -661,6 +837,19 @@
         self._lapse(state, now_ms, "another life answered")
         return new
 
+    def _lapse_fenced(self, state: HeldTarget, now_ms: float) -> None:
+        """Take the runs of a target as ended that whoever took it may have adopted.
+
+        If a later term has taken stored jobs over, this host knows by ``seclusion_ms``.
+        """
+        over_ms = now_ms - state.fenced_ms - self._timing.quiet_bound_ms
+        if over_ms < 0:
+            return
+        for run in list(state.runs.values()):
+            is_stored = run.job is not None and run.job.is_stored
+            if not is_stored or over_ms >= self._timing.seclusion_ms:
+                self._vanished(state, run, now_ms, "the lease lapsed")
+
     def _end_life(self, state: HeldTarget, cause: str) -> None:
         """Forget a life of a target that is over, with all that ran there."""
         now_ms = self._clock.now_ms()
@@ -675,6 +864,8 @@
         """Answer everyone who waits for a job, and stop what still runs of it."""
         self._jobs.pop(job.job.job_id, None)
         self._queue.discard(job)
+        if job.is_stored:
+            self.journal.job_ended(job.job.job_id, end)
         may_have_run = job.first_start_ms is not None or job.is_resubmitted
         if end is JobEnd.REFUSED and may_have_run:
             # A refusal would say that nothing has run.
@@ -686,6 +877,9 @@
             answer = SubmissionAnswer(submission, end, cause, retry_ms)
             self._send_answer(owner, answer)
         job.submissions.clear()
+        self._abandon_runs(job)
+
+    def _abandon_runs(self, job: ActiveJob) -> None:
         if not job.active_count:
             return
         for state in self._targets.values():
@@ -759,6 +953,8 @@
         job.active_count += 1
         if job.first_start_ms is None:
             job.first_start_ms = now_ms
+            if job.is_stored:
+                self.journal.task_started(job.job.job_id)
 
     def _start(
         self, state: HeldTarget, job: ActiveJob, task: PoolTask, now_ms: float
--- a/hibiscusstack/pool/counters.py
+++ b/hibiscusstack/pool/counters.py
@@ -3,6 +3,7 @@
 __all__ = ["CountedLog", "PoolCounters"]
 
 from collections import Counter
+from collections.abc import Sequence
 
 import attrs
 from twisted.internet.defer import Deferred
@@ -10,8 +11,11 @@
 from hibiscusstack.pool.interfaces import (
     Appended,
     AppendRefused,
-    KeyedLog,
+    Fenced,
     KeyedPage,
+    OutOfSequence,
+    Producer,
+    SequencedLog,
 )
 
 
@@ -41,7 +45,7 @@
 class CountedLog:
     """A log whose calls are counted."""
 
-    def __init__(self, log: KeyedLog, counters: PoolCounters) -> None:
+    def __init__(self, log: SequencedLog, counters: PoolCounters) -> None:
         self._log = log
         self._calls = counters.log_calls
 
@@ -61,3 +65,21 @@
         """Append one record."""
         self._calls["append"] += 1
         return self._log.append(topic, key, value, at)
+
+    def begin_epoch(
+        self, topic: str, producer: Producer
+    ) -> Deferred[Appended | Fenced]:
+        """Let no lower epoch append any more."""
+        self._calls["append"] += 1
+        return self._log.begin_epoch(topic, producer)
+
+    def append_numbered(
+        self,
+        topic: str,
+        records: Sequence[tuple[str, bytes]],
+        producer: Producer,
+        number: int,
+    ) -> Deferred[Appended | Fenced | OutOfSequence]:
+        """Append all records or none, once for each number."""
+        self._calls["append"] += 1
+        return self._log.append_numbered(topic, records, producer, number)
--- a/hibiscusstack/pool/events.py
+++ b/hibiscusstack/pool/events.py
@@ -41,7 +41,7 @@
         name = _EVENTS.get(end)
         if name is None:
             return
-        if not job.submissions:
+        if not job.submissions and not job.is_stored:
             name = "pool:job_stopped"
         attempts = max((task.next_run - 1 for task in job.tasks.values()), default=0)
         _log_job(name, job.job.job_id, cause, now_ms - job.received_ms, attempts)
--- a/hibiscusstack/pool/messages.py
+++ b/hibiscusstack/pool/messages.py
@@ -1,10 +1,14 @@
 """Messages between hosts about pools, as plain typed data."""
 
 __all__ = [
+    "AskStored",
     "CancelSubmission",
     "JobEnd",
     "PoolHeartbeat",
     "PoolMessage",
+    "StoredAnswer",
+    "StoredRequest",
+    "StoredState",
     "SubmissionAnswer",
     "SubmitPoolJob",
 ]
@@ -36,7 +40,8 @@
 
     ``term`` is the newest term that the sender knows, -1 for none, and
     ``hears_holder`` says whether it hears that term's holder. ``is_deputy`` says that
-    it orders the targets of its data centre meanwhile.
+    it orders the targets of its data centre meanwhile, ``has_stored`` that there have
+    been stored jobs.
     """
 
     term: int
@@ -44,6 +49,7 @@
     hears_holder: bool
     is_draining: bool
     is_deputy: bool = False
+    has_stored: bool = False
 
 
 @attrs.frozen
@@ -79,4 +85,49 @@
     submission: int
 
 
-PoolMessage = PoolHeartbeat | SubmitPoolJob | SubmissionAnswer | CancelSubmission
+class StoredRequest(Enum):
+    """What is asked about stored jobs."""
+
+    READ = "read"
+    CANCEL = "cancel"
+    COUNT = "count"
+
+
+class StoredState(Enum):
+    """Where a stored job stands; ``UNKNOWN`` says that there is no such job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen
+class AskStored:
+    """A question to the coordinator about a stored job, or about a queue."""
+
+    question: int
+    request: StoredRequest
+    queue: str
+    job_id: str = ""
+
+
+@attrs.frozen
+class StoredAnswer:
+    """The answer; ``pending`` counts the jobs of the queue that have not begun."""
+
+    question: int
+    state: StoredState
+    pending: int = 0
+
+
+PoolMessage = (
+    PoolHeartbeat
+    | SubmitPoolJob
+    | SubmissionAnswer
+    | CancelSubmission
+    | AskStored
+    | StoredAnswer
+)
--- a/hibiscusstack/pool/timing.py
+++ b/hibiscusstack/pool/timing.py
@@ -11,7 +11,10 @@
 
     A start without a reply for ``start_timeout_ms`` is stopped and made elsewhere. A
     target may run its clock ``clock_drift`` slower than this host. A coordinator stops
-    the work of a host within ``notice_ms`` after it lost that host.
+    the work of a host within ``notice_ms`` after it lost that host. Runs that nobody
+    asked for are stopped after ``adoption_ms``, or after ``recovery_ms`` while the
+    stored jobs are being read. A coordinator that cannot tell whether its term is over
+    leaves stored jobs within ``seclusion_ms``.
 
     Callers send a job again some time after their connection broke. The lease and
     ``notice_ms`` together have to be shorter, or the first runs may still go on then.
@@ -25,6 +28,8 @@
     start_timeout_ms: int = 60
     order_retry_ms: int = 100
     adoption_ms: int = 60
+    recovery_ms: int = 500
+    seclusion_ms: int = 3_500
     unlisted_ms: int = 2_500
     clock_drift: float = 0.03
     lapse_margin_ms: int = 30
--- a/hibiscusstack/pool/work.py
+++ b/hibiscusstack/pool/work.py
@@ -43,7 +43,8 @@
 
     Times are on the clock of this host. The receiving host of a job that an earlier
     coordinator had has not heard that one since ``unheard_since_ms``. ``tasks``
-    holds every task, ``ready`` those that may start now, in order.
+    holds every task, ``ready`` those that may start now, in order. Nobody waits for a
+    job that ``is_stored``.
     """
 
     job: PoolJob
@@ -56,9 +57,11 @@
     open_by_step: list[int] = attrs.field(factory=list)
     active_count: int = 0
     first_start_ms: float | None = None
+    is_weighed: bool = False
     run_times_ms: dict[int, float] = attrs.field(factory=dict)
     objective_ms: float = 0.0
     chain_ms: float = 0.0
+    is_stored: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Lay out all tasks, and make those ready that wait for no step."""
@@ -82,6 +85,12 @@
         """Return when the job has to start to end within its objective."""
         return self.received_ms + self.objective_ms - self.chain_ms
 
+    def waiting_work_milli_ms(self) -> float:
+        """Return the estimated work of the tasks that wait for room."""
+        return sum(
+            task.step.needs.cpu_milli * task.step.estimate_ms for task in self.ready
+        )
+
     def note_run_time(self, task: PoolTask, run_time_ms: float) -> None:
         """Take the longest run of a step as what its other tasks need."""
         number = task.key[0]
--- a/hibiscusstack/settings/pool_sections.py
+++ b/hibiscusstack/settings/pool_sections.py
@@ -21,6 +21,7 @@
 
 _PEERS = PoolHostSettings(HostName("", "", 0), "", 0)
 _TARGETS = CoordinatorTiming()
+_SHOWN_S = 120
 _BOUND = Number(1, MAX_DURATION_MS, is_optional=True)
 
 
@@ -139,6 +140,17 @@
         "How long a new coordinator waits for the jobs of the runs that it finds.",
         _TARGETS.adoption_ms,
     )
+    recovery_ms: int = key(
+        DURATION,
+        "The same while the stored jobs are being read.",
+        _TARGETS.recovery_ms,
+    )
+    seclusion_ms: int = key(
+        DURATION,
+        "A coordinator that can't tell for so long whether its term is over leaves"
+        " its stored jobs.",
+        _TARGETS.seclusion_ms,
+    )
     unlisted_ms: int = key(
         DURATION,
         "How long a target that is no longer listed still counts.",
@@ -171,6 +183,27 @@
         return attrs.evolve(timing, lease_ms=lease_ms)
 
 
+@attrs.frozen
+class PoolStoredSettings:
+    """Jobs that are kept in the log."""
+
+    shown_s: int | None = key(
+        Number(1, 86_400, is_optional=True),
+        "For how long the state of a job is shown after its end; nothing means 120.",
+        None,
+    )
+    late_repeat_s: int = key(
+        Number(1, 86_400),
+        "How much longer a late repeat of a job is known for what it is.",
+        60,
+    )
+
+    @property
+    def keep_ms(self) -> int:
+        """How long a job is known after its end."""
+        return 1000 * ((self.shown_s or _SHOWN_S) + self.late_repeat_s)
+
+
 @attrs.frozen
 class PoolTelemetrySettings:
     """Logs."""
@@ -193,6 +226,7 @@
     log: PoolLogSettings
     peers: PoolPeerSettings
     targets: PoolTargetSettings
+    stored: PoolStoredSettings
     telemetry: PoolTelemetrySettings
 
     def host_settings(self, incarnation: int) -> PoolHostSettings:
--- a/hibiscusstack/settings/tests/test_pool_sections.py
+++ b/hibiscusstack/settings/tests/test_pool_sections.py
@@ -91,7 +91,7 @@
     faults = [str(fault) for fault in parse(text + "[platform]\n").error.faults]
     assert faults == [
         "h.ini [platform]: expected one of the sections host, caller, readiness,"
-        " operator, log, peers, targets, telemetry, found 'platform'",
+        " operator, log, peers, targets, stored, telemetry, found 'platform'",
         "h.ini [host] name: expected 1 to 64 letters, digits, '.', '_' or '-',"
         " found 'no value'",
         "h.ini [caller] listen: expected IP:PORT, IPv6 numbers in brackets,"
