Find room for a task without looking at every target

Cause: with 176 targets each task looked at all of them, and each reply built the list of usable ones anew while anything waited. Ruled out: the store and the links, which were idle; HTTP costs are next. A sorted index of free room finds the fullest target that fits by a binary search.

--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -31,6 +31,7 @@
     TargetOrders,
 )
 from hibiscusstack.pool.placing import choose_target
+from hibiscusstack.pool.room import RoomIndex
 from hibiscusstack.pool.stored.interfaces import TaskJournal
 from hibiscusstack.pool.targets import ListedTarget
 from hibiscusstack.pool.timing import CoordinatorTiming
@@ -95,6 +96,7 @@
         self._by_submission: dict[tuple[HostName, int], ActiveJob] = {}
         self._ending: Counter[str] = Counter()
         self._queue = JobQueue()
+        self._room = RoomIndex()
         self._early_ends: list[tuple[HeldTarget, RunEnd]] = []
         self._missing = set(missing)
         self._began_ms = clock.now_ms()
@@ -131,7 +133,7 @@
             else:
                 state.unlisted_since_ms = None
                 state.is_unlisted_life = False
-                state.listing = target
+                state.replace_listing(target)
         for name, target in by_name.items():
             if name not in self._targets:
                 self._missing.discard(name)
@@ -376,9 +378,16 @@
         state = HeldTarget(target, self._timing, self._takeovers, now_ms)
         if self._voids_ends:
             state.lapsing_until_ms = math.inf
-        self._targets[target.name] = state
+        self._set_target(state)
         self._hold(state)
 
+    def _set_target(self, state: HeldTarget) -> None:
+        earlier = self._targets.get(state.listing.name)
+        if earlier is not None:
+            self._room.discard(earlier)
+        self._targets[state.listing.name] = state
+        self._room.add(state)
+
     def _leave_runs(self, state: HeldTarget) -> None:
         """Give up the jobs with runs at a target that another coordinator took."""
         for run in list(state.runs.values()):
@@ -824,7 +833,7 @@
         new = HeldTarget(listing, self._timing, self._takeovers, now_ms)
         new.is_unlisted_life = not is_listed
         new.lapse_ms = now_ms + self._timing.quiet_bound_ms
-        self._targets[listing.name] = new
+        self._set_target(new)
         active = set(reply.active)
         for key, run in list(state.runs.items()):
             is_open = run.known_ms is None or run.known_ms >= sent_ms
@@ -854,7 +863,7 @@
         """Forget a life of a target that is over, with all that ran there."""
         now_ms = self._clock.now_ms()
         log_message("pool:target_gone", target=state.listing.name, cause=cause)
-        del self._targets[state.listing.name]
+        self._room.discard(self._targets.pop(state.listing.name))
         if state.silent_since_ms is not None or state.phase is Phase.LOOKING:
             self._missing.add(state.listing.name)
         self._orders.forget(state.listing)
@@ -899,14 +908,13 @@
         if self.is_deposed or not len(self._queue):
             return
         now_ms = self._clock.now_ms()
-        usable = [state for state in self._targets.values() if state.may_start(now_ms)]
         misfits = 0
         for job in list(self._queue.in_order()):
             if misfits >= _MOST_MISFITS:
                 return
             if self._must_wait(job, now_ms):
                 continue
-            misfits += not self._place_job(job, usable, now_ms)
+            misfits += not self._place_job(job, now_ms)
 
     def _must_wait(self, job: ActiveJob, now_ms: float) -> bool:
         """Tell whether an earlier run of the job may still be going on somewhere."""
@@ -930,13 +938,11 @@
             owner in self._unheard for owner, _ in job.submissions
         )
 
-    def _place_job(
-        self, job: ActiveJob, usable: list[HeldTarget], now_ms: float
-    ) -> bool:
+    def _place_job(self, job: ActiveJob, now_ms: float) -> bool:
         """Start tasks of one job; return whether none of them waits for room."""
         is_first = job.first_start_ms is None
         for task in list(job.ready):
-            state = choose_target(job, task, usable, now_ms)
+            state = choose_target(job, task, self._room, now_ms)
             if state is None:
                 break
             self._start(state, job, task, now_ms)
--- a/hibiscusstack/pool/held_target.py
+++ b/hibiscusstack/pool/held_target.py
@@ -2,6 +2,7 @@
 
 __all__ = ["HeldTarget", "Phase", "Run", "RunState"]
 
+from collections.abc import Callable
 from enum import Enum
 
 import attrs
@@ -72,6 +73,7 @@
     Of a life that is not listed yet the capacity isn't known.
     ``unsaved_ends`` are those that the log does not have yet, so that the target has
     to remember them. Until ``lapsing_until_ms`` the lease is left to lapse.
+    ``on_room_changed`` is called after each change of the free room.
     """
 
     listing: ListedTarget
@@ -97,6 +99,12 @@
     fenced_ms: float | None = None
     paused_until_ms: float = 0.0
     health: TargetHealth = attrs.field(factory=TargetHealth)
+    on_room_changed: "Callable[[HeldTarget], None] | None" = None
+
+    @property
+    def free_cpu_milli(self) -> int:
+        """Return the processor room that no run takes, in thousandths of a core."""
+        return self.listing.capacity.cpu_milli - self.used.cpu_milli
 
     @property
     def free(self) -> Resources:
@@ -143,12 +151,17 @@
     def add(self, run: Run) -> None:
         """Count a run and its share of the room."""
         self.runs[run.name, run.number] = run
-        self.used = self.used.plus(run.needs)
+        self._use(self.used.plus(run.needs))
 
     def remove(self, run: Run) -> None:
         """Forget a run that has ended."""
         del self.runs[run.name, run.number]
-        self.used = self.used.minus(run.needs)
+        self._use(self.used.minus(run.needs))
+
+    def replace_listing(self, listing: ListedTarget) -> None:
+        """Take over what the target now says of this life."""
+        self.listing = listing
+        self._use(self.used)
 
     def note_clock(self, clock_ms: int | None, now_ms: float) -> None:
         """Take over a reading of the target's clock that has just arrived."""
@@ -187,3 +200,8 @@
             and now_ms - run.stop_wanted_ms > self.timing.stop_notice_ms
             for run in self.runs.values()
         )
+
+    def _use(self, used: Resources) -> None:
+        self.used = used
+        if self.on_room_changed is not None:
+            self.on_room_changed(self)
--- a/hibiscusstack/pool/placing.py
+++ b/hibiscusstack/pool/placing.py
@@ -2,47 +2,51 @@
 
 __all__ = ["choose_target"]
 
-from collections.abc import Iterable
-
 from hibiscusstack.pool.held_target import HeldTarget
+from hibiscusstack.pool.room import RoomIndex
 from hibiscusstack.pool.work import ActiveJob, PoolTask
 
 
 def choose_target(
-    job: ActiveJob, task: PoolTask, targets: Iterable[HeldTarget], now_ms: float
+    job: ActiveJob, task: PoolTask, room: RoomIndex, now_ms: float
 ) -> HeldTarget | None:
     """Return the target with the least room left after ``task``, if it fits any.
 
     A target on trial gets one run at a time, and a task is not sent where it failed
     before unless nothing else has room. Tasks go to the rack of their data if they
-    can. The cost is one look at each target.
+    can. The cost is one look at each target with room, up to the first without a flaw.
     """
-    best, best_rank = None, None
+    best, best_flaws = None, None
     step = task.step
-    for target in targets:
-        listing = target.listing
-        if listing.pool != job.job.pool or target.clock_offset_ms is None:
-            continue
-        if target.health.is_on_trial and target.runs:
-            continue
-        free = target.free
-        if not step.needs.fits(free):
-            continue
-        if step.requires and step.requires not in listing.labels:
+    for target in room.with_room(job.job.pool, step.needs.cpu_milli):
+        if not _takes(target, job, task, now_ms):
             continue
-        if step.anti_affinity and _count(target, job, task) >= step.anti_affinity:
-            continue
-        rank = (
+        listing = target.listing
+        flaws = (
             listing.name in task.barred,
             bool(step.data_rack) and step.data_rack not in listing.labels,
             target.health.failures > 0,
-            free.cpu_milli - step.needs.cpu_milli,
         )
-        if best_rank is None or rank < best_rank:
-            best, best_rank = target, rank
+        if not any(flaws):
+            return target
+        if best_flaws is None or flaws < best_flaws:
+            best, best_flaws = target, flaws
     return best
 
 
+def _takes(target: HeldTarget, job: ActiveJob, task: PoolTask, now_ms: float) -> bool:
+    step, listing = task.step, target.listing
+    if target.clock_offset_ms is None or not target.may_start(now_ms):
+        return False
+    if target.health.is_on_trial and target.runs:
+        return False
+    if not step.needs.fits(target.free):
+        return False
+    if step.requires and step.requires not in listing.labels:
+        return False
+    return not step.anti_affinity or _count(target, job, task) < step.anti_affinity
+
+
 def _count(target: HeldTarget, job: ActiveJob, task: PoolTask) -> int:
     return sum(
         1
--- /dev/null
+++ b/hibiscusstack/pool/room.py
@@ -0,0 +1,66 @@
+"""The targets of each pool in the order of the processor room that they have left."""
+
+__all__ = ["RoomIndex"]
+
+from bisect import bisect_left, insort
+from collections.abc import Iterator
+
+from hibiscusstack.pool.held_target import HeldTarget
+
+_Entry = tuple[int, int, HeldTarget]
+
+
+class RoomIndex:
+    """Targets of all pools, each pool's sorted by free processor room.
+
+    A target that is listed here keeps its place up to date by itself. Looking for
+    room costs a binary search and one step for each target that has enough.
+    """
+
+    def __init__(self) -> None:
+        self._pools: dict[str, list[_Entry]] = {}
+        self._by_target: dict[HeldTarget, tuple[str, _Entry]] = {}
+        self._count = 0
+
+    def __len__(self) -> int:
+        return len(self._by_target)
+
+    def add(self, target: HeldTarget) -> None:
+        """List a target, and follow its room from now on."""
+        self._count += 1
+        self._insert(target, self._count)
+        target.on_room_changed = self._move
+
+    def discard(self, target: HeldTarget) -> None:
+        """Forget a target, if it is listed."""
+        target.on_room_changed = None
+        if target in self._by_target:
+            self._remove(target)
+
+    def with_room(self, pool: str, cpu_milli: int) -> Iterator[HeldTarget]:
+        """Return the targets of a pool with so much free, the fullest one first.
+
+        No run may be added or removed meanwhile.
+        """
+        entries = self._pools.get(pool)
+        if entries is None:
+            return
+        for index in range(bisect_left(entries, (cpu_milli,)), len(entries)):
+            yield entries[index][2]
+
+    def _move(self, target: HeldTarget) -> None:
+        self._insert(target, self._remove(target))
+
+    def _insert(self, target: HeldTarget, number: int) -> None:
+        entry = (target.free_cpu_milli, number, target)
+        pool = target.listing.pool
+        insort(self._pools.setdefault(pool, []), entry)
+        self._by_target[target] = pool, entry
+
+    def _remove(self, target: HeldTarget) -> int:
+        pool, entry = self._by_target.pop(target)
+        entries = self._pools[pool]
+        del entries[bisect_left(entries, entry)]
+        if not entries:
+            del self._pools[pool]
+        return entry[1]
--- a/hibiscusstack/pool/tests/test_placing.py
+++ b/hibiscusstack/pool/tests/test_placing.py
@@ -2,9 +2,10 @@
 
 import attrs
 
-from hibiscusstack.pool.held_target import HeldTarget, Run, RunState
+from hibiscusstack.pool.held_target import HeldTarget, Phase, Run, RunState
 from hibiscusstack.pool.jobs import Resources, Step
 from hibiscusstack.pool.placing import choose_target
+from hibiscusstack.pool.room import RoomIndex
 from hibiscusstack.pool.tests.site import make_job, make_target
 from hibiscusstack.pool.timing import CoordinatorTiming
 from hibiscusstack.pool.work import ActiveJob
@@ -12,7 +13,7 @@
 
 def held(name, cpu_milli=2_000, **fields):
     listing = make_target(name, capacity=Resources(cpu_milli, 512), **fields)
-    return HeldTarget(listing, CoordinatorTiming(), clock_offset_ms=0)
+    return HeldTarget(listing, CoordinatorTiming(), clock_offset_ms=0, phase=Phase.HELD)
 
 
 def task_of(**step):
@@ -24,7 +25,10 @@
 
 
 def choose(targets, job_and_task=None):
-    found = choose_target(*(job_and_task or task_of()), targets, 0)
+    room = RoomIndex()
+    for target in targets:
+        room.add(target)
+    found = choose_target(*(job_and_task or task_of()), room, 0)
     return found.listing.name if found else None
 
 
