--- a/hibiscusstack/pool/election.py
+++ b/hibiscusstack/pool/election.py
@@ -12,6 +12,7 @@
 import attrs
 
 from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.pool.handover import claim_rank
 
 CLAIM_TIMEOUT_MS = 1_000
 CLAIM_STAGGER_MS = 40
@@ -30,7 +31,7 @@
     """What one host knows of the terms, and whether it should claim the next.
 
     A host claims once the holder has been unheard by everyone for ``patience_ms``.
-    Hosts that sort later wait a little longer, to leave the claim to the first.
+    Hosts of a higher rank wait a little longer, to leave the claim to the first.
     """
 
     own: HostName
@@ -72,11 +73,16 @@
         self._claimed_ms = None
 
     def should_claim(
-        self, now_ms: float, hears_holder: bool, peers: Mapping[HostName, bool]
+        self,
+        now_ms: float,
+        hears_holder: bool,
+        peers: Mapping[HostName, bool],
+        offered_cpu_milli: Mapping[HostName, int] | None = None,
     ) -> bool:
         """Return whether to claim the next term now, and count that as a claim.
 
-        ``peers`` says of each connected peer whether it hears the holder.
+        ``peers`` says of each connected peer whether it hears the holder,
+        ``offered_cpu_milli`` how much processor a host has for a coordinator.
         """
         if self.end is None or self.is_holder:
             return False
@@ -85,7 +91,8 @@
             return False
         if self._unheard_since_ms is None:
             self._unheard_since_ms = now_ms
-        rank = sum(1 for peer in peers if peer < self.own)
+        known = offered_cpu_milli or {}
+        rank = claim_rank(self.own, {h: known.get(h, 0) for h in (self.own, *peers)})
         patience_ms = self.patience_ms if self.term is not None else 0
         wait_ms = patience_ms + rank * CLAIM_STAGGER_MS
         if now_ms - self._unheard_since_ms < wait_ms:
--- a/hibiscusstack/pool/messages.py
+++ b/hibiscusstack/pool/messages.py
@@ -41,7 +41,8 @@
     ``term`` is the newest term that the sender knows, -1 for none, and
     ``hears_holder`` says whether it hears that term's holder. ``is_deputy`` says that
     it orders the targets of its data centre meanwhile, ``has_stored`` that there have
-    been stored jobs.
+    been stored jobs. ``offered_cpu_milli`` is the processor that the sender has for a
+    coordinator, nothing while it can't claim a term.
     """
 
     term: int
@@ -50,6 +51,7 @@
     is_draining: bool
     is_deputy: bool = False
     has_stored: bool = False
+    offered_cpu_milli: int = 0
 
 
 @attrs.frozen
--- a/hibiscusstack/pool/tests/test_election.py
+++ b/hibiscusstack/pool/tests/test_election.py
@@ -13,9 +13,11 @@
 OLD_TERM = Term(4, HostName("dc", "d", 1))
 
 
-def first_claim_ms(election, peers, hears=False, until_ms=1_000, from_ms=0):
+def first_claim_ms(
+    election, peers, hears=False, until_ms=1_000, *, from_ms=0, offered=None
+):
     for now_ms in range(from_ms, from_ms + until_ms, 10):
-        if election.should_claim(now_ms, hears, peers):
+        if election.should_claim(now_ms, hears, peers, offered):
             return now_ms - from_ms
     return None
 
@@ -46,6 +48,14 @@
     assert claims == [PATIENCE_MS + rank * CLAIM_STAGGER_MS for rank in range(3)]
 
 
+def test_larger_hosts_claim_first():
+    offered = {A: 500, B: 2_000}
+    larger, smaller = candidate(B), candidate(A)
+    assert first_claim_ms(larger, {A: False}, offered=offered) == PATIENCE_MS
+    later_ms = PATIENCE_MS + CLAIM_STAGGER_MS
+    assert first_claim_ms(smaller, {B: False}, offered=offered) == later_ms
+
+
 def test_one_peer_that_hears_the_holder_is_enough_to_wait():
     election = candidate()
     assert first_claim_ms(election, {B: True}) is None
