--- a/hibiscusstack/pool/ordering.py
+++ b/hibiscusstack/pool/ordering.py
@@ -92,11 +92,12 @@
     def hopeless(self, now_ms: float) -> list[ActiveJob]:
         """Return the waiting jobs whose answer would come too late."""
         factor = self._policy.late_factor
+        first = bisect_left(self._entries, (_Tier.LATE,), key=_key)
+        last = bisect_left(self._entries, (_Tier.STORED,), key=_key)
         return [
             job
-            for tier, _, _, job in self._entries
-            if tier is _Tier.LATE
-            and not job.is_stored
+            for _, _, _, job in self._entries[first:last]
+            if not job.is_stored
             and now_ms + job.chain_ms > job.received_ms + factor * job.objective_ms
         ]
 
--- a/hibiscusstack/pool/work.py
+++ b/hibiscusstack/pool/work.py
@@ -87,6 +87,9 @@
 
     def waiting_work_milli_ms(self) -> float:
         """Return the estimated work of the tasks that wait for room."""
+        if len(self.job.steps) == 1:
+            step = self.job.steps[0]
+            return len(self.ready) * step.needs.cpu_milli * step.estimate_ms
         return sum(
             task.step.needs.cpu_milli * task.step.estimate_ms for task in self.ready
         )
