Divide the coordinator into modules over one state

Cause: coordinator.py had 972 lines and one class for taking targets over, the meaning of replies, the ends of runs, placing, closing and stored jobs.

Its decisions are now plain functions over one CoordinatorState, in fifteen modules of pool/coordination/ with one direction of imports, which a test keeps. Coordinator keeps its constructor and methods and passes calls on. Mixins were ruled out, since they would share the state without saying so. The tests went unchanged to the modules that they test.

--- /dev/null
+++ b/hibiscusstack/pool/coordination/crediting.py
@@ -0,0 +1,51 @@
+"""Ends of runs that count though their job did not wait for them here."""
+
+__all__ = ["credit_earlier_end", "credit_stored_end"]
+
+from hibiscusstack.pool.coordination.closing import (
+    abandon_task,
+    close_job,
+    complete_if_done,
+)
+from hibiscusstack.pool.coordination.known_work import enqueue_job, find_task
+from hibiscusstack.pool.coordination.state import CoordinatorState
+from hibiscusstack.pool.messages import JobEnd
+from hibiscusstack.pool.orders import RUN_DONE, RUN_FAILED, RunEnd
+from hibiscusstack.pool.work import ActiveJob, PoolTask, TaskState
+
+
+def credit_earlier_end(state: CoordinatorState, end: RunEnd) -> None:
+    """Count an end that an earlier coordinator has not acknowledged."""
+    job, task = find_task(state, end.task)
+    if task is None:
+        return
+    task.next_run = max(task.next_run, end.run + 1)
+    if job.is_stored:
+        credit_stored_end(state, job, task, end)
+    elif end.how == RUN_DONE and task in job.ready:
+        job.ready.remove(task)
+        job.note_done(task)
+        complete_if_done(state, job)
+
+
+def credit_stored_end(
+    state: CoordinatorState, job: ActiveJob, task: PoolTask, end: RunEnd
+) -> None:
+    """Count an end for good, also one of a task that runs again."""
+    job_id = job.job.job_id
+    if task.state is TaskState.DONE:
+        return
+    if end.how == RUN_FAILED and state.journal.task_failed(job_id, task.key, end.run):
+        task.failures += 1
+        if task.failures >= job.job.max_attempts:
+            close_job(state, job, JobEnd.FAILED, "a task failed too often")
+    if end.how != RUN_DONE:
+        return
+    state.journal.task_done(job_id, task.key)
+    if task.state is TaskState.ACTIVE:
+        abandon_task(state, task)
+    elif task in job.ready:
+        job.ready.remove(task)
+    job.note_done(task)
+    if not complete_if_done(state, job):
+        enqueue_job(state, job)
--- /dev/null
+++ b/hibiscusstack/pool/coordination/known_work.py
@@ -0,0 +1,72 @@
+"""Which jobs and tasks a coordinator knows, and which of them wait for room."""
+
+__all__ = [
+    "activate_task",
+    "count_stray_run",
+    "enqueue_job",
+    "find_task",
+    "forget_stray_run",
+    "is_unheard",
+]
+
+from hibiscusstack.pool.coordination.state import CoordinatorState
+from hibiscusstack.pool.work import ActiveJob, PoolTask, TaskState, parse_task_name
+
+
+def find_task(
+    state: CoordinatorState, name: str
+) -> tuple[ActiveJob | None, PoolTask | None]:
+    """Return the job and the task of that name, as far as they are known.
+
+    A stored job that waits for its turn is asked for.
+    """
+    parsed = parse_task_name(name)
+    if parsed is None:
+        return None, None
+    if state.journal is not None and parsed[0] not in state.jobs:
+        state.journal.offer(parsed[0])
+    job = state.jobs.get(parsed[0])
+    return job, job.tasks.get(parsed[1]) if job else None
+
+
+def enqueue_job(state: CoordinatorState, job: ActiveJob) -> None:
+    """Queue a job with tasks that wait, unless it is queued already."""
+    if job.ready and job not in state.queue:
+        state.queue.add(job, state.clock.now_ms())
+
+
+def activate_task(
+    state: CoordinatorState, job: ActiveJob, task: PoolTask, now_ms: float
+) -> None:
+    """Count a task that waited as one with a run."""
+    task.state = TaskState.ACTIVE
+    job.ready.remove(task)
+    job.active_count += 1
+    if job.first_start_ms is None:
+        job.first_start_ms = now_ms
+        if job.is_stored:
+            state.journal.task_started(job.job.job_id)
+
+
+def count_stray_run(state: CoordinatorState, name: str) -> None:
+    """Count a run at a target that belongs to no job in progress."""
+    parsed = parse_task_name(name)
+    if parsed is not None:
+        state.ending[parsed[0]] += 1
+
+
+def forget_stray_run(state: CoordinatorState, name: str) -> None:
+    """Count such a run no longer, since it is gone or belongs to a job again."""
+    parsed = parse_task_name(name)
+    if parsed is None:
+        return
+    state.ending[parsed[0]] -= 1
+    if state.ending[parsed[0]] <= 0:
+        del state.ending[parsed[0]]
+
+
+def is_unheard(state: CoordinatorState, job: ActiveJob) -> bool:
+    """Tell whether nobody who waits for a job was heard lately."""
+    return bool(job.submissions) and all(
+        owner in state.unheard for owner, _ in job.submissions
+    )
--- /dev/null
+++ b/hibiscusstack/pool/coordination/making_again.py
@@ -0,0 +1,43 @@
+"""Runs that end without a result, whose tasks then wait to run again."""
+
+__all__ = ["drop_all_runs", "drop_run", "requeue_task"]
+
+from hibiscusstack.pool.coordination.known_work import enqueue_job, forget_stray_run
+from hibiscusstack.pool.coordination.state import CoordinatorState
+from hibiscusstack.pool.held_target import HeldTarget, Run
+from hibiscusstack.pool.work import TaskState
+
+
+def requeue_task(state: CoordinatorState, run: Run, now_ms: float, cause: str) -> None:
+    """Let the task of a run that ended without a result run again."""
+    job, task = run.job, run.task
+    job.active_count -= 1
+    task.state = TaskState.WAITING
+    if state.jobs.get(job.job.job_id) is not job:
+        return
+    state.events.run_again(run, cause, now_ms)
+    job.ready.insert(0, task)
+    enqueue_job(state, job)
+
+
+def drop_run(
+    state: CoordinatorState,
+    target: HeldTarget,
+    run: Run,
+    now_ms: float,
+    cause: str = "not listed by the target",
+) -> None:
+    """Take a run as ended of which its target will tell no end."""
+    target.remove(run)
+    if run.job is None:
+        forget_stray_run(state, run.name)
+    else:
+        requeue_task(state, run, now_ms, cause)
+
+
+def drop_all_runs(
+    state: CoordinatorState, target: HeldTarget, now_ms: float, cause: str
+) -> None:
+    """Take all runs of a target as ended, since its life or its lease is over."""
+    for run in list(target.runs.values()):
+        drop_run(state, target, run, now_ms, cause)
--- /dev/null
+++ b/hibiscusstack/pool/coordination/replies.py
@@ -0,0 +1,178 @@
+"""What the replies to starts, stops and holds mean."""
+
+__all__ = ["take_hold_reply", "take_start_reply", "take_stop_reply"]
+
+from eliot import log_message
+
+from hibiscusstack.pool.coordination.closing import close_job
+from hibiscusstack.pool.coordination.making_again import requeue_task
+from hibiscusstack.pool.coordination.reported_runs import take_lists
+from hibiscusstack.pool.coordination.sending import (
+    note_fenced,
+    note_trouble,
+    send_hold,
+    send_look,
+    send_stop,
+)
+from hibiscusstack.pool.coordination.starting import start_waiting
+from hibiscusstack.pool.coordination.state import CoordinatorState
+from hibiscusstack.pool.held_target import HeldTarget, Phase, Run, RunState
+from hibiscusstack.pool.messages import JobEnd
+from hibiscusstack.pool.orders import (
+    FencedOut,
+    HoldOrder,
+    HoldReply,
+    NotReached,
+    Refused,
+    ReplyLost,
+    Started,
+    StartOrder,
+    StopOrder,
+    Stopped,
+)
+
+FULL_PAUSE_MS = 20
+
+
+def take_start_reply(
+    state: CoordinatorState,
+    name: str,
+    born_ms: int,
+    order: StartOrder,
+    reply: Started | Refused | FencedOut | NotReached | ReplyLost,
+) -> None:
+    """Act on the reply to a start."""
+    state.events.start_replied(reply)
+    target = _find_target(state, name, born_ms, order.takeover)
+    if target is None:
+        return
+    now_ms = state.clock.now_ms()
+    run = target.runs.get((order.task, order.run))
+    if isinstance(reply, FencedOut):
+        note_fenced(state, target)
+    elif isinstance(reply, Started):
+        target.note_clock(reply.clock_ms, now_ms)
+        if run is not None:
+            run.note_known(now_ms)
+    elif run is None or run.state is not RunState.STARTING:
+        return
+    elif isinstance(reply, ReplyLost):
+        note_trouble(state, target, now_ms, reply.cause)
+        send_stop(state, target, run)
+    else:
+        _take_failed_start(state, target, run, reply, now_ms)
+    start_waiting(state)
+
+
+def take_stop_reply(
+    state: CoordinatorState,
+    name: str,
+    born_ms: int,
+    order: StopOrder,
+    reply: Stopped | Refused | FencedOut | NotReached | ReplyLost,
+) -> None:
+    """Act on the reply to a stop."""
+    target = _find_target(state, name, born_ms, order.takeover)
+    if target is None:
+        return
+    now_ms = state.clock.now_ms()
+    if isinstance(reply, FencedOut):
+        note_fenced(state, target)
+        return
+    run = target.runs.get((order.task, order.run))
+    if run is None or not isinstance(reply, Stopped):
+        return
+    target.note_clock(reply.clock_ms, now_ms)
+    if run.stopped_ms is None:
+        run.stopped_ms = now_ms
+        send_look(state, target)
+
+
+def take_hold_reply(
+    state: CoordinatorState,
+    name: str,
+    born_ms: int,
+    order: HoldOrder,
+    reply: HoldReply | Refused | FencedOut | NotReached | ReplyLost,
+) -> None:
+    """Act on the reply to a hold, and send the next one."""
+    target = _find_target(state, name, born_ms, order.takeover)
+    if target is None:
+        return
+    now_ms = state.clock.now_ms()
+    if order.wait_ms == 0:
+        target.is_looking = False
+    else:
+        target.is_holding = False
+    if isinstance(reply, HoldReply):
+        target = take_lists(state, target, reply, order.sent_ms, now_ms)
+        if target.unsaved_ends:
+            target.next_hold_ms = now_ms + target.hold_pause_ms(now_ms)
+    elif isinstance(reply, FencedOut):
+        note_fenced(state, target)
+    else:
+        _take_failed_hold(state, target, reply, now_ms)
+    # A target that is fenced goes on to refuse.
+    is_due = target.phase is not Phase.FENCED and now_ms >= target.next_hold_ms
+    if is_due and not target.is_holding:
+        send_hold(state, target)
+    start_waiting(state)
+
+
+def _find_target(
+    state: CoordinatorState, name: str, born_ms: int, takeover: int
+) -> HeldTarget | None:
+    """Return the target of an order, unless it was taken over anew since then."""
+    target = state.targets.get(name)
+    if state.is_deposed or target is None or target.listing.born_ms != born_ms:
+        return None
+    return target if target.takeover == takeover else None
+
+
+def _take_failed_start(
+    state: CoordinatorState,
+    target: HeldTarget,
+    run: Run,
+    reply: Refused | NotReached,
+    now_ms: float,
+) -> None:
+    target.remove(run)
+    if isinstance(reply, NotReached):
+        note_trouble(state, target, now_ms, reply.cause)
+    elif reply.reason == "room":
+        target.paused_until_ms = now_ms + FULL_PAUSE_MS
+        send_look(state, target)
+    elif reply.reason == "instance":
+        note_trouble(state, target, now_ms, reply.reason)
+        send_look(state, target)
+    elif reply.reason == "late":
+        target.clock_offset_ms = None
+        send_look(state, target)
+    elif reply.reason == "unhealthy":
+        pause_ms = target.health.note_fault(now_ms)
+        target.paused_until_ms = max(target.paused_until_ms, pause_ms)
+    elif reply.reason != "old":
+        log_message("pool:start_refused", level="warning", reason=reply.reason)
+        run.job.active_count -= 1
+        if state.jobs.get(run.job.job.job_id) is run.job:
+            close_job(state, run.job, JobEnd.FAILED, f"target: {reply.reason}")
+        return
+    cause = "unreached" if isinstance(reply, NotReached) else reply.reason
+    requeue_task(state, run, now_ms, cause)
+
+
+def _take_failed_hold(
+    state: CoordinatorState,
+    target: HeldTarget,
+    reply: Refused | NotReached | ReplyLost,
+    now_ms: float,
+) -> None:
+    if target.silent_since_ms is None:
+        target.silent_since_ms = now_ms
+        state.events.counters.silent_targets += 1
+        log_message(
+            "pool:target_silent",
+            target=target.listing.name,
+            cause=getattr(reply, "cause", None) or reply.reason,
+        )
+    target.next_hold_ms = now_ms + state.timing.order_retry_ms
--- /dev/null
+++ b/hibiscusstack/pool/coordination/reported_runs.py
@@ -0,0 +1,72 @@
+"""What a target lists: which runs go on, which are over, and how far it is taken."""
+
+__all__ = ["take_lists"]
+
+from hibiscusstack.pool.coordination.adopting import take_unknown_run
+from hibiscusstack.pool.coordination.lives import begin_life
+from hibiscusstack.pool.coordination.making_again import drop_run
+from hibiscusstack.pool.coordination.run_ends import take_end
+from hibiscusstack.pool.coordination.sending import send_stop
+from hibiscusstack.pool.coordination.state import CoordinatorState
+from hibiscusstack.pool.held_target import HeldTarget, Phase, RunState
+from hibiscusstack.pool.orders import HoldReply
+
+
+def take_lists(
+    state: CoordinatorState,
+    target: HeldTarget,
+    reply: HoldReply,
+    sent_ms: float,
+    now_ms: float,
+) -> HeldTarget:
+    """Take over what a target lists; return the state of the life that did.
+
+    ``sent_ms`` is when the hold was sent: a run that the target had by then and does
+    not list has ended.
+    """
+    target.tells_life = reply.born_ms is not None
+    if reply.born_ms is not None and reply.born_ms != target.listing.born_ms:
+        target = begin_life(state, target, reply, sent_ms)
+    target.note_clock(reply.clock_ms, now_ms)
+    target.silent_since_ms = None
+    for end in reply.ended:
+        if end.number > target.processed_through:
+            target.processed_through = end.number
+            take_end(state, target, end, now_ms)
+    active = set(reply.active)
+    for key in active:
+        if key not in target.runs:
+            take_unknown_run(state, target, key, now_ms)
+    for key, run in list(target.runs.items()):
+        if key in active:
+            run.note_known(now_ms)
+        elif not reply.has_more and run.was_known_before(sent_ms):
+            drop_run(state, target, run, now_ms)
+    _advance(state, target, now_ms)
+    return target
+
+
+def _advance(state: CoordinatorState, target: HeldTarget, now_ms: float) -> None:
+    """Move a target on towards being held."""
+    if target.phase is Phase.LOOKING:
+        target.phase = Phase.CLEARING
+        if state.voids_ends:
+            target.lapsing_until_ms = now_ms + state.timing.lapse_bound_ms
+    if target.phase is not Phase.CLEARING and target.phase is not Phase.HELD:
+        return
+    strangers = [run for run in target.runs.values() if run.job is None]
+    if target.phase is Phase.HELD or _is_adoption_over(state, target, now_ms):
+        for run in strangers:
+            if run.state is not RunState.STOPPING:
+                send_stop(state, target, run)
+    if target.phase is Phase.CLEARING and not strangers:
+        target.phase = Phase.HELD
+
+
+def _is_adoption_over(
+    state: CoordinatorState, target: HeldTarget, now_ms: float
+) -> bool:
+    is_recovering = state.journal is not None and state.journal.is_recovering
+    timing = state.timing
+    wait_ms = timing.recovery_ms if is_recovering else timing.adoption_ms
+    return now_ms >= target.looking_since_ms + wait_ms
--- /dev/null
+++ b/hibiscusstack/pool/coordination/run_ends.py
@@ -0,0 +1,119 @@
+"""What the ends of runs mean, and when a target may forget them."""
+
+__all__ = ["take_early_ends", "take_end"]
+
+from hibiscusstack.pool.coordination.closing import close_job, complete_if_done
+from hibiscusstack.pool.coordination.crediting import (
+    credit_earlier_end,
+    credit_stored_end,
+)
+from hibiscusstack.pool.coordination.known_work import (
+    enqueue_job,
+    find_task,
+    forget_stray_run,
+)
+from hibiscusstack.pool.coordination.making_again import requeue_task
+from hibiscusstack.pool.coordination.sending import send_hold
+from hibiscusstack.pool.coordination.state import CoordinatorState
+from hibiscusstack.pool.held_target import HeldTarget, Run
+from hibiscusstack.pool.messages import JobEnd
+from hibiscusstack.pool.orders import RUN_DONE, RUN_FAILED, RunEnd
+from hibiscusstack.pool.work import parse_task_name
+
+
+def take_end(
+    state: CoordinatorState, target: HeldTarget, end: RunEnd, now_ms: float
+) -> None:
+    """Act on an end, which its target forgets once what it means is saved."""
+    journal = state.journal
+    parsed = parse_task_name(end.task)
+    job_id = parsed[0] if parsed else ""
+    if journal is None:
+        if now_ms < target.lapsing_until_ms and job_id not in state.jobs:
+            target.note_unsaved(end.number, now_ms)
+        _act_on_end(state, target, end, now_ms)
+        return
+    if journal.is_recovering and job_id not in state.jobs:
+        # It may be the end of a stored job that has not been read yet.
+        target.note_unsaved(end.number, now_ms)
+        state.early_ends.append((target, end))
+        return
+    _act_on_end(state, target, end, now_ms)
+    if journal.is_unsaved(job_id):
+        target.note_unsaved(end.number, now_ms)
+        journal.when_saved(job_id, lambda: _end_saved(state, target, end.number))
+
+
+def take_early_ends(state: CoordinatorState, now_ms: float) -> None:
+    """Act on the ends that came before all stored jobs were known."""
+    early, state.early_ends = state.early_ends, []
+    for target, end in early:
+        target.unsaved_ends.discard(end.number)
+        take_end(state, target, end, now_ms)
+
+
+def _end_saved(state: CoordinatorState, target: HeldTarget, number: int) -> None:
+    target.unsaved_ends.discard(number)
+    if target.unsaved_ends or target.silent_since_ms is not None:
+        return
+    target.next_hold_ms = 0.0
+    is_known = state.targets.get(target.listing.name) is target
+    if is_known and not target.is_holding and not state.is_deposed:
+        send_hold(state, target)
+
+
+def _act_on_end(
+    state: CoordinatorState, target: HeldTarget, end: RunEnd, now_ms: float
+) -> None:
+    run = target.runs.get((end.task, end.run))
+    if run is None:
+        credit_earlier_end(state, end)
+        return
+    target.remove(run)
+    job, task = run.job, run.task
+    if job is None or task is None:
+        forget_stray_run(state, run.name)
+        job, task = find_task(state, run.name)
+        if task is not None and job.is_stored:
+            credit_stored_end(state, job, task, end)
+        return
+    if end.how == RUN_DONE:
+        if job.is_stored:
+            state.journal.task_done(job.job.job_id, task.key)
+        _note_done(state, target, run, now_ms)
+    elif end.how == RUN_FAILED:
+        if job.is_stored:
+            state.journal.task_failed(job.job.job_id, task.key, run.number)
+        _note_failed(state, target, run, now_ms)
+    else:
+        requeue_task(state, run, now_ms, end.how)
+
+
+def _note_done(
+    state: CoordinatorState, target: HeldTarget, run: Run, now_ms: float
+) -> None:
+    target.health.note_success()
+    job, task = run.job, run.task
+    job.active_count -= 1
+    job.note_run_time(task, now_ms - run.started_ms)
+    job.note_done(task)
+    if job.job.job_id not in state.jobs:
+        return
+    complete_if_done(state, job)
+    if job.ready:
+        enqueue_job(state, job)
+
+
+def _note_failed(
+    state: CoordinatorState, target: HeldTarget, run: Run, now_ms: float
+) -> None:
+    target.paused_until_ms = max(
+        target.paused_until_ms, target.health.note_failure(now_ms)
+    )
+    run.task.failures += 1
+    run.task.barred.add(target.listing.name)
+    if run.task.failures >= run.job.job.max_attempts:
+        run.job.active_count -= 1
+        close_job(state, run.job, JobEnd.FAILED, "a task failed too often")
+        return
+    requeue_task(state, run, now_ms, "failed")
--- /dev/null
+++ b/hibiscusstack/pool/coordination/sending.py
@@ -0,0 +1,83 @@
+"""The holds and stops that a coordinator sends, and targets that do not obey."""
+
+__all__ = [
+    "note_fenced",
+    "note_trouble",
+    "send_hold",
+    "send_look",
+    "send_stop",
+]
+
+from eliot import log_message
+
+from hibiscusstack.pool.coordination.state import CoordinatorState
+from hibiscusstack.pool.held_target import HeldTarget, Phase, Run, RunState
+from hibiscusstack.pool.orders import HoldOrder, StopOrder
+
+
+def send_hold(state: CoordinatorState, target: HeldTarget) -> None:
+    """Send the next hold, which extends the lease of a target that answers."""
+    now_ms = state.clock.now_ms()
+    is_held = target.phase is Phase.HELD and not target.owes_stop(now_ms)
+    is_held = is_held and now_ms >= target.lapsing_until_ms
+    is_sound = target.silent_since_ms is None and target.clock_offset_ms is not None
+    until_ms = target.extend_lease(now_ms) if is_held and is_sound else None
+    timing = state.timing
+    wait_ms = timing.hold_wait_ms if is_held else timing.clearing_wait_ms
+    target.is_holding = True
+    state.events.counters.holds += 1
+    order = HoldOrder(
+        state.token,
+        target.acked_through,
+        wait_ms,
+        until_ms,
+        target.takeover,
+        now_ms,
+    )
+    state.orders.hold(target.listing, order)
+
+
+def send_look(state: CoordinatorState, target: HeldTarget) -> None:
+    """Ask for the lists at once, beside a hold that waits."""
+    if target.is_looking:
+        return
+    target.is_looking = True
+    order = HoldOrder(
+        state.token,
+        target.acked_through,
+        wait_ms=0,
+        takeover=target.takeover,
+        sent_ms=state.clock.now_ms(),
+    )
+    state.events.counters.holds += 1
+    state.orders.hold(target.listing, order)
+
+
+def send_stop(state: CoordinatorState, target: HeldTarget, run: Run) -> None:
+    """Order the end of a run; to be sent again until the target confirms it."""
+    run.state = RunState.STOPPING
+    run.stop_sent_ms = state.clock.now_ms()
+    if run.stop_wanted_ms is None:
+        run.stop_wanted_ms = run.stop_sent_ms
+    order = StopOrder(run.name, run.number, state.token, target.takeover)
+    state.events.counters.stops += 1
+    state.orders.stop(target.listing, order)
+
+
+def note_trouble(
+    state: CoordinatorState, target: HeldTarget, now_ms: float, cause: str
+) -> None:
+    """Look at a target that did not answer before it gets more work."""
+    if target.silent_since_ms is None:
+        target.silent_since_ms = now_ms
+        state.events.counters.silent_targets += 1
+        log_message("pool:target_silent", target=target.listing.name, cause=cause)
+    send_look(state, target)
+
+
+def note_fenced(state: CoordinatorState, target: HeldTarget) -> None:
+    """Order nothing more of a target that another coordinator has taken."""
+    if target.phase is not Phase.FENCED:
+        target.phase = Phase.FENCED
+        target.fenced_ms = state.clock.now_ms()
+        log_message("pool:target_fenced", target=target.listing.name)
--- /dev/null
+++ b/hibiscusstack/pool/coordination/state.py
@@ -0,0 +1,60 @@
+"""What a coordinator knows during its term, shared by all its decisions."""
+
+__all__ = ["CoordinatorState", "SendAnswer"]
+
+from collections import Counter
+from collections.abc import Callable
+
+import attrs
+
+from hibiscusstack.clock import Clock
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.pool.events import PoolEvents
+from hibiscusstack.pool.held_target import HeldTarget
+from hibiscusstack.pool.messages import SubmissionAnswer
+from hibiscusstack.pool.ordering import JobQueue
+from hibiscusstack.pool.orders import RunEnd, TargetOrders
+from hibiscusstack.pool.stored.interfaces import TaskJournal
+from hibiscusstack.pool.targets import ListedTarget
+from hibiscusstack.pool.timing import CoordinatorTiming
+from hibiscusstack.pool.work import ActiveJob
+
+SendAnswer = Callable[[HostName, SubmissionAnswer], None]
+
+
+@attrs.define(eq=False)
+class CoordinatorState:
+    """Targets and jobs of one term, and the ways out to targets and hosts.
+
+    ``listed`` are the targets as last listed, ``targets`` the lives that were taken
+    over, both by name, and ``takeovers`` counts the latter. ``missing`` names the
+    targets at which an earlier coordinator may still have work.
+
+    ``jobs`` are those in progress by id, ``queue`` those of them with tasks that wait
+    for room, and ``by_submission`` those that somebody waits for. ``ending`` counts
+    for each id the runs at targets that belong to no job in progress, ``early_ends``
+    are ends of jobs that may not have been read yet, and ``unheard`` are the hosts
+    for which nothing is started.
+    """
+
+    token: int
+    clock: Clock
+    orders: TargetOrders
+    send_answer: SendAnswer
+    timing: CoordinatorTiming
+    events: PoolEvents
+    missing: set[str]
+    is_deputy: bool
+    voids_ends: bool
+    began_ms: float
+    is_deposed: bool = False
+    journal: TaskJournal | None = None
+    listed: dict[str, ListedTarget] = attrs.field(factory=dict)
+    targets: dict[str, HeldTarget] = attrs.field(factory=dict)
+    takeovers: int = 0
+    jobs: dict[str, ActiveJob] = attrs.field(factory=dict)
+    by_submission: dict[tuple[HostName, int], ActiveJob] = attrs.field(factory=dict)
+    queue: JobQueue = attrs.field(factory=JobQueue)
+    ending: Counter[str] = attrs.field(factory=Counter)
+    early_ends: list[tuple[HeldTarget, RunEnd]] = attrs.field(factory=list)
+    unheard: set[HostName] = attrs.field(factory=set)
--- /dev/null
+++ b/hibiscusstack/pool/coordination/tests/test_adopting.py
@@ -0,0 +1,59 @@
+"""Tests of runs that an earlier coordinator started."""
+
+import math
+
+from hibiscusstack.pool.held_target import Phase
+from hibiscusstack.pool.messages import JobEnd
+from hibiscusstack.pool.tests.site import OWNER, Site
+from hibiscusstack.pool.timing import CoordinatorTiming
+
+TIMING = CoordinatorTiming()
+QUIET_MS = math.ceil(TIMING.quiet_bound_ms)
+
+
+def test_a_run_of_a_waiting_job_is_adopted():
+    site = Site("t1")
+    site.submit(unheard_ms=0)
+    site.reply_to_hold("t1", [("j.0.0.0", 4)])
+    site.pass_time(100)
+    assert site.state("t1").phase is Phase.HELD
+    assert site.starts == [] and site.stops == []
+    site.end("t1", ("j.0.0.0", 4))
+    assert site.ends() == [JobEnd.COMPLETED]
+
+
+def test_an_adopted_run_that_ends_without_a_result_is_made_again():
+    site = Site("t1")
+    site.submit(unheard_ms=0)
+    site.reply_to_hold("t1", [("j.0.0.0", 4)])
+    site.pass_time(10)
+    site.end("t1", ("j.0.0.0", 4), "lapsed")
+    assert site.started() == [("t1", "j.0.0.0", 5)]
+
+
+def test_a_deputy_adopts_nothing_and_waits_as_long_as_a_run_may_go_on():
+    site = Site("t1", is_deputy=True)
+    site.submit(unheard_ms=0)
+    site.reply_to_hold("t1", [("j.0.0.0", 1)])
+    site.pass_time(TIMING.adoption_ms)
+    site.reply_to_hold("t1", [("j.0.0.0", 1)])
+    (stop,) = site.stops
+    assert stop[1].task == "j.0.0.0"
+    site.reply_to_stop()
+    site.pass_time(10)
+    site.list_again("t1")
+    assert site.state("t1").phase is Phase.HELD
+    site.pass_time(QUIET_MS - TIMING.adoption_ms - 30 - 1)
+    assert site.starts == []
+    site.pass_time(1)
+    assert len(site.starts) == 1
+
+
+def test_runs_for_unheard_hosts_are_not_adopted():
+    site = Site("t1")
+    site.submit(unheard_ms=0)
+    site.coordinator.note_unheard([OWNER])
+    site.reply_to_hold("t1", [("j.0.0.0", 4)])
+    site.pass_time(TIMING.adoption_ms)
+    site.reply_to_hold("t1", [("j.0.0.0", 4)])
+    assert [(order.task, order.run) for _, order in site.stops] == [("j.0.0.0", 4)]
--- /dev/null
+++ b/hibiscusstack/pool/coordination/tests/test_order.py
@@ -0,0 +1,45 @@
+"""Test that the modules of the coordinator import one another one way only."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+PACKAGE = "hibiscusstack.pool.coordination."
+ROOT = Path(__file__).parents[1]
+ORDER = (
+    "state",
+    "known_work",
+    "sending",
+    "closing",
+    "making_again",
+    "crediting",
+    "run_ends",
+    "adopting",
+    "lives",
+    "reported_runs",
+    "starting",
+    "replies",
+    "submissions",
+    "stored_jobs",
+    "passing_time",
+)
+
+
+def imports_of(module):
+    """Return the modules of the package that one of them imports."""
+    nodes = ast.walk(ast.parse((ROOT / f"{module}.py").read_text()))
+    froms = [node for node in nodes if isinstance(node, ast.ImportFrom)]
+    assert not any(node.level for node in froms)
+    names = [node.module for node in froms]
+    return {name.removeprefix(PACKAGE) for name in names if name.startswith(PACKAGE)}
+
+
+def test_each_module_has_its_place():
+    modules = {path.stem for path in ROOT.glob("*.py")} - {"__init__"}
+    assert modules == set(ORDER)
+
+
+@pytest.mark.parametrize("module", ORDER)
+def test_a_module_imports_earlier_ones_only(module):
+    assert imports_of(module) <= set(ORDER[: ORDER.index(module)])
--- /dev/null
+++ b/hibiscusstack/pool/coordination/tests/test_run_ends.py
@@ -0,0 +1,17 @@
+"""Tests of what the ends of runs mean."""
+
+from hibiscusstack.pool.messages import JobEnd
+from hibiscusstack.pool.tests.site import Site, make_job
+
+
+def test_only_failed_runs_count_as_attempts():
+    site = Site("t1")
+    site.take("t1")
+    task, _ = site.run("t1", make_job("j", max_attempts=2))
+    hows = ["lapsed", "stopped", "failed", "lapsed", "failed"]
+    for number, how in enumerate(hows, start=1):
+        assert site.answers == []
+        site.pass_time(10)
+        site.end("t1", (task, number), how, number)
+    assert site.ends() == [JobEnd.FAILED]
+    assert len(site.starts) == len(hows)
--- /dev/null
+++ b/hibiscusstack/pool/coordination/tests/test_sending.py
@@ -0,0 +1,36 @@
+"""Tests of holds and stops, and of what a stop that is owed holds up."""
+
+from hibiscusstack.pool.tests.site import OWNER, Site, make_job
+from hibiscusstack.pool.timing import CoordinatorTiming
+
+TIMING = CoordinatorTiming()
+
+
+def test_a_target_that_owes_a_stop_gets_no_start_and_no_lease():
+    site = Site("t1")
+    site.take("t1")
+    run = site.run()
+    site.coordinator.cancel(OWNER, 1)
+    site.pass_time(TIMING.stop_notice_ms + 10)
+    site.submit(make_job("next"))
+    site.reply_to_hold("t1", [run])
+    assert site.last_hold("t1")[1].until_ms is None and len(site.starts) == 1
+    site.pass_time(TIMING.order_retry_ms)
+    assert len(site.stops) == 2
+    site.reply_to_stop()
+    site.pass_time(10)
+    site.list_again("t1")
+    assert len(site.starts) == 2
+    assert site.last_hold("t1")[1].until_ms is not None
+
+
+def test_a_stop_that_was_just_sent_holds_nothing_up():
+    site = Site("t1")
+    site.take("t1")
+    run = site.run()
+    site.coordinator.cancel(OWNER, 1)
+    site.pass_time(TIMING.stop_notice_ms)
+    site.submit(make_job("next"))
+    site.reply_to_hold("t1", [run])
+    assert len(site.starts) == 2
+    assert site.last_hold("t1")[1].until_ms is not None
--- /dev/null
+++ b/hibiscusstack/pool/coordination/tests/test_starting.py
@@ -0,0 +1,101 @@
+"""Tests of when waiting tasks may start."""
+
+import math
+
+import pytest
+
+from hibiscusstack.pool.orders import FencedOut, ReplyLost
+from hibiscusstack.pool.tests.site import OWNER, PEER, Site, make_job, make_target
+from hibiscusstack.pool.timing import CoordinatorTiming
+
+TIMING = CoordinatorTiming()
+QUIET_MS = math.ceil(TIMING.quiet_bound_ms)
+STRANGER = ("other.0.0.0", 2)
+
+
+def leave_looking(site):
+    """Let the second target not reply yet."""
+
+
+def leave_clearing(site):
+    """Let the second target run something else."""
+    site.reply_to_hold("t2", [STRANGER])
+
+
+def fence(site):
+    """Let another coordinator have the second target."""
+    site.fail_hold("t2", FencedOut())
+
+
+def silence(site):
+    """Let the second target fall silent after it was taken over."""
+    site.take("t2")
+    site.fail_hold("t2", ReplyLost("silent"))
+
+
+def cut(site):
+    """Let the second target not be reached from the first."""
+    site.fail_hold("t2", ReplyLost("silent"))
+
+
+@pytest.mark.parametrize("hinder", [leave_looking, leave_clearing, fence, silence, cut])
+def test_a_resubmitted_job_waits_while_its_runs_may_go_on_somewhere(hinder):
+    site = Site("t1", "t2")
+    site.take("t1")
+    hinder(site)
+    site.submit(unheard_ms=300)
+    site.submit(make_job("new"))
+    assert [order.task for _, order in site.starts] == ["new.0.0.0"]
+    site.end("t1", ("new.0.0.0", 1))
+    site.pass_time(QUIET_MS - 300 - 1)
+    assert len(site.starts) == 1
+    site.pass_time(1)
+    assert site.started()[1:] == [("t1", "j.0.0.0", 1)]
+
+
+def test_a_resubmitted_job_waits_for_a_target_that_is_missing():
+    site = Site("t1", missing=["t2"])
+    site.take("t1")
+    site.submit(unheard_ms=0)
+    site.pass_time(100)
+    assert site.starts == []
+    site.coordinator.replace_targets([make_target("t1"), make_target("t2")])
+    site.pass_time(100)
+    assert site.starts == []
+    site.take("t2")
+    assert len(site.starts) == 1
+
+
+def test_a_resubmitted_job_starts_at_once_where_all_targets_are_held():
+    site = Site("t1", "t2")
+    site.take("t1", "t2")
+    site.submit(unheard_ms=0)
+    assert len(site.starts) == 1
+
+
+def test_jobs_of_unheard_hosts_get_no_start():
+    site = Site("t1")
+    site.take("t1")
+    site.coordinator.note_unheard([OWNER])
+    site.submit(make_job("one"))
+    site.submit(make_job("two"), PEER)
+    assert [order.task for _, order in site.starts] == ["two.0.0.0"]
+    site.submit(make_job("one"), PEER)
+    assert len(site.starts) == 2
+    site.submit(make_job("three"))
+    site.coordinator.note_unheard([])
+    site.pass_time(10)
+    assert len(site.starts) == 3
+
+
+def test_a_job_that_comes_again_waits_for_the_end_of_its_stopped_run():
+    site = Site("t1", "t2")
+    site.take("t1", "t2")
+    site.run()
+    site.coordinator.cancel(OWNER, 1)
+    site.submit()
+    site.reply_to_stop()
+    site.pass_time(10)
+    assert len(site.starts) == 1
+    site.list_again("t1")
+    assert len(site.starts) == 2
--- a/hibiscusstack/pool/held_target.py
+++ b/hibiscusstack/pool/held_target.py
@@ -62,6 +62,16 @@
         readings = (self.known_ms, self.stopped_ms)
         return any(ms is not None and ms < sent_ms for ms in readings)
 
+    def note_known(self, now_ms: float) -> None:
+        """Take over that the target has this run."""
+        self.known_ms = now_ms
+        if self.state is RunState.STARTING:
+            self.state = RunState.RUNNING
+
+    def is_overdue(self, now_ms: float) -> bool:
+        """Tell whether this run of a job in progress has taken too long."""
+        return now_ms - self.started_ms > self.job.longest_run_ms(self.task)
+
 
 @attrs.define(eq=False)
 class HeldTarget:
--- a/hibiscusstack/pool/orders.py
+++ b/hibiscusstack/pool/orders.py
@@ -1,6 +1,8 @@
 """Orders to targets that keep leases, and their replies."""
 
 __all__ = [
+    "RUN_DONE",
+    "RUN_FAILED",
     "FencedOut",
     "HoldOrder",
     "HoldReply",
@@ -21,6 +23,9 @@
 
 from hibiscusstack.pool.targets import ListedTarget
 
+RUN_DONE = "done"
+RUN_FAILED = "failed"
+
 
 @attrs.frozen
 class StartOrder:
@@ -66,7 +71,10 @@
 
 @attrs.frozen
 class RunEnd:
-    """The end of one run; ``number`` counts the ends of one life of a target."""
+    """The end of one run; ``number`` counts the ends of one life of a target.
+
+    ``how`` is ``RUN_DONE``, ``RUN_FAILED`` or why the run brought no result.
+    """
 
     number: int
     task: str
