Mark a target silent in one place

Cause: a hold that failed repeated what a failed start does to mark its target silent and to count and log it. note_silent does that for both; the look that follows a failed start is now written where the reply is acted on. Nothing changes in what is ordered; the tests of pool/ but test_faults.py and test_zones.py passed unchanged.

--- a/hibiscusstack/pool/coordination/replies.py
+++ b/hibiscusstack/pool/coordination/replies.py
@@ -9,7 +9,7 @@
 from hibiscusstack.pool.coordination.reported_runs import take_lists
 from hibiscusstack.pool.coordination.sending import (
     note_fenced,
-    note_trouble,
+    note_silent,
     send_hold,
     send_look,
     send_stop,
@@ -57,7 +57,8 @@
     elif run is None or run.state is not RunState.STARTING:
         return
     elif isinstance(reply, ReplyLost):
-        note_trouble(state, target, now_ms, reply.cause)
+        note_silent(state, target, now_ms, reply.cause)
+        send_look(state, target)
         send_stop(state, target, run)
     else:
         _take_failed_start(state, target, run, reply, now_ms)
@@ -111,7 +112,9 @@
     elif isinstance(reply, FencedOut):
         note_fenced(state, target)
     else:
-        _take_failed_hold(state, target, reply, now_ms)
+        cause = reply.reason if isinstance(reply, Refused) else reply.cause
+        note_silent(state, target, now_ms, cause)
+        target.next_hold_ms = now_ms + state.timing.order_retry_ms
     # A target that is fenced goes on to refuse.
     is_due = target.phase is not Phase.FENCED and now_ms >= target.next_hold_ms
     if is_due and not target.is_holding:
@@ -138,12 +141,13 @@
 ) -> None:
     target.remove(run)
     if isinstance(reply, NotReached):
-        note_trouble(state, target, now_ms, reply.cause)
+        note_silent(state, target, now_ms, reply.cause)
+        send_look(state, target)
     elif reply.reason == "room":
         target.paused_until_ms = now_ms + FULL_PAUSE_MS
         send_look(state, target)
     elif reply.reason == "instance":
-        note_trouble(state, target, now_ms, reply.reason)
+        note_silent(state, target, now_ms, reply.reason)
         send_look(state, target)
     elif reply.reason == "late":
         target.clock_offset_ms = None
@@ -159,20 +163,3 @@
         return
     cause = "unreached" if isinstance(reply, NotReached) else reply.reason
     requeue_task(state, run, now_ms, cause)
-
-
-def _take_failed_hold(
-    state: CoordinatorState,
-    target: HeldTarget,
-    reply: Refused | NotReached | ReplyLost,
-    now_ms: float,
-) -> None:
-    if target.silent_since_ms is None:
-        target.silent_since_ms = now_ms
-        state.events.counters.silent_targets += 1
-        log_message(
-            "pool:target_silent",
-            target=target.listing.name,
-            cause=getattr(reply, "cause", None) or reply.reason,
-        )
-    target.next_hold_ms = now_ms + state.timing.order_retry_ms
--- a/hibiscusstack/pool/coordination/sending.py
+++ b/hibiscusstack/pool/coordination/sending.py
@@ -2,7 +2,7 @@
 
 __all__ = [
     "note_fenced",
-    "note_trouble",
+    "note_silent",
     "send_hold",
     "send_look",
     "send_stop",
@@ -64,15 +64,14 @@
     state.orders.stop(target.listing, order)
 
 
-def note_trouble(
+def note_silent(
     state: CoordinatorState, target: HeldTarget, now_ms: float, cause: str
 ) -> None:
-    """Look at a target that did not answer before it gets more work."""
+    """Give a target that did not answer no work until it lists its runs again."""
     if target.silent_since_ms is None:
         target.silent_since_ms = now_ms
         state.events.counters.silent_targets += 1
         log_message("pool:target_silent", target=target.listing.name, cause=cause)
-    send_look(state, target)
 
 
 def note_fenced(state: CoordinatorState, target: HeldTarget) -> None:
