--- a/hibiscusstack/pool/coordination/tests/test_adopting.py
+++ b/hibiscusstack/pool/coordination/tests/test_adopting.py
@@ -4,8 +4,9 @@
 
 from hibiscusstack.pool.held_target import Phase
 from hibiscusstack.pool.messages import JobEnd
-from hibiscusstack.pool.tests.site import OWNER, Site
+from hibiscusstack.pool.tests.site import OWNER, Site, make_job
 from hibiscusstack.pool.timing import CoordinatorTiming
+from hibiscusstack.pool.work import ActiveJob
 
 TIMING = CoordinatorTiming()
 QUIET_MS = math.ceil(TIMING.quiet_bound_ms)
@@ -57,3 +58,27 @@
     site.pass_time(TIMING.adoption_ms)
     site.reply_to_hold("t1", [("j.0.0.0", 4)])
     assert [(order.task, order.run) for _, order in site.stops] == [("j.0.0.0", 4)]
+
+
+class Journal:
+    """Keeps nothing of stored jobs, of which some are not known yet."""
+
+    is_recovering = True
+
+    def offer(self, job_id):
+        """Hand over nothing."""
+
+    def task_started(self, job_id):
+        """Keep nothing."""
+
+
+def test_a_stored_job_with_an_adopted_run_goes_first_as_begun_ones_do():
+    site = Site("t1")
+    site.coordinator.journal = Journal()
+    site.submit(make_job("urgent", priority=5, target_latency_ms=100))
+    site.reply_to_hold("t1", [("kept.0.0.0", 1)])
+    kept = ActiveJob(make_job("kept", 2), site.clock.now_ms(), True, is_stored=True)
+    site.coordinator.run_stored(kept)
+    site.coordinator.stored_recovered()
+    assert site.state("t1").runs["kept.0.0.0", 1].job is kept
+    assert site.coordinator.waiting_jobs()[0] is kept
