Divide the host of pools into parts of one job each

Cause: pool_host.py held 584 lines: the listing of hosts, what peers say, the targets, claims, the deputy and the coordinator. None of it could be tested without a mesh and a log.

Ruled out: a change of behaviour. The tests of the parts are new; none was changed.

--- /dev/null
+++ b/hibiscusstack/pool/claiming.py
@@ -0,0 +1,94 @@
+"""The appends by which a host lists itself and claims terms."""
+
+__all__ = ["HOSTS_TOPIC", "SelfListing", "TermClaims"]
+
+from collections.abc import Callable
+
+from eliot import log_message
+from twisted.internet.interfaces import IReactorTime
+from twisted.python.failure import Failure
+
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.pool.election import Election, Term
+from hibiscusstack.pool.host_records import (
+    TERM_KEY,
+    HostRecord,
+    encode_host,
+    encode_term,
+    host_key,
+)
+from hibiscusstack.pool.interfaces import Appended, AppendRefused, KeyedLog
+
+HOSTS_TOPIC = "hosts"
+LIST_AGAIN_MS = 500
+
+
+class SelfListing:
+    """Lists one run of a host; ``offset`` is that of its record, once it stands."""
+
+    def __init__(
+        self, reactor: IReactorTime, log: KeyedLog, record: HostRecord
+    ) -> None:
+        self.offset: int | None = None
+        self._reactor = reactor
+        self._log = log
+        self._record = record
+
+    def append(self) -> None:
+        """Append the record, and again until that is known to have been done."""
+        key, value = host_key(self._record.name), encode_host(self._record)
+        appended = self._log.append(HOSTS_TOPIC, key, value)
+        appended.addCallbacks(self._appended, self._failed)
+
+    def _appended(self, result: Appended) -> None:
+        self.offset = result.offset
+
+    def _failed(self, failure: Failure) -> None:
+        log_message("pool:listing_failed", cause=failure.getErrorMessage())
+        self._reactor.callLater(LIST_AGAIN_MS / 1000, self.append)
+
+
+class TermClaims:
+    """Claims terms for one host, one claim at a time.
+
+    ``take`` gets each term that was won.
+    """
+
+    def __init__(
+        self,
+        log: KeyedLog,
+        own: HostName,
+        election: Election,
+        take: Callable[[Term], None],
+    ) -> None:
+        self._log = log
+        self._own = own
+        self._election = election
+        self._take = take
+        self._is_claiming = False
+
+    def claim(self) -> None:
+        """Claim the next term, on condition that the log ends where it was read to."""
+        if self._is_claiming:
+            return
+        self._is_claiming = True
+        end = self._election.end
+        log_message("pool:claiming", at=end)
+        value = encode_term(self._own)
+        claimed = self._log.append(HOSTS_TOPIC, TERM_KEY, value, at=end)
+        claimed.addBoth(self._ended)
+        claimed.addCallbacks(self._answered, self._failed)
+
+    def _ended(self, result: object) -> object:
+        self._is_claiming = False
+        return result
+
+    def _answered(self, result: Appended | AppendRefused) -> None:
+        if isinstance(result, Appended):
+            self._take(Term(result.offset, self._own))
+        else:
+            self._election.claim_settled()
+
+    def _failed(self, failure: Failure) -> None:
+        log_message("pool:claim_failed", cause=failure.getErrorMessage())
+        self._election.claim_settled()
--- /dev/null
+++ b/hibiscusstack/pool/heard_peers.py
@@ -0,0 +1,87 @@
+"""What the peers of a host say of themselves, and which of them are away."""
+
+__all__ = ["HeardPeers"]
+
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.pool.election import Term
+from hibiscusstack.pool.host_listing import listed_name
+from hibiscusstack.pool.messages import PoolHeartbeat
+
+
+class HeardPeers:
+    """The newest heartbeat of each connected peer, and since when others are away."""
+
+    def __init__(self) -> None:
+        self._beats: dict[HostName, PoolHeartbeat] = {}
+        self._away_since_ms: dict[HostName, float] = {}
+
+    def take(self, peer: HostName, beat: PoolHeartbeat) -> bool:
+        """Take over a heartbeat; return whether a deputy begins or ends with it."""
+        before = self._beats.get(peer)
+        self._beats[peer] = beat
+        return beat.is_deputy != (before is not None and before.is_deputy)
+
+    def connected(self, peer: HostName) -> None:
+        """Note that a connection to the peer is open."""
+        self._away_since_ms.pop(peer, None)
+
+    def disconnected(self, peer: HostName, now_ms: float) -> None:
+        """Note that the connection to the peer ended."""
+        self._beats.pop(peer, None)
+        self._away_since_ms.setdefault(peer, now_ms)
+
+    def lost(self, peer: HostName) -> None:
+        """Wait no more for a peer that is away."""
+        self._away_since_ms.pop(peer, None)
+
+    def away(self) -> list[HostName]:
+        """Return the peers whose connection ended and that are waited for."""
+        return list(self._away_since_ms)
+
+    def away_for(self, longest_ms: float, now_ms: float) -> list[HostName]:
+        """Return the peers that have been away for longer than ``longest_ms``."""
+        return [
+            peer
+            for peer, since_ms in self._away_since_ms.items()
+            if now_ms - since_ms > longest_ms
+        ]
+
+    def names(self) -> set[tuple[str, str]]:
+        """Return the data centre and the name of each peer that is heard."""
+        return {listed_name(peer) for peer in self._beats}
+
+    def is_draining(self, peer: HostName) -> bool:
+        """Tell whether the peer said that it leaves."""
+        beat = self._beats.get(peer)
+        return beat is not None and beat.is_draining
+
+    def hands_over(self, term: Term) -> bool:
+        """Tell whether the holder of ``term`` said that it wants another to follow."""
+        beat = self._beats.get(term.holder)
+        if beat is None:
+            return False
+        has_resigned = beat.term == term.offset and not beat.hears_holder
+        return beat.is_draining or has_resigned
+
+    def hearing_holder(self, term_offset: int) -> dict[HostName, bool]:
+        """Return of each peer that stays whether it hears the holder.
+
+        That of a term before ``term_offset`` does not count.
+        """
+        return {
+            peer: beat.hears_holder and beat.term >= term_offset
+            for peer, beat in self._beats.items()
+            if not beat.is_draining
+        }
+
+    def deputies(self) -> list[HostName]:
+        """Return the peers that stand in for the coordinator."""
+        return [peer for peer, beat in self._beats.items() if beat.is_deputy]
+
+    def returned_data_centres(self) -> set[str]:
+        """Return where peers hear the holder and order nothing themselves."""
+        return {
+            peer.data_centre
+            for peer, beat in self._beats.items()
+            if not beat.is_deputy and beat.hears_holder
+        }
--- /dev/null
+++ b/hibiscusstack/pool/holder_watch.py
@@ -0,0 +1,68 @@
+"""Whether a host hears the holder of the term, and who coordinates for it."""
+
+__all__ = ["HolderWatch"]
+
+from collections.abc import Callable
+
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.pool.election import Election
+from hibiscusstack.pool.heard_peers import HeardPeers
+from hibiscusstack.pool.office import Office
+
+
+class HolderWatch:
+    """What the host ``own`` knows of the holder of the newest term.
+
+    ``is_connected`` tells whether a connection to a peer is open.
+    """
+
+    def __init__(
+        self,
+        own: HostName,
+        election: Election,
+        peers: HeardPeers,
+        office: Office,
+        is_connected: Callable[[HostName], bool],
+    ) -> None:
+        self._own = own
+        self._election = election
+        self._peers = peers
+        self._office = office
+        self._is_connected = is_connected
+
+    def hears_holder(self) -> bool:
+        """Tell whether the holder is heard, or is this host and coordinates."""
+        term = self._election.term
+        if term is None:
+            return False
+        if term.holder == self._own:
+            return self._office.is_holding
+        return self._is_connected(term.holder)
+
+    def hears_staying_holder(self, is_draining: bool) -> bool:
+        """Tell whether the holder is heard and does not want to hand over.
+
+        ``is_draining`` says whether this host is about to leave.
+        """
+        if not self.hears_holder():
+            return False
+        term = self._election.term
+        if term.holder == self._own:
+            return not is_draining
+        return not self._peers.hands_over(term)
+
+    def heard_holder(self) -> HostName | None:
+        """Return the holder of the term if it is heard."""
+        return self._election.term.holder if self.hears_holder() else None
+
+    def find_coordinator(self) -> HostName | None:
+        """Return the holder, or else the deputy that stands in for it here."""
+        if self.hears_holder():
+            return self._election.term.holder
+        if self._office.is_deputy:
+            return self._own
+        here = self._own.data_centre
+        deputies = self._peers.deputies()
+        return min(
+            (each for each in deputies if each.data_centre == here), default=None
+        )
--- /dev/null
+++ b/hibiscusstack/pool/host_listing.py
@@ -0,0 +1,70 @@
+"""Which hosts the log lists, and the terms that stand beside them there."""
+
+__all__ = ["HostListing", "listed_name"]
+
+from collections.abc import Iterable
+
+from eliot import log_message
+
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.exceptions import DecodeError
+from hibiscusstack.host import PeerAddress
+from hibiscusstack.pool.election import Term
+from hibiscusstack.pool.host_records import HostRecord, decode_host, decode_term
+from hibiscusstack.pool.interfaces import KeyedRecord
+
+
+def listed_name(host: HostName) -> tuple[str, str]:
+    """Return what all runs of a host have in common: data centre and name.
+
+    >>> listed_name(HostName("dc1", "a", 7))
+    ('dc1', 'a')
+    """
+    return host.data_centre, host.name
+
+
+class HostListing:
+    """The newest record of each host, as read from the log."""
+
+    def __init__(self, own: HostName) -> None:
+        self._own = own
+        self._hosts: dict[str, HostRecord] = {}
+
+    def take(self, records: Iterable[KeyedRecord], is_whole: bool) -> list[Term]:
+        """Return the terms among the records, and take over the hosts among them.
+
+        With ``is_whole`` they replace everything before. A record that cannot be
+        decoded is left out.
+        """
+        if is_whole:
+            self._hosts.clear()
+        terms = []
+        for record in records:
+            try:
+                holder = decode_term(record)
+                if holder is not None:
+                    terms.append(Term(record.offset, holder))
+                else:
+                    self._take_host(record)
+            except DecodeError as error:
+                log_message("pool:record_refused", level="warning", cause=str(error))
+        return terms
+
+    def names(self) -> set[tuple[str, str]]:
+        """Return the data centre and the name of each listed host."""
+        return {listed_name(host.name) for host in self._hosts.values()}
+
+    def peer_addresses(self) -> list[PeerAddress]:
+        """Return where the listed hosts other than this run accept their peers."""
+        return [
+            PeerAddress(host.address, host.port)
+            for host in self._hosts.values()
+            if host.name != self._own
+        ]
+
+    def _take_host(self, record: KeyedRecord) -> None:
+        host = decode_host(record)
+        if host is not None:
+            self._hosts[record.key] = host
+        elif record.value is None:
+            self._hosts.pop(record.key, None)
--- /dev/null
+++ b/hibiscusstack/pool/log_contact.py
@@ -0,0 +1,30 @@
+"""Whether a host is in touch with the log, for long enough to claim a term."""
+
+__all__ = ["LogContact"]
+
+TOUCH_MS = 1_300
+SETTLING_MS = 700
+
+
+class LogContact:
+    """When the log was read, and since when it has been read without a gap."""
+
+    def __init__(self) -> None:
+        self._read_ms: float | None = None
+        self._regained_ms: float | None = None
+
+    def note_read(self, now_ms: float) -> None:
+        """Note that the log was read."""
+        if self._read_ms is not None and now_ms - self._read_ms > TOUCH_MS:
+            self._regained_ms = now_ms
+        self._read_ms = now_ms
+
+    def is_in_touch(self, now_ms: float) -> bool:
+        """Tell whether the log is read.
+
+        For a host that was out of touch, it says so only once peers had time to be
+        heard again. Otherwise such a host would claim a term as soon as it is back.
+        """
+        if self._read_ms is None or now_ms - self._read_ms > TOUCH_MS:
+            return False
+        return self._regained_ms is None or now_ms - self._regained_ms >= SETTLING_MS
--- /dev/null
+++ b/hibiscusstack/pool/recent_targets.py
@@ -0,0 +1,57 @@
+"""The targets that are listed, and those that were until lately."""
+
+__all__ = ["RecentTargets"]
+
+from collections.abc import Iterable
+
+import attrs
+
+from hibiscusstack.pool.targets import ListedTarget
+
+MISSING_MS = 30_000
+
+
+@attrs.define
+class _Recent:
+    """A target as it was last listed, and since when it has not been."""
+
+    target: ListedTarget
+    missing_since_ms: float | None = None
+
+
+class RecentTargets:
+    """The newest list of targets, and those that went missing from it lately."""
+
+    def __init__(self) -> None:
+        self.listed: tuple[ListedTarget, ...] = ()
+        self._recent: dict[str, _Recent] = {}
+
+    def replace(self, targets: Iterable[ListedTarget], now_ms: float) -> None:
+        """Take over a newer list, and forget what is missing for long."""
+        self.listed = tuple(targets)
+        for recent in self._recent.values():
+            if recent.missing_since_ms is None:
+                recent.missing_since_ms = now_ms
+        for target in self.listed:
+            self._recent[target.name] = _Recent(target)
+        for name, recent in list(self._recent.items()):
+            since_ms = recent.missing_since_ms
+            if since_ms is not None and now_ms - since_ms > MISSING_MS:
+                del self._recent[name]
+
+    def missing(self, now_ms: float) -> list[str]:
+        """Return the names of the targets that went missing lately."""
+        return [
+            name
+            for name, recent in self._recent.items()
+            if recent.missing_since_ms is not None
+            and now_ms - recent.missing_since_ms < MISSING_MS
+        ]
+
+    def recent_in(self, data_centre: str) -> list[ListedTarget]:
+        """Return the targets of a data centre that are listed or missing lately."""
+        return [
+            recent.target
+            for recent in self._recent.values()
+            if recent.target.data_centre == data_centre
+        ]
--- /dev/null
+++ b/hibiscusstack/pool/tests/test_log_contact.py
@@ -0,0 +1,21 @@
+"""Whether the log is in touch."""
+
+from hibiscusstack.pool.log_contact import SETTLING_MS, TOUCH_MS, LogContact
+
+
+def test_the_first_read_is_enough():
+    contact = LogContact()
+    assert not contact.is_in_touch(0)
+    contact.note_read(10)
+    assert contact.is_in_touch(10) and contact.is_in_touch(10 + TOUCH_MS)
+    assert not contact.is_in_touch(11 + TOUCH_MS)
+
+
+def test_after_a_gap_peers_have_time_to_be_heard():
+    contact = LogContact()
+    contact.note_read(0)
+    back_ms = TOUCH_MS + 1
+    contact.note_read(back_ms)
+    contact.note_read(back_ms + 600)
+    assert not contact.is_in_touch(back_ms + SETTLING_MS - 1)
+    assert contact.is_in_touch(back_ms + SETTLING_MS)
