Move the assembly of whole sites out of the tests

The tests of pools and of stored jobs each assembled hosts, workers and the log in virtual time, so nothing but a test could play a site. The stored jobs' site had its own client and reactor, which did the same as those of the other tests, and takes these now.

Steps can state an estimate that is off and tasks of uneven length, queues can be several, and callers can say how long they wait.

--- a/hibiscusstack_standins/estate/jobs.py
+++ b/hibiscusstack_standins/estate/jobs.py
@@ -41,10 +41,16 @@
 
 @attrs.frozen
 class Step:
-    """A step of a job; ``work_ms`` is the true duration on a sound worker."""
+    """A step of a job; ``work_ms`` is the true duration on a sound worker.
+
+    With ``uneven_work_ms`` each task has a duration of its own. The client states
+    ``estimate_ms``; 0 stands for the true duration.
+    """
 
     count: int = 1
     work_ms: int = 100
+    estimate_ms: int = 0
+    uneven_work_ms: tuple[int, ...] = ()
     cpu: int = 0
     mem_mb: int = 0
     gpu: int = 0
@@ -59,6 +65,14 @@
     fills: bool = False
     fails: bool = False
 
+    def work_of(self, index: int) -> int:
+        """Return the true duration of one task.
+
+        >>> Step(2, uneven_work_ms=(50, 60)).work_of(1)
+        60
+        """
+        return self.uneven_work_ms[index] if self.uneven_work_ms else self.work_ms
+
 
 @attrs.frozen
 class Job:
--- a/hibiscusstack_standins/estate/queues.py
+++ b/hibiscusstack_standins/estate/queues.py
@@ -1,8 +1,15 @@
 """The queue of a site, as its operator publishes it and its clients use it."""
 
-__all__ = ["QUEUE_HOST", "encode_job", "job_path", "publish_queue"]
+__all__ = [
+    "QUEUE_HOST",
+    "encode_job",
+    "job_path",
+    "publish_queue",
+    "publish_queues",
+]
 
 import json
+from collections.abc import Mapping
 from typing import Any
 
 from hibiscusstack_standins.estate.jobs import Job, Step
@@ -10,20 +17,41 @@
 from hibiscusstack_standins.estate.records import frame_keyed
 
 QUEUE_HOST = "q.example"
-_PREFIX = "/q/"
 _PLAIN = ("cpu", "mem_mb", "gpu", "requires", "data_rack", "anti_affinity")
 
 
 def publish_queue(store: LogStore, now_ms: int, version: int = 1, **terms: Any) -> None:
     """Write a configuration with one queue as the operator does."""
-    route = {"name": "q", "host": QUEUE_HOST, "path_prefix": _PREFIX, "service": "s"}
-    body = json.dumps({"version": version, "routes": [{**route, **terms}]})
+    publish_queues(store, now_ms, {"q": terms}, version)
+
+
+def publish_queues(
+    store: LogStore,
+    now_ms: int,
+    queues: Mapping[str, Mapping[str, Any]],
+    version: int = 1,
+) -> None:
+    """Write a configuration with the terms of each queue by its name.
+
+    Queues use the service ``s`` unless their terms name another.
+    """
+    routes = [_encode_route(name, terms) for name, terms in queues.items()]
+    body = json.dumps({"version": version, "routes": routes})
     store.put(now_ms, "keyed.op", frame_keyed("config", body.encode()))
 
 
 def job_path(job: Job) -> str:
     """Return where a client submits a job."""
-    return _PREFIX + job.id
+    return _prefix(job.queue) + job.id
+
+
+def _prefix(queue: str) -> str:
+    return f"/{queue}/"
+
+
+def _encode_route(name: str, terms: Mapping[str, Any]) -> dict[str, Any]:
+    place = {"host": QUEUE_HOST, "path_prefix": _prefix(name)}
+    return {"name": name, **place, "service": "s", **terms}
 
 
 def encode_job(job: Job) -> bytes:
@@ -36,4 +64,5 @@
 def _encode_step(step: Step) -> dict[str, Any]:
     named = {name: getattr(step, name) for name in _PLAIN if getattr(step, name)}
     after = list(step.after)
-    return {**named, "count": step.count, "estimate_ms": step.work_ms, "after": after}
+    estimate_ms = step.estimate_ms or step.work_ms
+    return {**named, "count": step.count, "estimate_ms": estimate_ms, "after": after}
--- a/hibiscusstack_standins/estate/site.py
+++ b/hibiscusstack_standins/estate/site.py
@@ -106,8 +106,13 @@
 
 
 def _decode_job(body: dict) -> Job:
-    steps = [Step(**{**step, "after": tuple(step["after"])}) for step in body["steps"]]
-    return Job(**{**body, "steps": tuple(steps)})
+    steps = tuple(_decode_step(step) for step in body["steps"])
+    return Job(**{**body, "steps": steps})
+
+
+def _decode_step(body: dict) -> Step:
+    lists = {name: tuple(each) for name, each in body.items() if isinstance(each, list)}
+    return Step(**{**body, **lists})
 
 
 def _decode_client(body: dict) -> ClientRecord:
--- a/hibiscusstack_standins/estate/tests/stored_site.py
+++ b/hibiscusstack_standins/estate/tests/stored_site.py
@@ -2,22 +2,17 @@
 
 __all__ = ["Front", "Site", "StoredClient", "capacity"]
 
-import json
 import math
 from base64 import b64decode
-from collections import defaultdict
 from collections.abc import Callable
 from random import Random
-from urllib.parse import parse_qsl
 
 import attrs
 from adapter.front import Front
 from adapter.store import StoreLog
 from adapter.workers import WorkerOrders
-from twisted.internet.defer import Deferred
 
 from hibiscusstack.dispatch.messages import HostName
-from hibiscusstack.http.client import AnswerLost, HttpAnswer, NotSent
 from hibiscusstack.pool.coordinator import Coordinator
 from hibiscusstack.pool.following import TopicFollower
 from hibiscusstack.pool.jobs import PoolJob, Resources, Step
@@ -29,11 +24,13 @@
 from hibiscusstack_standins.estate import jobs as estate
 from hibiscusstack_standins.estate.auditor import AuditBounds, Auditor, ClientRecord
 from hibiscusstack_standins.estate.log_store import LogStore, StoreLimits
-from hibiscusstack_standins.estate.messages import Request, Unanswered
+from hibiscusstack_standins.estate.messages import Request
 from hibiscusstack_standins.estate.network import Network
 from hibiscusstack_standins.estate.runs import Capacity
 from hibiscusstack_standins.estate.store_service import StoreService
 from hibiscusstack_standins.estate.worker import Worker, WorkerPlan
+from hibiscusstack_standins.lab.edges import NetworkClient
+from hibiscusstack_standins.lab.streams import HostReactor, Streams
 
 POOL = "s"
 TICK_MS = 10
@@ -46,83 +43,13 @@
 _STATUS = {Accepted: 200, NotAccepted: 503}
 
 
-class NetworkClient:
-    """Calls over HTTP as calls of a network; ``NAME:1`` is a party."""
-
-    def __init__(self, network: Network, caller: str) -> None:
-        self._network = network
-        self._caller = caller
-        self._busy: defaultdict[str, set[int]] = defaultdict(set)
-
-    def request(  # noqa: PLR0917
-        self, address, method, target, body=b"", headers=(), timeout_ms=1_000
-    ) -> Deferred:
-        callee, outcome = address.partition(":")[0], Deferred()
-        busy = self._busy[callee]
-        label = next(number for number in range(10_000) if number not in busy)
-        busy.add(label)
-
-        def answered(answer) -> None:
-            busy.discard(label)
-            outcome.callback(_as_outcome(answer))
-
-        path, _, query = target.partition("?")
-        content = json.loads(body) if headers else body
-        request = Request(path, content, dict(parse_qsl(query)), dict(headers))
-        self._network.call(
-            self._caller, callee, request, answered, int(timeout_ms), connection=label
-        )
-        return outcome
-
-    def close_address(self, address: str) -> None:
-        """Leave the connections to the network."""
-
-
-def _as_outcome(answer):
-    if isinstance(answer, Unanswered):
-        is_sent = answer.cause != "refused"
-        return AnswerLost(answer.cause) if is_sent else NotSent(answer.cause)
-    is_raw = isinstance(answer.body, bytes)
-    body = answer.body if is_raw else json.dumps(answer.body).encode()
-    return HttpAnswer(answer.status, {}, body)
-
-
-class NetworkReactor:
-    """The time of one party."""
-
-    def __init__(self, network: Network, party: str) -> None:
-        self._network = network
-        self._party = party
-
-    def now_ms(self) -> int:
-        return self._network.now_ms
-
-    def seconds(self) -> float:
-        return self._network.now_ms / 1000
-
-    def callLater(self, delay_s, call, *args):  # noqa: N802
-        delay_ms = math.ceil(delay_s * 1000)
-        return _Delayed(self._network.after(self._party, delay_ms, lambda: call(*args)))
-
-
-class _Delayed:
-    def __init__(self, timer) -> None:
-        self._timer = timer
-
-    def active(self) -> bool:
-        return not self._timer.is_cancelled
-
-    def cancel(self) -> None:
-        self._timer.cancel()
-
-
 class SiteHost:
     """One run of a host process."""
 
     def __init__(self, site: "Site", name: str, incarnation: int) -> None:
         self.site = site
         self.own = HostName("z", name, incarnation)
-        self.reactor = NetworkReactor(site.network, name)
+        self.reactor = HostReactor(Streams(site.network), name)
         self.coordinator: Coordinator | None = None
         self.stored = StoredJobs(
             own=self.own,
--- a/hibiscusstack_standins/estate/worker.py
+++ b/hibiscusstack_standins/estate/worker.py
@@ -369,10 +369,11 @@
     def _begin(
         self, now_ms: int, task: TaskName, number: int, step: Step, checkpoint: str
     ) -> None:
-        resumed_at = float(min(work_in(checkpoint), step.work_ms))
+        work_ms = step.work_of(task.index)
+        resumed_at = float(min(work_in(checkpoint), work_ms))
         job = self._catalog.job_of(task)
         lasts = job is not None and job.long_running
-        total = math.inf if lasts else float(step.work_ms)
+        total = math.inf if lasts else float(work_ms)
         is_gang = step.gang and step.count > 1
         if is_gang:
             key = (task.of_step, number, checkpoint)
--- a/hibiscusstack_standins/estate/tests/edges.py
+++ b/hibiscusstack_standins/lab/edges.py
@@ -1,6 +1,6 @@
 """One host with the platform's adapter, over a network in virtual time."""
 
-__all__ = ["Edge"]
+__all__ = ["Edge", "NetworkClient"]
 
 import json
 from collections import defaultdict
@@ -25,6 +25,7 @@
 from hibiscusstack_standins.estate.queues import QUEUE_HOST, encode_job, job_path
 
 STORE_TIMEOUT_MS = 700
+_DEADLINE_HEADER = "hibiscusstack-deadline-ms"
 
 
 class NetworkClient:
@@ -90,13 +91,13 @@
 
 @attrs.frozen
 class CallerConnection:
-    """Gives the status of the answer to the caller."""
+    """Gives the status and the body of the answer to the caller."""
 
-    answered: Callable[[int], None]
+    answered: Callable[[int, bytes], None]
 
     def answer(self, request, status, body, headers) -> None:
-        """Pass the status on."""
-        self.answered(status)
+        """Pass the answer on."""
+        self.answered(status, body)
 
 
 class Edge:
@@ -134,13 +135,21 @@
         self.edge = PoolEdge(reactor, self.host, service, parts)
         self.edge.start()
 
-    def post(self, job: Job, answered: Callable[[int], None]) -> HttpRequest:
-        """Send a job in as a caller does."""
+    def post(
+        self,
+        job: Job,
+        answered: Callable[[int, bytes], None],
+        deadline_ms: int | None = None,
+    ) -> HttpRequest:
+        """Send a job in as a caller does, which may say how long it waits."""
         connection = CallerConnection(answered)
+        headers = {"host": QUEUE_HOST}
+        if deadline_ms is not None:
+            headers[_DEADLINE_HEADER] = str(deadline_ms)
         request = HttpRequest(
             "POST",
             job_path(job),
-            {"host": QUEUE_HOST},
+            headers,
             encode_job(job),
             0,
             connection,
@@ -151,7 +160,7 @@
     def is_ready(self) -> bool:
         """Tell what the balancer is told."""
         statuses: list[int] = []
-        connection = CallerConnection(statuses.append)
+        connection = CallerConnection(lambda status, _: statuses.append(status))
         request = HttpRequest("GET", "/ready", {}, b"", 0, connection)
         self.front.answer_readiness(request)
         return statuses == [200]
