Let the lease of a new life lapse too where ends are void

Cause: a deputy that heard of stored jobs lets the leases that it finds lapse and acknowledges nothing before, so that ends that it can't know do not count. A target that was taken over and then answered as another life was added by a near copy of the takeover that left this out: its ends were acknowledged at once, and the coordinator would not have known that the tasks were done. Both ways now add a life by the same function. The test of it failed first with an end acknowledged at once.

--- a/hibiscusstack/pool/coordination/lives.py
+++ b/hibiscusstack/pool/coordination/lives.py
@@ -45,12 +45,7 @@
 
 def take_target(state: CoordinatorState, listing: ListedTarget, now_ms: float) -> None:
     """Begin to take over a life of a target that is listed."""
-    state.takeovers += 1
-    target = HeldTarget(listing, state.timing, state.takeovers, now_ms)
-    if state.voids_ends:
-        target.lapsing_until_ms = math.inf
-    state.targets[listing.name] = target
-    send_hold(state, target)
+    send_hold(state, _add_life(state, listing, now_ms))
 
 
 def begin_life(
@@ -69,11 +64,9 @@
     is_listed = listing is not None and listing.born_ms == reply.born_ms
     if not is_listed:
         listing = attrs.evolve(target.listing, born_ms=reply.born_ms)
-    state.takeovers += 1
-    new = HeldTarget(listing, state.timing, state.takeovers, now_ms)
+    new = _add_life(state, listing, now_ms)
     new.is_unlisted_life = not is_listed
     new.lapse_ms = now_ms + state.timing.quiet_bound_ms
-    state.targets[listing.name] = new
     active = set(reply.active)
     for key, run in list(target.runs.items()):
         is_open = run.known_ms is None or run.known_ms >= sent_ms
@@ -108,6 +101,18 @@
             take_target(state, target.listing, now_ms)
 
 
+def _add_life(
+    state: CoordinatorState, listing: ListedTarget, now_ms: float
+) -> HeldTarget:
+    """Return the state of a life of which nothing is known yet."""
+    state.takeovers += 1
+    target = HeldTarget(listing, state.timing, state.takeovers, now_ms)
+    if state.voids_ends:
+        target.lapsing_until_ms = math.inf
+    state.targets[listing.name] = target
+    return target
+
+
 def _leave_runs(state: CoordinatorState, target: HeldTarget, now_ms: float) -> None:
     """Give up the jobs with runs at a target that another coordinator took."""
     for run in list(target.runs.values()):
--- a/hibiscusstack/pool/coordination/tests/test_lives.py
+++ b/hibiscusstack/pool/coordination/tests/test_lives.py
@@ -1,12 +1,15 @@
 """Tests of lives of targets that follow one another or are taken back."""
 
+import math
+
 from hibiscusstack.pool.held_target import Phase
 from hibiscusstack.pool.messages import JobEnd
-from hibiscusstack.pool.orders import FencedOut, ReplyLost
+from hibiscusstack.pool.orders import FencedOut, ReplyLost, RunEnd
 from hibiscusstack.pool.tests.site import Site, make_job, make_target
 from hibiscusstack.pool.timing import CoordinatorTiming
 
 TIMING = CoordinatorTiming()
+LAPSE_MS = math.ceil(TIMING.lapse_bound_ms)
 
 
 def test_a_renewed_term_keeps_held_targets_and_looks_at_fenced_ones():
@@ -90,3 +93,25 @@
     site.take("t1")
     assert site.starts[-1][0] == moved
     assert site.started()[1:] == [("t1", run[0], 2)]
+
+
+def test_another_life_keeps_its_ends_until_its_lease_lapsed_where_ends_are_void():
+    site = Site("t1", is_deputy=True, voids_ends=True)
+    site.take("t1")
+    site.pass_time(LAPSE_MS)
+    site.reply_to_hold("t1")
+    assert site.last_hold("t1")[1].until_ms is not None
+    end, sent = RunEnd(1, "stored.0.0.0", 1, "done"), len(site.holds)
+    site.reply_to_hold("t1", born_ms=6, ended=(end,))
+    site.coordinator.replace_targets([make_target(born_ms=6)])
+    site.submit()
+    for _ in range(LAPSE_MS // 10 - 1):
+        site.pass_time(10)
+        site.reply_to_hold("t1", ended=(end,))
+    orders = {(order.acked_through, order.until_ms) for _, order in site.holds[sent:]}
+    assert orders == {(0, None)} and site.starts == []
+    site.pass_time(20)
+    site.reply_to_hold("t1", ended=(end,))
+    assert len(site.starts) == 1
+    site.pass_time(200)
+    assert site.last_hold("t1")[1].acked_through == 1
