--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -17,6 +17,7 @@
 from hibiscusstack.pool.election import Election, Term
 from hibiscusstack.pool.events import PoolEvents
 from hibiscusstack.pool.following import TopicFollower
+from hibiscusstack.pool.handover import Handover
 from hibiscusstack.pool.heard_peers import HeardPeers
 from hibiscusstack.pool.holder_watch import HolderWatch
 from hibiscusstack.pool.host_listing import HostListing, listed_name
@@ -104,6 +105,8 @@
         self._holder = HolderWatch(
             own, self._election, self._peers, self._office, self._is_connected
         )
+        self._handover = Handover(settings.cpu_milli)
+        self._hands_over = False
         self._standing_in = StandingIn(own, self._listing, self._peers)
         record = HostRecord(own, settings.address, settings.port)
         self._self_listing = SelfListing(reactor, log, record)
@@ -176,10 +179,11 @@
         return PoolHeartbeat(
             term=term.offset if term else -1,
             holder=term.holder if term else None,
-            hears_holder=self._holder.hears_staying_holder(self.is_draining),
+            hears_holder=self._hears_staying_holder(),
             is_draining=self.is_draining,
             is_deputy=self._office.is_deputy,
             has_stored=self.stored.has_jobs,
+            offered_cpu_milli=self._offered_cpu_milli(self._clock.now_ms()),
         )
 
     def peer_connected(self, peer: HostName) -> None:
@@ -276,6 +280,7 @@
             self._resume_after(paused_ms)
         for peer in self._peers.away_for(self._settings.owner_grace_ms, now_ms):
             self.peer_lost(peer)
+        self._hand_over_if_due(now_ms)
         self._claim_if_due(now_ms)
         self._stand_in_if_due(now_ms)
         self._retake_if_due(now_ms)
@@ -293,13 +298,31 @@
         self._election.resign()
         self.receiver.refuse_all("host was paused")
 
+    def _hears_staying_holder(self) -> bool:
+        return self._holder.hears_staying_holder(self.is_draining or self._hands_over)
+
+    def _offered_cpu_milli(self, now_ms: float) -> int:
+        """Return the processor for a coordinator, nothing without a chance to claim."""
+        may_claim = not self.is_draining and self._contact.is_in_touch(now_ms)
+        return self._settings.cpu_milli if may_claim else 0
+
+    def _hand_over_if_due(self, now_ms: float) -> None:
+        """Let a much larger host claim the next term."""
+        offered = self._peers.offered_cpu_milli() if self._office.is_holding else {}
+        is_due = self._handover.is_due(now_ms, offered)
+        if is_due != self._hands_over:
+            self._hands_over = is_due
+            self._mesh.send_heartbeats()
+
     def _claim_if_due(self, now_ms: float) -> None:
         if self.is_draining or not self._contact.is_in_touch(now_ms):
             return
         term = self._election.term
         hears = self._peers.hearing_holder(term.offset if term else -1)
-        hears_holder = self._holder.hears_staying_holder(self.is_draining)
-        if self._election.should_claim(now_ms, hears_holder, hears):
+        offered = self._peers.offered_cpu_milli()
+        offered[self.name] = self._settings.cpu_milli
+        hears_holder = self._hears_staying_holder()
+        if self._election.should_claim(now_ms, hears_holder, hears, offered):
             self._claims.claim()
 
     def _stand_in_if_due(self, now_ms: float) -> None:
--- a/hibiscusstack/pool/heard_peers.py
+++ b/hibiscusstack/pool/heard_peers.py
@@ -74,6 +74,10 @@
             if not beat.is_draining
         }
 
+    def offered_cpu_milli(self) -> dict[HostName, int]:
+        """Return how much processor each peer has for a coordinator."""
+        return {peer: beat.offered_cpu_milli for peer, beat in self._beats.items()}
+
     def deputies(self) -> list[HostName]:
         """Return the peers that stand in for the coordinator."""
         return [peer for peer, beat in self._beats.items() if beat.is_deputy]
--- a/hibiscusstack/pool/holder_watch.py
+++ b/hibiscusstack/pool/holder_watch.py
@@ -39,16 +39,16 @@
             return self._office.is_holding
         return self._is_connected(term.holder)
 
-    def hears_staying_holder(self, is_draining: bool) -> bool:
+    def hears_staying_holder(self, hands_over: bool) -> bool:
         """Tell whether the holder is heard and does not want to hand over.
 
-        ``is_draining`` says whether this host is about to leave.
+        ``hands_over`` says whether this host would, as the holder.
         """
         if not self.hears_holder():
             return False
         term = self._election.term
         if term.holder == self._own:
-            return not is_draining
+            return not hands_over
         return not self._peers.hands_over(term)
 
     def heard_holder(self) -> HostName | None:
--- a/hibiscusstack/pool/host_settings.py
+++ b/hibiscusstack/pool/host_settings.py
@@ -14,7 +14,8 @@
     A peer that stays away for ``owner_grace_ms`` after its connection ended has lost
     its callers, so its work is stopped. ``patience_ms`` is how long the holder of the
     term may be unheard before another host claims the next. A host that was paused for
-    longer than ``longest_pause_ms`` gives up its term.
+    longer than ``longest_pause_ms`` gives up its term. ``cpu_milli`` is the host's
+    processor in thousandths of a core, nothing if that is not known.
     """
 
     name: HostName
@@ -26,3 +27,4 @@
     patience_ms: int = 200
     longest_pause_ms: int = 700
     connect_timeout_ms: int = 400
+    cpu_milli: int = 0
--- a/hibiscusstack/settings/pool_sections.py
+++ b/hibiscusstack/settings/pool_sections.py
@@ -9,7 +9,7 @@
 from hibiscusstack.dispatch.messages import HostName
 from hibiscusstack.pool.host_settings import PoolHostSettings
 from hibiscusstack.pool.timing import CoordinatorTiming
-from hibiscusstack.settings.kinds import Choice, Endpoint, Number
+from hibiscusstack.settings.kinds import Choice, Endpoint, Number, Part
 from hibiscusstack.settings.sections import (
     DURATION,
     MAX_DURATION_MS,
@@ -25,6 +25,25 @@
 _BOUND = Number(1, MAX_DURATION_MS, is_optional=True)
 
 
+@attrs.frozen
+class PoolOwnSettings(HostSettings):
+    """Who this host is, where its peers reach it, and how large it is."""
+
+    cores: int | None = key(
+        Number(1, 1_024, is_optional=True),
+        "The cores of this host. The larger hosts coordinate, if sizes are told.",
+        None,
+    )
+    core_share: float = key(
+        Part(), "The part of each core that this host may use.", 1.0
+    )
+
+    @property
+    def cpu_milli(self) -> int:
+        """The host's processor in thousandths of a core, nothing if not told."""
+        return round(1000 * (self.cores or 0) * self.core_share)
+
+
 @attrs.frozen
 class PoolCallerSettings:
     """The HTTP interface for callers."""
@@ -219,7 +238,7 @@
 class PoolSettings:
     """Everything that a host of pools is told at its start."""
 
-    host: HostSettings
+    host: PoolOwnSettings
     caller: PoolCallerSettings
     readiness: PoolReadinessSettings
     operator: PoolOperatorSettings
@@ -234,7 +253,9 @@
         host = self.host
         name = HostName(host.data_centre, host.name, incarnation)
         peers = attrs.asdict(self.peers)
-        return PoolHostSettings(name, host.address, host.peer_port, **peers)
+        return PoolHostSettings(
+            name, host.address, host.peer_port, cpu_milli=host.cpu_milli, **peers
+        )
 
     def coordinator_timing(self) -> CoordinatorTiming:
         """Return the durations that govern the orders to targets."""
--- a/hibiscusstack_standins/estate/tests/stored_site.py
+++ b/hibiscusstack_standins/estate/tests/stored_site.py
@@ -23,13 +23,13 @@
 from hibiscusstack.pool.timing import CoordinatorTiming
 from hibiscusstack_standins.estate import jobs as estate
 from hibiscusstack_standins.estate.auditor import AuditBounds, Auditor, ClientRecord
+from hibiscusstack_standins.estate.edges import NetworkClient
 from hibiscusstack_standins.estate.log_store import LogStore, StoreLimits
 from hibiscusstack_standins.estate.messages import Request
 from hibiscusstack_standins.estate.network import Network
 from hibiscusstack_standins.estate.runs import Capacity
 from hibiscusstack_standins.estate.store_service import StoreService
 from hibiscusstack_standins.estate.worker import Worker, WorkerPlan
-from hibiscusstack_standins.lab.edges import NetworkClient
 from hibiscusstack_standins.lab.streams import HostReactor, Streams
 
 POOL = "s"
--- a/hibiscusstack_standins/lab/site.py
+++ b/hibiscusstack_standins/lab/site.py
@@ -10,6 +10,7 @@
 
 from hibiscusstack.dispatch.messages import HostName
 from hibiscusstack_standins.estate.auditor import Auditor, ClientRecord, Violation
+from hibiscusstack_standins.estate.edges import Edge
 from hibiscusstack_standins.estate.events import Event, RunStarted
 from hibiscusstack_standins.estate.jobs import Catalog
 from hibiscusstack_standins.estate.log_store import LogStore
@@ -18,7 +19,6 @@
 from hibiscusstack_standins.estate.registry import Registry
 from hibiscusstack_standins.estate.store_service import StoreService
 from hibiscusstack_standins.estate.worker import Worker, WorkerPlan
-from hibiscusstack_standins.lab.edges import Edge
 from hibiscusstack_standins.lab.streams import HostReactor, Streams
 
 POLL_MS = 1_000
