--- a/Makefile
+++ b/Makefile
@@ -60,6 +60,10 @@
 policy: setup
 	$(PYTHON) -m benches.policy $(ARGUMENTS)
 
+.PHONY: lab
+lab: setup
+	$(VENV)/bin/hibiscus-lab $(ARGUMENTS)
+
 .PHONY: bench-caller-api
 bench-caller-api: setup
 	$(PYTHON) -m benches.caller_api
--- a/hibiscusstack_standins/estate/network.py
+++ b/hibiscusstack_standins/estate/network.py
@@ -4,6 +4,7 @@
 
 import heapq
 import itertools
+from collections import Counter
 from collections.abc import Callable
 from random import Random
 
@@ -88,7 +89,8 @@
 
     ``delay_ms`` bounds the delay in each direction. A party is known from its first
     use on; one that is called needs a service. A call on a connection that went
-    silent ends with its timeout, and the next one uses a new connection.
+    silent ends with its timeout, and the next one uses a new connection. ``calls``
+    counts the calls by path.
 
     >>> network = Network()
     >>> network.call("a", "nobody", Request("/hold"), print, timeout_ms=100)
@@ -101,6 +103,7 @@
     ) -> None:
         self.now_ms = start_ms
         self.delay_ms = delay_ms
+        self.calls: Counter[str] = Counter()
         self._random = Random(seed)
         self._parties: dict[str, _Party] = {}
         self._events: list[tuple[int, int, Action]] = []
@@ -126,6 +129,7 @@
         connection: int = 0,
     ) -> None:
         """Send a request, and call ``on_answer`` once while the caller lives."""
+        self.calls[request.path] += 1
         party = self._party(caller)
         if not party.is_up:
             raise InvalidInputError("caller", "a party that is up", caller)
--- a/hibiscusstack_standins/lab/edges.py
+++ b/hibiscusstack_standins/lab/edges.py
@@ -4,7 +4,7 @@
 
 import json
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from urllib.parse import parse_qsl
 
 import attrs
@@ -101,20 +101,35 @@
 
 
 class Edge:
-    """One run of a host, with the store and the workers of ``network``."""
+    """One run of a host, with the store and the workers of ``network``.
 
-    def __init__(self, network, party: str, *, reactor, clock, name, port: int) -> None:
+    ``peers`` are settings of the host by name, ``timing`` those of its orders.
+    """
+
+    def __init__(
+        self,
+        network,
+        party: str,
+        *,
+        reactor,
+        clock,
+        name,
+        port: int,
+        peers: Mapping[str, int] | None = None,
+        timing: CoordinatorTiming | None = None,
+    ) -> None:
+        timing = timing or CoordinatorTiming()
+        settings = PoolHostSettings(name, "127.0.0.1", port, **(peers or {}))
         client, server = NetworkClient(network, party), QuietServer()
         log = StoreLog(client, "store:1", STORE_TIMEOUT_MS)
-        orders = WorkerOrders(
-            client, CoordinatorTiming(), lambda: self.host.coordinator
-        )
+        orders = WorkerOrders(client, timing, lambda: self.host.coordinator)
         self.host = PoolHost(
-            settings=PoolHostSettings(name=name, address="127.0.0.1", port=port),
+            settings=settings,
             reactor=reactor,
             clock=clock,
             log=log,
             orders=orders,
+            timing=timing,
         )
         service = PoolService(self.host.receiver, clock)
         self.front = Front(
--- a/hibiscusstack_standins/lab/site.py
+++ b/hibiscusstack_standins/lab/site.py
@@ -11,7 +11,7 @@
 from hibiscusstack.dispatch.messages import HostName
 from hibiscusstack_standins.estate.auditor import Auditor, ClientRecord, Violation
 from hibiscusstack_standins.estate.events import Event, RunStarted
-from hibiscusstack_standins.estate.jobs import Catalog
+from hibiscusstack_standins.estate.jobs import Catalog, TaskName
 from hibiscusstack_standins.estate.log_store import LogStore
 from hibiscusstack_standins.estate.network import Network
 from hibiscusstack_standins.estate.queues import publish_queues
@@ -153,14 +153,20 @@
             self.network.mend(*pair)
         self.streams.mend()
 
+    def mend_pairs(self, pairs: Iterable[frozenset[str]]) -> None:
+        """End the cuts between some pairs of hosts, workers and the store."""
+        for pair in pairs:
+            self.network.mend(*pair)
+        self.streams.mend_pairs(pairs)
+
     def coordinator(self) -> str:
-        """Return the host with the newest term that coordinates."""
+        """Return the host with the newest term that coordinates, or nothing."""
         terms = {
             edge.host.coordinator.token: name
             for name, edge in self.edges.items()
             if edge.host.coordinator is not None
         }
-        return terms[max(terms)]
+        return terms[max(terms)] if terms else ""
 
     def events(self) -> list[Event]:
         """Return what all workers saw so far."""
@@ -170,6 +176,10 @@
         """Return what broke the rules so far; ``records`` are those of all jobs."""
         return Auditor(self.catalog, records).audit(self.events(), self.now_ms)
 
+    def cpu_of(self, task: str) -> int:
+        """Return the processor need of a task in thousandths of a core."""
+        return self.catalog.step_of(TaskName.parse(task)).cpu
+
     def starts_on(self, name: str) -> list[RunStarted]:
         """Return the runs that a worker began."""
         events = self.workers[name].events
--- a/hibiscusstack_standins/lab/streams.py
+++ b/hibiscusstack_standins/lab/streams.py
@@ -3,7 +3,7 @@
 __all__ = ["HostReactor", "Streams"]
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 from twisted.internet.address import IPv4Address
@@ -49,6 +49,7 @@
 
     def write(self, data: bytes) -> None:
         """Send bytes to the far end."""
+        self._streams.messages += 1
         self._streams.carry(self, lambda: self.far.protocol.dataReceived(data))
 
     def registerProducer(self, producer, streaming) -> None:  # noqa: N802
@@ -84,12 +85,16 @@
 
 
 class Streams:
-    """All streams between the hosts; ``listeners`` holds their owners by port."""
+    """All streams between the hosts; ``listeners`` holds their owners by port.
+
+    ``messages`` counts what was written to them.
+    """
 
     def __init__(self, network: Network) -> None:
         self.network = network
         self.listeners: dict[int, tuple[str, object]] = {}
         self.cuts: set[frozenset[str]] = set()
+        self.messages = 0
         self._ends: list[End] = []
 
     def carry(self, sender: End, action: Callable[[], None]) -> None:
@@ -108,7 +113,20 @@
     def mend(self) -> None:
         """End all cuts; what was held up arrives."""
         self.cuts.clear()
-        for end in self._ends:
+        self._release(self._ends)
+
+    def mend_pairs(self, pairs: Iterable[frozenset[str]]) -> None:
+        """End the cuts between some pairs; what was held up there arrives."""
+        self.cuts.difference_update(pairs)
+        freed = [
+            end
+            for end in self._ends
+            if frozenset((end.owner, end.far.owner)) in set(pairs)
+        ]
+        self._release(freed)
+
+    def _release(self, ends: Iterable[End]) -> None:
+        for end in ends:
             held, end.held = end.held, []
             for arrive in held:
                 self.network.after(end.owner, 1, arrive)
