--- a/hibiscusstack_standins/estate/tests/test_worker.py
+++ b/hibiscusstack_standins/estate/tests/test_worker.py
@@ -291,6 +291,14 @@
     assert [row[3] for row in ends(worker, 2_010)] == ["done", "failed"]
 
 
+def test_work_takes_longer_on_a_slower_worker_and_for_longer_tasks():
+    worker = worker_of(Step(count=2, uneven_work_ms=(100, 40)), slowness=1.5)
+    start(worker)
+    start(worker, task=name(1))
+    assert [row[1] for row in ends(worker, 149)] == [name(1)]
+    assert len(ends(worker, 150)) == 2
+
+
 def test_a_task_that_cannot_be_done_fails():
     worker = worker_of(Step(work_ms=100, fails=True))
     start(worker)
--- a/hibiscusstack_standins/estate/worker.py
+++ b/hibiscusstack_standins/estate/worker.py
@@ -34,7 +34,8 @@
 class WorkerPlan:
     """What a worker is; times as the settings name them under ``bounds``.
 
-    With ``shows_usage`` a row of ``active`` ends with the ``cpu`` that is in use.
+    With ``shows_usage`` a row of ``active`` ends with the ``cpu`` that is in use. Work
+    takes ``slowness`` times as long as on other workers.
     """
 
     id: str
@@ -58,6 +59,7 @@
     pace_ms: int = 100
     startup_ms: int = 200
     shows_usage: bool = False
+    slowness: float = 1.0
 
 
 @attrs.frozen
@@ -394,7 +396,7 @@
         if self.faults.stalls:
             return 0.0
         step = run.step
-        factor = self.faults.slow_factor
+        factor = self.plan.slowness * self.faults.slow_factor
         if step.data_rack and step.data_rack != self.plan.rack:
             factor *= self.plan.remote_factor
         if step.rack_sensitive and len(run.progress.racks) > 1:
--- a/hibiscusstack_standins/lab/callers.py
+++ b/hibiscusstack_standins/lab/callers.py
@@ -45,6 +45,7 @@
     host: str = ""
     attempt: int = 0
     refusals: int = 0
+    losses: int = 0
     statuses: list[int | None] = attrs.field(factory=list)
     request: object = None
 
@@ -74,8 +75,9 @@
     """All callers of a run; each has one job.
 
     A caller is connected to a host of its data centre that is ready, or else to any
-    that is. Refused, it comes back after a second while it has retries left; without
-    an answer it sends again after ``resend_ms``. It gives up when its patience ends.
+    that is. Refused, it comes back when it was told to while it has retries left.
+    Unanswered, it sends again after ``resend_ms`` while it has resends left; without a
+    connection it dials again after ``redial_ms``. It gives up when its patience ends.
     """
 
     def __init__(self, site: Site, room_milli: int, seed: int) -> None:
@@ -97,7 +99,7 @@
         """Let the callers of a host see their connections end."""
         for job in self.jobs:
             if job.host == name and job.request is not None:
-                self._after(LINK_MS, job, self._broken)
+                self._after(LINK_MS, job, self._lose)
 
     def _begin(self, job: SentJob) -> None:
         job.sent_ms = self._site.now_ms
@@ -112,7 +114,7 @@
         job.host = self._choose_host(job)
         edge, attempt = self._site.edges.get(job.host), job.attempt
         if edge is None:
-            self._after(LINK_MS, job, self._broken)
+            self._after(job.terms.redial_ms, job, self._send)
             return
         waits_ms = int(job.patience_ms - (self._site.now_ms - job.sent_ms))
 
@@ -158,16 +160,21 @@
             state = json.loads(body)["state"]
             self._end(job, CallerEnd(state))
         elif status not in REFUSED_STATUSES:
-            self._after(job.terms.resend_ms, job, self._send)
+            self._lose(job)
         elif job.refusals < job.terms.retries:
             job.refusals += 1
             self._after(json.loads(body)["retry_ms"], job, self._send)
         else:
             self._end(job, CallerEnd.REFUSED)
 
-    def _broken(self, job: SentJob) -> None:
+    def _lose(self, job: SentJob) -> None:
+        """Send a job again that got no answer, or leave it."""
         job.request = None
-        self._after(job.terms.resend_ms, job, self._send)
+        if job.losses < job.terms.resends:
+            job.losses += 1
+            self._after(job.terms.resend_ms, job, self._send)
+        else:
+            self._end(job, CallerEnd.LOST)
 
     def _give_up(self, job: SentJob) -> None:
         if job.end is not CallerEnd.OPEN:
@@ -175,8 +182,7 @@
         request, job.request = job.request, None
         if request is not None and request.on_gone and job.host in self._site.edges:
             self._site.network.after(job.host, LINK_MS, request.on_gone)
-        is_waiting = request is not None
-        self._end(job, CallerEnd.GAVE_UP if is_waiting else CallerEnd.LOST)
+        self._end(job, CallerEnd.GAVE_UP)
 
     def _end(self, job: SentJob, end: CallerEnd) -> None:
         job.end, job.ended_ms = end, self._site.now_ms
--- a/hibiscusstack_standins/lab/playing.py
+++ b/hibiscusstack_standins/lab/playing.py
@@ -90,4 +90,5 @@
                 zone=place_name,
                 labels=(kind_name,),
                 capacity=Capacity(kind.cpu_milli, kind.memory_mb),
+                slowness=kind.slowness,
             )
--- a/hibiscusstack_standins/lab/scenario.py
+++ b/hibiscusstack_standins/lab/scenario.py
@@ -94,6 +94,7 @@
     cpu_milli: int = key(_CPU, "Thousandths of a core.")
     memory_mb: int = key(_MEMORY, "Memory.", 32_768)
     weight: int = key(Number(1, 100), "How many in turn are of this kind.", 1)
+    slowness: float = key(Amount(0.01, 100), "How many times longer work takes.", 1.0)
 
 
 @attrs.frozen
@@ -126,7 +127,9 @@
     patience_ms: int = key(DURATION, "How long a caller waits at least.", 1_500)
     patience_factor: float = key(_FACTOR, "The same, in objectives of the job.", 0.0)
     retries: int = key(Number(0, 1_000), "How often a caller comes back refused.", 0)
-    resend_ms: int = key(DURATION, "When it sends again without an answer.", 1_300)
+    resends: int = key(Number(0, 1_000), "How often it sends again unanswered.", 1)
+    resend_ms: int = key(DURATION, "When it sends again unanswered.", 1_300)
+    redial_ms: int = key(DURATION, "When it dials again without a connection.", 500)
 
 
 @attrs.frozen
--- a/hibiscusstack_standins/lab/tests/test_playing.py
+++ b/hibiscusstack_standins/lab/tests/test_playing.py
@@ -64,3 +64,16 @@
     run = play(small_scenario(*changes), 1)
     assert run.violations == {}
     assert run.total.ends["completed"] > 0.5 * run.total.jobs
+
+
+def test_an_unanswered_caller_sends_again_while_it_has_resends():
+    fault = ["kind=host-killed", "at_ms=1000", "share=1", "for_ms=200"]
+    changes = [f"fault x.{each}" for each in fault]
+    patient = ("class quick.patience_ms=6000", "class slow.patience_ms=6000")
+    load = ("traffic.factor=4", "run.settle_ms=8000", *patient)
+    lost = []
+    for resends in (0, 3):
+        more = [f"class {name}.resends={resends}" for name in ("quick", "slow")]
+        run = play(small_scenario(*changes, *load, *more), 1)
+        lost.append(run.total.ends.get("lost", 0))
+    assert lost[0] > lost[1] == 0
