--- a/hibiscusstack/pool/tests/fleet.py
+++ b/hibiscusstack/pool/tests/fleet.py
@@ -55,6 +55,7 @@
 
     ``hosts`` are parties ``h1`` and so on; those that are killed have no edge.
     ``zones`` says which hosts and workers are where; all others are in zone ``z``.
+    ``cpu_milli`` is the processor of the hosts that tell their size.
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         hosts: int = 3,
         workers: int = 4,
         zones: Mapping[str, Collection[str]] | None = None,
+        cpu_milli: Mapping[str, int] | None = None,
         **terms,
     ) -> None:
         self.zones = zones or {}
@@ -74,6 +76,7 @@
             hosts={name: self._zone(name) for name in names},
             workers=[self._worker(f"w{number}") for number in range(workers)],
             routes={"q": {"max_attempts": 3, "target_latency_ms": 8_000} | terms},
+            cpu_milli=cpu_milli or {},
         )
         super().__init__(seed, plan)
         self.run(START_MS)
--- a/hibiscusstack_standins/lab/site.py
+++ b/hibiscusstack_standins/lab/site.py
@@ -32,7 +32,8 @@
 
     ``hosts`` gives the zone of each host; each is a party of the network. ``routes``
     are the queues by name, with their terms in the words of the platform.
-    ``host_terms`` are further arguments of each ``Edge``.
+    ``host_terms`` are further arguments of each ``Edge``, and ``cpu_milli`` is the
+    processor of the hosts that tell their size.
     """
 
     hosts: Mapping[str, str]
@@ -40,6 +41,7 @@
     routes: Mapping[str, Mapping[str, Any]]
     delay_ms: tuple[int, int] = (1, 3)
     host_terms: Mapping[str, Any] = attrs.field(factory=dict)
+    cpu_milli: Mapping[str, int] = attrs.field(factory=dict)
 
 
 class Site:
@@ -101,6 +103,10 @@
         """Start a host, or start it again."""
         reactor = HostReactor(self.streams, name)
         own = HostName(self.zone_of(name), name, self.network.now_ms)
+        terms = dict(self.plan.host_terms)
+        if name in self.plan.cpu_milli:
+            size = {"cpu_milli": self.plan.cpu_milli[name]}
+            terms["peers"] = {**terms.get("peers", {}), **size}
         self.edges[name] = Edge(
             self.network,
             name,
@@ -108,7 +114,7 @@
             clock=reactor,
             name=own,
             port=1 + self.host_names.index(name),
-            **self.plan.host_terms,
+            **terms,
         )
 
     def kill(self, name: str, resets: bool = True) -> None:
