--- a/hibiscusstack_standins/estate/worker.py
+++ b/hibiscusstack_standins/estate/worker.py
@@ -1,6 +1,6 @@
 """A worker of the platform: its lives, its runs, its lease and its ends."""
 
-__all__ = ["Worker", "WorkerFaults", "WorkerPlan"]
+__all__ = ["ORDER_PATHS", "Worker", "WorkerFaults", "WorkerPlan"]
 
 import math
 from collections.abc import Callable
@@ -24,6 +24,9 @@
 from hibiscusstack_standins.estate.progress import Gangs, Progress
 from hibiscusstack_standins.estate.runs import Capacity, Run, work_in
 
+ORDER_PATHS = frozenset({"/run-start", "/run-stop"})
+"""The calls that begin and end runs."""
+
 _MAX_WAIT_MS = 2_000
 _MAX_LISTED = 500
 _INSTANCE_HEADER = "hibiscusstack-expect-instance"
--- a/hibiscusstack_standins/lab/faults.py
+++ b/hibiscusstack_standins/lab/faults.py
@@ -8,12 +8,11 @@
 
 from hibiscusstack_standins.estate.network import Lateness
 from hibiscusstack_standins.estate.store_service import LostAnswers, Outage
-from hibiscusstack_standins.estate.worker import WorkerFaults
+from hibiscusstack_standins.estate.worker import ORDER_PATHS, WorkerFaults
 from hibiscusstack_standins.lab.callers import Callers
 from hibiscusstack_standins.lab.scenario import Fault, FaultKind
 from hibiscusstack_standins.lab.site import PLATFORM, Site
 
-_ORDER_PATHS = frozenset({"/run-start", "/run-stop"})
 _SICK_STATUS = 503
 
 
@@ -146,7 +145,7 @@
 
     def _delay_orders(self, fault: Fault) -> Callable[[], None]:
         names = self._targets(fault)
-        lateness = Lateness(fault.call_share, _ORDER_PATHS)
+        lateness = Lateness(fault.call_share, ORDER_PATHS)
         for name in names:
             self._site.network.set_lateness(name, lateness)
         return lambda: [self._site.network.set_lateness(name, None) for name in names]
