Hand jobs over again when the connection to the coordinator is replaced

Cause: when two hosts dial each other at once, as after a cut in which both waited their longest between dials, one of the two connections replaces the other. Jobs handed over on the first were lost; the receiving host had marked them as sent and never sent them again, so that their callers waited until they gave up. Ruled out: the coordinator, to which no such submission came, and the mesh, which tells of the new connection. A receiving host now repeats what it has sent to a peer that connects anew; the coordinator knows submissions that it has. The tests of pool/ (of test_faults.py the new one only) and of the hosts' edge and operators passed.

--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -214,6 +214,7 @@
     def peer_connected(self, peer: HostName) -> None:
         """Hand jobs over if the peer is the coordinator."""
         self._away_since_ms.pop(peer, None)
+        self.receiver.connection_replaced(peer)
         self._find_coordinator()
 
     def peer_disconnected(self, peer: HostName) -> None:
--- a/hibiscusstack/pool/receiving.py
+++ b/hibiscusstack/pool/receiving.py
@@ -80,6 +80,15 @@
                 self._leave_coordinator(submission, received)
                 self._forward(submission, received)
 
+    def connection_replaced(self, coordinator: HostName) -> None:
+        """Hand jobs over again, of which a replaced connection may have lost some.
+
+        The coordinator knows by their submissions those that it has.
+        """
+        for submission, received in list(self._jobs.items()):
+            if received.sent_to == coordinator:
+                self._forward(submission, received)
+
     def answered(self, sender: HostName, message: SubmissionAnswer) -> None:
         """Pass on the answer of the coordinator that has the job."""
         received = self._jobs.get(message.submission)
@@ -123,9 +132,10 @@
             if unheard_since_ms is None
             else int(now_ms - unheard_since_ms),
         )
+        is_move = received.was_sent and received.sent_to is None
         received.sent_to = self._coordinator
         if self._send(self._coordinator, message):
-            if received.was_sent:
+            if is_move:
                 self._events.job_moved(
                     received.job.job_id, message.waited_ms, received.attempts
                 )
--- a/hibiscusstack/pool/tests/test_faults.py
+++ b/hibiscusstack/pool/tests/test_faults.py
@@ -3,6 +3,7 @@
 import pytest
 
 from hibiscusstack.pool.tests.fleet import CALLERS, GUARD_CPU, Fleet
+from hibiscusstack_standins.estate.jobs import Step
 from hibiscusstack_standins.estate.network import Lateness
 from hibiscusstack_standins.estate.runs import Capacity
 from hibiscusstack_standins.estate.store_service import LostAnswers, Outage
@@ -10,6 +11,8 @@
 
 SEEDS = range(4)
 WORKERS = ("w0", "w1", "w2", "w3")
+LONG_CUT_MS = 40_000
+LONG_STEP = Step(count=2, work_ms=900, cpu=500, mem_mb=64)
 every_seed = pytest.mark.parametrize("seed", SEEDS)
 
 
@@ -28,6 +31,14 @@
         fleet.run(every_ms)
 
 
+def cut_off_with_a_worker(fleet, host):
+    """Cut a host off from all but one worker, which leaves the list."""
+    for other in fleet.others(host):
+        fleet.cut(other, [host, "w3"])
+    fleet.cut(host, ["store", *WORKERS[:3]])
+    fleet.registry.cut_off.add("w3")
+
+
 def test_jobs_at_scale_run_once_each():
     fleet = Fleet(5, workers=12)
     callers = fleet.submit_some(400, work_ms=40)
@@ -103,6 +114,19 @@
     fleet.settle()
 
 
+@every_seed
+def test_jobs_move_to_the_new_coordinator_when_a_long_cut_ends(seed):
+    fleet = Fleet(seed, hosts=4, target_latency_ms=60_000)
+    fleet.wait_ms = 60_000
+    first = fleet.coordinator()
+    cut_off_with_a_worker(fleet, first)
+    fleet.run(LONG_CUT_MS)
+    callers = [fleet.submit(LONG_STEP, host=first) for _ in range(3)]
+    fleet.run(150)
+    fleet.settle()
+    assert [caller.statuses for caller in callers] == 3 * [[200]]
+
+
 @every_seed
 @pytest.mark.parametrize("resets", [True, False])
 def test_a_receiving_host_is_killed(seed, resets):
--- a/hibiscusstack/pool/tests/test_receiving.py
+++ b/hibiscusstack/pool/tests/test_receiving.py
@@ -80,6 +80,23 @@
     assert ends == {"sent": [JobEnd.UNKNOWN], "kept": [JobEnd.REFUSED]}
 
 
+def test_a_job_goes_again_to_a_coordinator_whose_connection_was_replaced():
+    host = Host()
+    host.receiver.coordinator_changed(C1)
+    host.submit("one")
+    host.receiver.coordinator_changed(None)
+    host.receiver.coordinator_changed(C2)
+    host.submit("two")
+    host.pass_time(50)
+    sent = len(host.sent)
+    host.receiver.connection_replaced(C1)
+    assert host.sent[sent:] == []
+    host.receiver.connection_replaced(C2)
+    assert host.submissions()[-2:] == [(C2, "one", True), (C2, "two", True)]
+    assert [message.submission for _, message in host.sent[sent:]] == [1, 2]
+    assert [message.unheard_ms for _, message in host.sent[sent:]] == [50, 0]
+
+
 def test_a_deadline_cancels_at_the_coordinator():
     host = Host()
     host.receiver.coordinator_changed(C1)
