Keep missing targets until no other host can order them

Cause: names of missing targets were dropped after 30 s when a term began, and never within a term. The second made handed over jobs wait up to 1,268 ms for targets that had long gone. Ruled out: any age of a missing target, since a cut may last longer. A host now tells when every listed host is heard and follows the newest term.

--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -50,6 +50,7 @@
 from hibiscusstack.pool.stored.service import StoredJobs
 from hibiscusstack.pool.targets import ListedTarget
 from hibiscusstack.pool.timing import CoordinatorTiming
+from hibiscusstack.pool.vanished import VanishedTargets
 
 HOSTS_TOPIC = "hosts"
 HOSTS_WAIT_MS = 1_000
@@ -57,7 +58,7 @@
 TOUCH_MS = 1_300
 SETTLING_MS = 700
 TICK_MS = 10
-MISSING_MS = 30_000
+RECENT_MS = 30_000
 UNHEARD_MS = 250
 DEPUTY_PATIENCE_MS = 100
 FENCED_PATIENCE_MS = 100
@@ -96,8 +97,7 @@
         self._orders = orders
         self._targets: tuple[ListedTarget, ...] = ()
         self._recent_targets: dict[str, ListedTarget] = {}
-        self._names: set[str] = set()
-        self._missing_since_ms: dict[str, float] = {}
+        self._vanished = VanishedTargets(self._timing.quiet_bound_ms)
         self._election = Election(settings.name, settings.patience_ms)
         self._hears: dict[HostName, PoolHeartbeat] = {}
         self._away_since_ms: dict[HostName, float] = {}
@@ -179,17 +179,11 @@
     def replace_targets(self, targets: Iterable[ListedTarget]) -> None:
         """Take over a newer list of targets."""
         self._targets = tuple(targets)
-        names = {target.name for target in self._targets}
         now_ms = self._clock.now_ms()
-        for name in self._names - names:
-            self._missing_since_ms.setdefault(name, now_ms)
-        for name in names:
-            self._missing_since_ms.pop(name, None)
-        self._names = names
+        self._vanished.replace_listed([each.name for each in self._targets], now_ms)
         self._recent_targets.update({each.name: each for each in self._targets})
-        for name, since_ms in list(self._missing_since_ms.items()):
-            if now_ms - since_ms > MISSING_MS:
-                self._recent_targets.pop(name, None)
+        for name in self._vanished.left_before(now_ms - RECENT_MS):
+            self._recent_targets.pop(name, None)
         if self._is_deputy():
             self.coordinator.replace_targets(self._own_targets())
         elif self.coordinator is not None:
@@ -339,12 +333,6 @@
             self.coordinator = None
 
     def _coordinate(self, term: Term) -> None:
-        now_ms = self._clock.now_ms()
-        missing = [
-            name
-            for name, since_ms in self._missing_since_ms.items()
-            if now_ms - since_ms < MISSING_MS
-        ]
         self.coordinator = Coordinator(
             token=term_token(term.offset),
             clock=self._clock,
@@ -352,7 +340,7 @@
             send_answer=self._answer,
             timing=self._timing,
             events=self._events,
-            missing=missing,
+            missing=self._vanished.names(),
         )
         self.coordinator.journal = self.stored.coordinate(
             term.offset + 1, self.coordinator
@@ -513,6 +501,7 @@
         self._claim_if_due(now_ms)
         self._stand_in_if_due(now_ms)
         self._retake_fenced(now_ms)
+        self._forget_vanished(now_ms)
         if self.coordinator is not None:
             self.coordinator.note_unheard(self._unheard_peers())
             self.coordinator.tick()
@@ -520,6 +509,31 @@
         self.stored.note_seclusion(self._is_secluded())
         self.stored.tick()
 
+    def _forget_vanished(self, now_ms: float) -> None:
+        coordinator = self.coordinator
+        is_waiting = coordinator is not None and coordinator.has_missing
+        matters = is_waiting or bool(self._vanished)
+        is_united = matters and self._is_united(now_ms)
+        is_quiet = self._vanished.note_hosts(is_united, now_ms)
+        if is_quiet and coordinator is not None:
+            coordinator.forget_missing()
+
+    def _is_united(self, now_ms: float) -> bool:
+        """Tell whether all listed hosts are heard and follow the newest term."""
+        term = self._election.term
+        if not self._is_in_touch(now_ms) or not self._hears_staying_holder():
+            return False
+        own = self._settings.name
+        following = {
+            (peer.data_centre, peer.name)
+            for peer, beat in self._hears.items()
+            if beat.term == term.offset and beat.hears_holder and not beat.is_deputy
+        }
+        following.add((own.data_centre, own.name))
+        return following >= {
+            (host.name.data_centre, host.name.name) for host in self._hosts.values()
+        }
+
     def _is_secluded(self) -> bool:
         """Tell whether an unheard host may have begun a term some time ago."""
         unknown_ms = self._clock.now_ms() - self._follower.known_ms
@@ -536,6 +550,7 @@
     def _resume_after(self, paused_ms: float) -> None:
         """Give up the term: its leases have lapsed, and others may have taken over."""
         log_message("pool:paused", level="warning", for_ms=int(paused_ms))
+        self._vanished.note_hosts(False, self._clock.now_ms())
         self._step_down()
         self._election.resign()
         self.receiver.refuse_all("host was paused")
--- a/hibiscusstack/pool/coordination/tests/test_starting.py
+++ b/hibiscusstack/pool/coordination/tests/test_starting.py
@@ -66,6 +66,17 @@
     assert len(site.starts) == 1
 
 
+def test_a_target_that_is_missing_matters_at_any_age_until_it_is_forgotten():
+    site = Site("t1", missing=["t2"])
+    site.take("t1")
+    site.pass_time(60_000)
+    site.submit(unheard_ms=0)
+    assert site.starts == [] and site.coordinator.has_missing
+    site.coordinator.forget_missing()
+    site.pass_time(10)
+    assert len(site.starts) == 1 and not site.coordinator.has_missing
+
+
 def test_a_resubmitted_job_starts_at_once_where_all_targets_are_held():
     site = Site("t1", "t2")
     site.take("t1", "t2")
--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -59,11 +59,11 @@
     to have ended, or the lease that it ran under has surely lapsed.
 
     ``missing`` names targets that were listed earlier and are not now: an earlier
-    coordinator may still have work there. A deputy has only some of the targets, and
-    the coordinator that it stands in for may still be at work elsewhere: it adopts no
-    run, and waits as long as that one may take to notice. With ``voids_ends`` it lets
-    the leases lapse that it finds, so that ends of stored jobs, which it does not know,
-    do not count.
+    coordinator may still have work there, until ``forget_missing`` is called. A deputy
+    has only some of the targets, and the coordinator that it stands in for may still be
+    at work elsewhere: it adopts no run, and waits as long as that one may take to
+    notice. With ``voids_ends`` it lets the leases lapse that it finds, so that ends of
+    stored jobs, which it does not know, do not count.
 
     What it decides is in the modules of ``coordination``.
     """
@@ -168,6 +168,15 @@
         """
         self._state.unheard = set(owners)
 
+    @property
+    def has_missing(self) -> bool:
+        """Whether a target is missing at which others may have work."""
+        return bool(self._state.missing)
+
+    def forget_missing(self) -> None:
+        """Wait for no target that is missing, since nobody else orders any."""
+        self._state.missing.clear()
+
     def run_stored(self, job: ActiveJob) -> None:
         """Take a stored job; nothing of it starts within this call."""
         take_stored_job(self._state, job)
--- a/hibiscusstack/pool/tests/test_faults.py
+++ b/hibiscusstack/pool/tests/test_faults.py
@@ -127,6 +127,27 @@
     assert [caller.statuses for caller in callers] == 3 * [[200]]
 
 
+@every_seed
+def test_a_term_begins_long_after_a_worker_was_cut_off_with_an_old_coordinator(seed):
+    fleet = Fleet(seed, hosts=4, target_latency_ms=60_000)
+    fleet.wait_ms = 60_000
+    first = fleet.coordinator()
+    cut_off_with_a_worker(fleet, first)
+    fleet.run(LONG_CUT_MS)
+    second = fleet.coordinator()
+    fleet.kill(second)
+    fleet.run(3_000)
+    fleet.start(second)
+    fleet.run(3_000)
+    for _ in range(3):
+        fleet.submit(LONG_STEP, host=first)
+    fleet.run(150)
+    fleet.mend()
+    fleet.registry.cut_off.add("w3")
+    fleet.run(2_000)
+    fleet.settle()
+
+
 @every_seed
 @pytest.mark.parametrize("resets", [True, False])
 def test_a_receiving_host_is_killed(seed, resets):
