Keep the names of missing targets in a fixed order

Cause: names that leave the list together were kept in the order of a set, and a test that compared all names failed with some hash seeds (once in two runs of the tests of pool/).

--- a/hibiscusstack/pool/tests/test_vanished.py
+++ b/hibiscusstack/pool/tests/test_vanished.py
@@ -17,7 +17,7 @@
     targets = vanished("a", "b")
     targets.replace_listed(["here", "b"], 10)
     targets.replace_listed([], 20)
-    assert targets.names() == ["a", "here", "b"]
+    assert targets.names() == ["a", "b", "here"]
 
 
 def test_a_name_is_kept_at_any_age_while_a_host_may_order_it():
--- a/hibiscusstack/pool/vanished.py
+++ b/hibiscusstack/pool/vanished.py
@@ -33,7 +33,7 @@
     def replace_listed(self, names: Collection[str], now_ms: float) -> None:
         """Take over the names of a newer list."""
         listed = frozenset(names)
-        for name in self._listed - listed:
+        for name in sorted(self._listed - listed):
             self._since_ms.setdefault(name, now_ms)
         for name in listed:
             self._since_ms.pop(name, None)
