Sum the capacity up only while jobs wait

Cause: each tick asked every target whether it may start work, to weigh jobs against the capacity, also when none waited.

--- a/hibiscusstack/pool/coordination/passing_time.py
+++ b/hibiscusstack/pool/coordination/passing_time.py
@@ -89,6 +89,8 @@
 def _refuse_hopeless(state: CoordinatorState, now_ms: float) -> None:
     """Refuse the jobs that the queue leaves no chance."""
     queue = state.queue
+    if not len(queue):
+        return
     queue.demote_late(now_ms)
     capacity_milli = sum(
         target.listing.capacity.cpu_milli
