--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -43,6 +43,7 @@
 from hibiscusstack.pool.stored.service import StoredJobs
 from hibiscusstack.pool.targets import ListedTarget
 from hibiscusstack.pool.timing import CoordinatorTiming
+from hibiscusstack.pool.vanished import VanishedTargets
 
 HOSTS_WAIT_MS = 1_000
 TICK_MS = 10
@@ -78,7 +79,8 @@
         self._reactor = reactor
         self._clock = clock
         self._ticked_ms = clock.now_ms()
-        self._targets = RecentTargets()
+        vanished = VanishedTargets(self._timing.quiet_bound_ms)
+        self._targets = RecentTargets(vanished)
         self._listing = HostListing(own)
         self._peers = HeardPeers()
         self._contact = LogContact()
@@ -284,6 +286,7 @@
         self._claim_if_due(now_ms)
         self._stand_in_if_due(now_ms)
         self._retake_if_due(now_ms)
+        self._forget_vanished(now_ms)
         if self.coordinator is not None:
             self.coordinator.note_unheard(self._unheard_peers())
             self.coordinator.tick()
@@ -294,6 +297,7 @@
     def _resume_after(self, paused_ms: float) -> None:
         """Give up the term: its leases have lapsed, and others may have taken over."""
         log_message("pool:paused", level="warning", for_ms=int(paused_ms))
+        self._targets.vanished.note_hosts(False, self._clock.now_ms())
         self._office.step_down()
         self._election.resign()
         self.receiver.refuse_all("host was paused")
@@ -357,6 +361,21 @@
         if is_retaking_due(self.coordinator.fenced_since_ms(), returned, now_ms):
             self._claims.claim()
 
+    def _forget_vanished(self, now_ms: float) -> None:
+        """Wait no more for targets that are missing once nobody else orders any."""
+        coordinator, vanished = self.coordinator, self._targets.vanished
+        is_waiting = coordinator is not None and coordinator.has_missing
+        is_united = (is_waiting or bool(vanished)) and self._is_united(now_ms)
+        if vanished.note_hosts(is_united, now_ms) and coordinator is not None:
+            coordinator.forget_missing()
+
+    def _is_united(self, now_ms: float) -> bool:
+        """Tell whether all listed hosts are heard and follow the newest term."""
+        if not self._contact.is_in_touch(now_ms) or not self._hears_staying_holder():
+            return False
+        following = self._peers.following(self.term) | {listed_name(self.name)}
+        return self._listing.names() <= following
+
     def _unheard_peers(self) -> list[HostName]:
         silent = {peer: self._mesh.silent_ms(peer) for peer in self._mesh.peers()}
         late = [peer for peer, ms in silent.items() if ms is None or ms > UNHEARD_MS]
--- a/hibiscusstack/pool/heard_peers.py
+++ b/hibiscusstack/pool/heard_peers.py
@@ -78,6 +78,14 @@
         """Return how much processor each peer has for a coordinator."""
         return {peer: beat.offered_cpu_milli for peer, beat in self._beats.items()}
 
+    def following(self, term: Term) -> set[tuple[str, str]]:
+        """Return the peers that follow the holder of ``term``, as in a listing."""
+        return {
+            listed_name(peer)
+            for peer, beat in self._beats.items()
+            if beat.term == term.offset and beat.hears_holder and not beat.is_deputy
+        }
+
     def deputies(self) -> list[HostName]:
         """Return the peers that stand in for the coordinator."""
         return [peer for peer, beat in self._beats.items() if beat.is_deputy]
--- a/hibiscusstack/pool/office.py
+++ b/hibiscusstack/pool/office.py
@@ -61,8 +61,7 @@
             return
         self.step_down()
         coordinator = self._build(
-            term_token(term.offset),
-            missing=self._targets.missing(self._clock.now_ms()),
+            term_token(term.offset), missing=self._targets.vanished.names()
         )
         coordinator.journal = self._stored.coordinate(term.offset + 1, coordinator)
         self._begin(coordinator)
