--- a/hibiscusstack/pool/coordination/state.py
+++ b/hibiscusstack/pool/coordination/state.py
@@ -51,6 +51,7 @@
     began_ms: float
     turn: int = 0
     is_deposed: bool = False
+    is_overloaded: bool = False
     journal: TaskJournal | None = None
     listed: dict[str, ListedTarget] = attrs.field(factory=dict)
     targets: dict[str, HeldTarget] = attrs.field(factory=dict)
