Acknowledge no ends to a silent target

Cause: a target that restarts at its address while the coordinator misses its reply counts its ends anew. The next hold carried the count of the earlier life and let the new one forget an end that nobody had read, so a task that was done ran again. A machine on the coordinator found it: failing job, cut to w1, w1 returns at once, two chained jobs, mended cut: run 1 of a task ended done at 927 ms, run 2 began at 1,186 ms.

Ruled out: the replies to starts as a sign of the new life; they come before its number of ends is known.

Now a hold to a silent target acknowledges nothing; its ends are listed again and those that are known are skipped.

--- a/hibiscusstack/pool/held_target.py
+++ b/hibiscusstack/pool/held_target.py
@@ -105,7 +105,12 @@
 
     @property
     def acked_through(self) -> int:
-        """Return the last end that the target may forget, with all before it."""
+        """Return the last end that the target may forget, with all before it.
+
+        While it is silent it may begin another life, which counts its ends anew.
+        """
+        if self.silent_since_ms is not None:
+            return 0
         if self.unsaved_ends:
             return min(self.unsaved_ends) - 1
         return self.processed_through
