Count requests refused before there is a job

Callers with a wrong host name or path, a body that can't be read or a job that isn't served were answered and left no trace in the metrics of operators, so a wrong configuration at a caller could not be seen. The service counts each by reason in refused_requests_total; the adapter only words the answers. Ruled out: to count them among the ends of jobs, since there was no job.

--- a/hibiscusstack/pool/counters.py
+++ b/hibiscusstack/pool/counters.py
@@ -24,12 +24,14 @@
     """Counts since the start of the process.
 
     ``jobs`` counts the answers to callers by end, and callers that went away as
-    ``gone``; ``refused_starts`` the starts that brought no run by reason; ``log_calls``
+    ``gone``; ``refused_requests`` the requests refused before there was a job;
+    ``refused_starts`` the starts that brought no run by reason; ``log_calls``
     the calls to the log by kind. What concerns targets is counted where the
     coordinator is.
     """
 
     jobs: Counter[str] = attrs.field(factory=Counter)
+    refused_requests: Counter[str] = attrs.field(factory=Counter)
     jobs_moved: int = 0
     starts: int = 0
     refused_starts: Counter[str] = attrs.field(factory=Counter)
--- a/hibiscusstack/pool/exposition.py
+++ b/hibiscusstack/pool/exposition.py
@@ -11,6 +11,7 @@
 
 _COUNTERS = {
     "jobs": ("end", "Jobs of callers at this host, by end."),
+    "refused_requests": ("reason", "Requests refused before there was a job."),
     "jobs_moved": ("", "Jobs handed to another coordinator than before."),
     "starts": ("", "Starts sent to targets."),
     "refused_starts": ("reason", "Starts that brought no run, by reason."),
--- a/hibiscusstack/pool/service.py
+++ b/hibiscusstack/pool/service.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "Ended",
+    "Malformed",
     "NotConfigured",
     "NotKnown",
     "NotStored",
@@ -16,6 +17,7 @@
 from eliot import log_message
 
 from hibiscusstack.clock import Clock
+from hibiscusstack.pool.counters import PoolCounters
 from hibiscusstack.pool.jobs import PoolJob
 from hibiscusstack.pool.messages import JobEnd, SubmissionAnswer
 from hibiscusstack.pool.receiving import ReceivedJob, Receiver
@@ -36,6 +38,13 @@
     """No route leads from that host name and path."""
 
 
+@attrs.frozen
+class Malformed:
+    """The request can't be read, or asks for what there is not."""
+
+    cause: str
+
+
 @attrs.frozen
 class NotKnown:
     """The queue is there, and no such job is in it."""
@@ -58,15 +67,25 @@
     retry_ms: int = 0
 
 
-ServiceAnswer = NotConfigured | UnknownQueue | NotKnown | NotStored | Ended
+Refusal = NotConfigured | UnknownQueue | Malformed | NotStored
+ServiceAnswer = Refusal | NotKnown | Ended
+_REASONS = {
+    NotConfigured: "not-configured",
+    UnknownQueue: "no-queue",
+    Malformed: "malformed",
+    NotStored: "not-served",
+}
 MakeJob = Callable[[Route, str], PoolJob | NotStored]
 
 
 class PoolService:
     """Routes callers' requests to the jobs of a host."""
 
-    def __init__(self, receiver: Receiver, clock: Clock) -> None:
+    def __init__(
+        self, receiver: Receiver, clock: Clock, counters: PoolCounters | None = None
+    ) -> None:
         self.routes: RouteTable | None = None
+        self._counters = counters or PoolCounters()
         self._receiver = receiver
         self._clock = clock
 
@@ -84,12 +103,17 @@
     def find(self, host: str, path: str) -> tuple[Route, str] | ServiceAnswer:
         """Return the route of a request and the rest of its path."""
         if self.routes is None:
-            return NotConfigured()
+            return self.refuse(NotConfigured())
         route = self.routes.find(host, path)
         if route is None:
-            return UnknownQueue()
+            return self.refuse(UnknownQueue())
         return route, path[len(route.prefix) :]
 
+    def refuse(self, refusal: Refusal) -> Refusal:
+        """Return a refusal of a request that brought no job, and count it."""
+        self._counters.refused_requests[_REASONS[type(refusal)]] += 1
+        return refusal
+
     def submit(
         self,
         job: PoolJob,
