Tell the coordinator of accepted jobs, and count none that may be too old

Ruled out: a shorter pause, which costs reads and does not help where the log is away.

The receiving host tells the coordinator of each job that it has accepted; the log is read 300 ms apart for those of which word was lost. A count is given while the log was read within 4 s, and refused otherwise.

--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -41,13 +41,14 @@
     CancelSubmission,
     PoolHeartbeat,
     StoredAnswer,
+    StoredJobAccepted,
     SubmissionAnswer,
     SubmitPoolJob,
 )
 from hibiscusstack.pool.orders import TargetOrders
 from hibiscusstack.pool.receiving import Receiver
 from hibiscusstack.pool.stored.keeper import KeeperTiming
-from hibiscusstack.pool.stored.service import StoredJobs
+from hibiscusstack.pool.stored.service import StoredJobs, StoredMessage
 from hibiscusstack.pool.targets import ListedTarget
 from hibiscusstack.pool.timing import CoordinatorTiming
 
@@ -240,7 +241,7 @@
                 self._take_term(Term(message.term, message.holder))
         elif isinstance(message, SubmissionAnswer):
             self.receiver.answered(sender, message)
-        elif isinstance(message, AskStored | StoredAnswer):
+        elif isinstance(message, AskStored | StoredAnswer | StoredJobAccepted):
             self.stored.take_message(sender, message)
         elif self.coordinator is None:
             return
@@ -385,7 +386,7 @@
         holder = term.holder if term and self._hears_holder() else None
         self.stored.coordinator_changed(holder)
 
-    def _send_stored(self, to: HostName, message: AskStored | StoredAnswer) -> bool:
+    def _send_stored(self, to: HostName, message: StoredMessage) -> bool:
         return self._mesh.send(to, message).is_ok()
 
     def _find_holder(self) -> HostName | None:
--- a/hibiscusstack/host/tests/test_codec.py
+++ b/hibiscusstack/host/tests/test_codec.py
@@ -17,10 +17,12 @@
 from hibiscusstack.exceptions import DecodeError, InvalidInputError
 from hibiscusstack.host import codec
 from hibiscusstack.host.codec import MAX_FRAME_BYTES, decode_message, encode_message
+from hibiscusstack.pool.jobs import PoolJob, Resources, Step
 from hibiscusstack.pool.messages import (
     AskStored,
     PoolMessage,
     StoredAnswer,
+    StoredJobAccepted,
     StoredRequest,
     StoredState,
 )
@@ -70,6 +72,16 @@
 ANSWERS = st.builds(
     JobAnswer, TEXTS, st.sampled_from(Outcome), RESULTS, st.none() | PROBLEMS
 )
+POOL_STEPS = st.builds(
+    Step,
+    INTEGERS,
+    st.builds(Resources, INTEGERS, INTEGERS, INTEGERS),
+    after=st.lists(INTEGERS, max_size=3).map(tuple),
+    requires=TEXTS,
+)
+POOL_JOBS = st.builds(
+    PoolJob, TEXTS, TEXTS, TEXTS, st.lists(POOL_STEPS, max_size=3).map(tuple)
+)
 MESSAGES = st.one_of(
     st.builds(messages.Hello, HOST_NAMES, TEXTS, INTEGERS),
     st.builds(
@@ -100,6 +112,7 @@
     st.builds(messages.FetchConfiguration, INTEGERS),
     st.builds(AskStored, INTEGERS, st.sampled_from(StoredRequest), TEXTS, TEXTS),
     st.builds(StoredAnswer, INTEGERS, st.sampled_from(StoredState), INTEGERS),
+    st.builds(StoredJobAccepted, TEXTS, POOL_JOBS, INTEGERS),
     st.builds(
         messages.RecordsPage,
         st.lists(st.tuples(INTEGERS, TEXTS), max_size=3).map(tuple),
--- a/hibiscusstack/pool/messages.py
+++ b/hibiscusstack/pool/messages.py
@@ -7,6 +7,7 @@
     "PoolHeartbeat",
     "PoolMessage",
     "StoredAnswer",
+    "StoredJobAccepted",
     "StoredRequest",
     "StoredState",
     "SubmissionAnswer",
@@ -123,6 +124,15 @@
     pending: int = 0
 
 
+@attrs.frozen
+class StoredJobAccepted:
+    """Word that a job has been stored; ``submitted_ms`` is a time of day."""
+
+    queue: str
+    job: PoolJob
+    submitted_ms: int
+
+
 PoolMessage = (
     PoolHeartbeat
     | SubmitPoolJob
@@ -130,4 +140,5 @@
     | CancelSubmission
     | AskStored
     | StoredAnswer
+    | StoredJobAccepted
 )
--- a/hibiscusstack/pool/stored/keeper.py
+++ b/hibiscusstack/pool/stored/keeper.py
@@ -31,6 +31,7 @@
     JOBS_TOPIC,
     PROGRESS_TOPIC,
     TERM_KEY,
+    JobRecord,
     encode_terms,
 )
 from hibiscusstack.pool.stored.reviving import first_run_of, revive_job
@@ -57,7 +58,8 @@
 
     keep_ms: int = 180_000
     wait_ms: int = 1_500
-    pause_ms: int = 20
+    pause_ms: int = 300
+    stale_ms: int = 4_000
     linger_ms: int = 5
     look_ms: int = 80
     drop_ms: int = 2_000
@@ -102,6 +104,7 @@
             self._take_jobs,
             wait_ms=self._timing.wait_ms,
             pause_ms=self._timing.pause_ms,
+            clock=clock,
             on_end=self._note_end,
         )
         self._end = 0
@@ -180,11 +183,26 @@
         self._when_known(job_id, lambda: self._cancel(queue, job_id, answer))
 
     def count(self, queue: str, answer: OnCount) -> None:
-        """Answer how many jobs of a queue have not begun."""
+        """Answer how many jobs of a queue have not begun.
+
+        The count includes all that stood in the log ``stale_ms`` ago.
+        """
         if self.is_recovering:
             self._asked.append(lambda: self.count(queue, answer))
-        else:
+        elif self._clock.now_ms() - self._follower.known_ms < self._timing.stale_ms:
             answer(self._ledger.pending(queue))
+        else:
+            self._asked.append(lambda: answer(self._ledger.pending(queue)))
+            self._refresh()
+
+    def take_accepted(self, record: JobRecord) -> None:
+        """Take a job that was stored lately, before the log shows it."""
+        if self.is_recovering or self._is_stopped:
+            return
+        jobs = self._ledger.take_accepted(record)
+        if jobs:
+            self._add(jobs)
+            self._run_next()
 
     def offer(self, job_id: str) -> None:
         """Hand over a job at once, if it waits for its turn."""
@@ -272,18 +290,21 @@
         self._recover_if_read()
 
     def _take_jobs(self, records: Sequence[KeyedRecord], is_whole: bool) -> None:
+        self._add(self._ledger.take_jobs(records))
+        self._has_read = True
+        if self.is_recovering:
+            self._recover_if_read()
+        else:
+            self._run_next()
+
+    def _add(self, jobs: Sequence[StoredJob]) -> None:
         settled_ms = self._began_ms + SETTLING_MS
         is_early = self.is_recovering or self._clock.now_ms() < settled_ms
-        for job in self._ledger.take_jobs(records):
+        for job in jobs:
             if is_early:
                 job.is_early = True
                 job.first_run = first_run_of(self._ledger.terms)
             self._backlog.add(job)
-        self._has_read = True
-        if self.is_recovering:
-            self._recover_if_read()
-        else:
-            self._run_next()
 
     def _recover_if_read(self) -> None:
         if not (self._has_read and self._is_term_counted and self.is_recovering):
--- a/hibiscusstack/pool/stored/ledger.py
+++ b/hibiscusstack/pool/stored/ledger.py
@@ -112,6 +112,11 @@
                 log_message("pool:record_refused", level="error", cause=str(error))
         return found
 
+    def take_accepted(self, record: JobRecord) -> list[StoredJob]:
+        """Take a job that stands in the log; return it if it is new."""
+        is_known = record.job.job_id in self._jobs
+        return [] if is_known else [self._add(record)]
+
     def note_started(self, job: StoredJob) -> None:
         """Note that a task of the job has started."""
         if job.state is StoredState.QUEUED:
--- a/hibiscusstack/pool/stored/service.py
+++ b/hibiscusstack/pool/stored/service.py
@@ -1,6 +1,6 @@
 """Stored jobs at one host: what callers hand in and ask, and the keeper of a term."""
 
-__all__ = ["StoredJobs"]
+__all__ = ["StoredJobs", "StoredMessage"]
 
 import time
 from collections.abc import Callable
@@ -14,6 +14,7 @@
 from hibiscusstack.pool.messages import (
     AskStored,
     StoredAnswer,
+    StoredJobAccepted,
     StoredRequest,
     StoredState,
 )
@@ -22,6 +23,7 @@
 from hibiscusstack.pool.stored.keeper import Keeper, KeeperTiming
 from hibiscusstack.pool.stored.records import JOBS_TOPIC, JobRecord
 from hibiscusstack.pool.stored.submitting import (
+    Accepted,
     JobSubmitter,
     SubmitAnswer,
 )
@@ -29,7 +31,8 @@
 
 SUBMIT_LINGER_MS = 2
 
-SendStored = Callable[[HostName, AskStored | StoredAnswer], bool]
+StoredMessage = AskStored | StoredAnswer | StoredJobAccepted
+SendStored = Callable[[HostName, StoredMessage], bool]
 
 
 def _wall_ms() -> int:
@@ -56,6 +59,7 @@
     ) -> None:
         self.keeper: Keeper | None = None
         self.has_jobs = False
+        self._coordinator: HostName | None = None
         self._own = own
         self._reactor = reactor
         self._clock = clock
@@ -102,7 +106,8 @@
         self._writer.stop()
 
     def coordinator_changed(self, coordinator: HostName | None) -> None:
-        """Ask another coordinator from now on."""
+        """Ask and tell another coordinator from now on."""
+        self._coordinator = coordinator
         self._asker.coordinator_changed(coordinator)
 
     def note_seclusion(self, is_secluded: bool) -> None:
@@ -110,11 +115,16 @@
         if self.keeper is not None:
             self.keeper.note_seclusion(is_secluded)
 
-    def take_message(self, sender: HostName, message: AskStored | StoredAnswer) -> None:
+    def take_message(self, sender: HostName, message: StoredMessage) -> None:
         """Act on a message of a host."""
         if isinstance(message, StoredAnswer):
             self._asker.answered(sender, message)
-        elif self.keeper is not None:
+        elif self.keeper is None:
+            return
+        elif isinstance(message, StoredJobAccepted):
+            record = JobRecord(message.queue, message.job, message.submitted_ms)
+            self.keeper.take_accepted(record)
+        else:
             self._reply(self.keeper, sender, message)
 
     def tick(self) -> None:
@@ -132,10 +142,19 @@
         timeout_ms: float | None,
         answer: Callable[[SubmitAnswer], None],
     ) -> None:
-        """Store a job."""
+        """Store a job, and tell the coordinator of it.
+
+        A coordinator that is not told finds the job in the log.
+        """
         self.has_jobs = True
         record = JobRecord(queue, job, self._wall_ms())
-        self._submitter.submit(record, timeout_ms, answer)
+
+        def answered(outcome: SubmitAnswer) -> None:
+            if isinstance(outcome, Accepted):
+                self._tell_accepted(record)
+            answer(outcome)
+
+        self._submitter.submit(record, timeout_ms, answered)
 
     def ask(
         self,
@@ -148,6 +167,15 @@
         """Ask the coordinator; return what to call when the caller has gone."""
         return self._asker.ask(request, queue, job_id, timeout_ms, answer)
 
+    def _tell_accepted(self, record: JobRecord) -> None:
+        if self._coordinator is None:
+            return
+        if self._coordinator != self._own:
+            message = StoredJobAccepted(record.queue, record.job, record.submitted_ms)
+            self._send(self._coordinator, message)
+        elif self.keeper is not None:
+            self.keeper.take_accepted(record)
+
     def _ask(self, to: HostName, message: AskStored) -> bool:
         if to != self._own:
             return self._send(to, message)
--- a/hibiscusstack_standins/estate/tests/stored_site.py
+++ b/hibiscusstack_standins/estate/tests/stored_site.py
@@ -236,6 +236,7 @@
         self.hosts: dict[str, SiteHost] = {}
         self.token = 0
         self.apart: set[str] = set()
+        self.is_told_of_jobs = True
         self.holder: HostName | None = None
         for number in range(hosts):
             self.start(f"h{number}")
@@ -308,6 +309,8 @@
         host = self.hosts.get(to.name)
         if host is None or host.own != to:
             return False
+        if not self.is_told_of_jobs and type(message).__name__ == "StoredJobAccepted":
+            return True
 
         def deliver() -> None:
             host.stored.take_message(sender, message)
--- a/hibiscusstack_standins/estate/tests/test_stored_front.py
+++ b/hibiscusstack_standins/estate/tests/test_stored_front.py
@@ -5,7 +5,7 @@
 import attrs
 import pytest
 
-from hibiscusstack.pool.messages import StoredState
+from hibiscusstack.pool.messages import StoredRequest, StoredState
 from hibiscusstack.pool.routes import Route, RouteTable
 from hibiscusstack.pool.service import PoolService
 from hibiscusstack_standins.estate.jobs import Job, Step
@@ -179,3 +179,49 @@
     site.read(client, "h2")
     site.network.run(120)
     assert client.states == [StoredState.RUNNING]
+
+
+def test_a_stored_job_starts_as_soon_as_it_is_accepted():
+    site = Site()
+    site.network.run(500)
+    for number, host in enumerate(("h0", "h1", "h2") * 5):
+        client = site.new_job(Step(1, 60, cpu=500))
+        site.network.after("c", 33 * number, lambda a=client, h=host: site.submit(a, h))
+    waits = []
+    for client in site.clients.values():
+        site.run_until(lambda each=client: each.is_accepted)
+        accepted_ms = site.network.now_ms
+        site.run_until(lambda each=client: site.starts(each))
+        waits.append(site.starts(client)[0].at_ms - accepted_ms)
+    assert max(waits) <= 8
+
+
+def submit_while_turned_away(site, count=10):
+    """Submit jobs while the log turns the coordinator away; none has room."""
+    site.network.run(500)
+    outage = Outage("busy", frozenset({"h0"}))
+    site.store.set_outages(site.network.now_ms, [outage])
+    for _ in range(count):
+        site.submit(site.new_job(Step(1, 100)), "h1")
+    site.network.run(2_000)
+
+
+def test_a_coordinator_that_the_log_turns_away_counts_all_accepted_jobs():
+    site = Site(workers=0)
+    submit_while_turned_away(site)
+    assert all(client.is_accepted for client in site.clients.values())
+    assert site.pending() == 10
+
+
+def test_a_count_that_may_be_too_old_is_not_given():
+    site = Site(workers=0)
+    site.is_told_of_jobs = False
+    submit_while_turned_away(site)
+    site.network.run(4_000)
+    found = []
+    site.hosts["h2"].stored.ask(StoredRequest.COUNT, "q", "", 1_000, found.append)
+    site.network.run(1_200)
+    assert found == [None]
+    site.store.set_outages(site.network.now_ms, [])
+    site.network.run(2_000)
+    assert site.pending() == 10
