--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -480,6 +480,7 @@
         for key in active:
             if key not in state.runs:
                 self._take_unknown(state, key, now_ms)
+        self._take_checkpoints(state, reply)
         for key, run in list(state.runs.items()):
             if key in active:
                 self._confirm(state, run, now_ms)
@@ -490,6 +491,12 @@
         self._advance(state, now_ms)
         return state
 
+    def _take_checkpoints(self, state: HeldTarget, reply: HoldReply) -> None:
+        for name, number, checkpoint in reply.checkpoints:
+            run = state.runs.get((name, number))
+            if run is not None and run.task is not None:
+                run.task.note_checkpoint(number, checkpoint)
+
     def _confirm(self, state: HeldTarget, run: Run, now_ms: float) -> None:
         run.known_ms = now_ms
         if run.state is RunState.STARTING:
@@ -608,6 +615,8 @@
             if task is not None and job.is_stored:
                 self._credit_stored_end(job, task, end)
             return
+        if now_ms - run.started_ms >= self._timing.restore_ms:
+            task.note_checkpoint(end.run, end.checkpoint)
         if end.how == _DONE:
             if job.is_stored:
                 self.journal.task_done(job.job.job_id, task.key)
@@ -625,6 +634,7 @@
         if task is None:
             return
         task.next_run = max(task.next_run, end.run + 1)
+        task.note_checkpoint(end.run, end.checkpoint)
         if job.is_stored:
             self._credit_stored_end(job, task, end)
         elif end.how == _DONE and task in job.ready:
@@ -642,6 +652,7 @@
             if task.failures >= job.job.max_attempts:
                 self._close(job, JobEnd.FAILED, "a task failed too often")
         if end.how != _DONE:
+            self._keep_checkpoint(job, task)
             return
         self.journal.task_done(job_id, task.key)
         if task.state is TaskState.ACTIVE:
@@ -716,10 +727,17 @@
         task.state = TaskState.WAITING
         if self._jobs.get(job.job.job_id) is not job:
             return
+        self._keep_checkpoint(job, task)
         self._events.run_again(run, cause, now_ms)
         job.ready.insert(0, task)
         self._enqueue(job)
 
+    def _keep_checkpoint(self, job: ActiveJob, task: PoolTask) -> None:
+        if job.is_stored and task.checkpoint:
+            self.journal.task_checkpointed(
+                job.job.job_id, task.key, task.checkpoint_run, task.checkpoint
+            )
+
     def _enqueue(self, job: ActiveJob) -> None:
         if job.ready and job not in self._queue:
             self._queue.add(job, self._clock.now_ms())
@@ -1002,6 +1020,12 @@
         self._events.run_started(run, state.listing.name, now_ms)
         until_ms = state.extend_lease(now_ms)
         order = StartOrder(
-            name, number, job.job.payload, until_ms, self.token, state.takeover
+            name,
+            number,
+            job.job.payload,
+            until_ms,
+            self.token,
+            state.takeover,
+            task.checkpoint,
         )
         self._orders.start(state.listing, order)
--- a/hibiscusstack/pool/jobs.py
+++ b/hibiscusstack/pool/jobs.py
@@ -54,7 +54,8 @@
 
     ``requires`` is a label that the target must have, ``data_rack`` the rack where
     the tasks run fastest, and ``anti_affinity`` the most tasks of the step on one
-    target (0: any number).
+    target (0: any number). With ``is_checkpointing`` a run can go on from a checkpoint
+    of an earlier one.
     """
 
     count: int
@@ -64,6 +65,7 @@
     requires: str = ""
     data_rack: str = ""
     anti_affinity: int = 0
+    is_checkpointing: bool = False
 
 
 @attrs.frozen
--- a/hibiscusstack/pool/orders.py
+++ b/hibiscusstack/pool/orders.py
@@ -27,7 +27,8 @@
     """Start ``run`` of ``task``; the lease then lasts until ``until_ms``.
 
     ``until_ms`` is on the target's clock. ``takeover`` numbers the sender's takeovers
-    of targets, to tell whose reply a late one is; it is not sent.
+    of targets, to tell whose reply a late one is; it is not sent. A run with a
+    ``checkpoint`` goes on from there.
     """
 
     task: str
@@ -36,6 +37,7 @@
     until_ms: int
     token: int
     takeover: int = 0
+    checkpoint: str = ""
 
 
 @attrs.frozen
@@ -72,6 +74,7 @@
     task: str
     run: int
     how: str
+    checkpoint: str = ""
 
 
 @attrs.frozen
@@ -92,7 +95,8 @@
 class HoldReply:
     """What runs on a target and which ends it remembers.
 
-    ``has_more`` says that it remembers more ends than it lists.
+    ``has_more`` says that it remembers more ends than it lists. ``checkpoints`` has the
+    newest one of each active run that has any: task, run and checkpoint.
     """
 
     clock_ms: int
@@ -100,6 +104,7 @@
     active: tuple[tuple[str, int], ...]
     ended: tuple[RunEnd, ...]
     has_more: bool = False
+    checkpoints: tuple[tuple[str, int, str], ...] = ()
 
 
 @attrs.frozen
--- a/hibiscusstack/pool/stored/interfaces.py
+++ b/hibiscusstack/pool/stored/interfaces.py
@@ -29,6 +29,11 @@
     def task_failed(self, job_id: str, key: TaskKey, run: int) -> bool:
         """Keep that a run failed; return whether that is news."""
 
+    def task_checkpointed(
+        self, job_id: str, key: TaskKey, run: int, checkpoint: str
+    ) -> None:
+        """Keep from where a task that runs again can go on."""
+
     def job_ended(self, job_id: str, end: JobEnd) -> None:
         """Keep how a job has ended."""
 
--- a/hibiscusstack/pool/stored/journal.py
+++ b/hibiscusstack/pool/stored/journal.py
@@ -42,6 +42,14 @@
             self._put(job)
         return is_news
 
+    def task_checkpointed(
+        self, job_id: str, key: TaskKey, run: int, checkpoint: str
+    ) -> None:
+        """Keep from where a task that runs again can go on."""
+        job = self._open_job(job_id)
+        if job is not None and job.progress.note_checkpoint(key, run, checkpoint):
+            self._put(job)
+
     def finish(self, job: StoredJob, final: StoredState) -> None:
         """Keep how a job has ended; it is shown so from then on."""
         if job.final is not None:
--- a/hibiscusstack/pool/stored/keeper.py
+++ b/hibiscusstack/pool/stored/keeper.py
@@ -227,6 +227,12 @@
         """Keep that a run failed; return whether that is news."""
         return self._journal.task_failed(job_id, key, run)
 
+    def task_checkpointed(
+        self, job_id: str, key: TaskKey, run: int, checkpoint: str
+    ) -> None:
+        """Keep from where a task that runs again can go on."""
+        self._journal.task_checkpointed(job_id, key, run, checkpoint)
+
     def job_ended(self, job_id: str, end: JobEnd) -> None:
         """Keep how a job has ended."""
         self._journal.job_ended(job_id, end)
--- a/hibiscusstack/pool/stored/progress.py
+++ b/hibiscusstack/pool/stored/progress.py
@@ -12,7 +12,8 @@
     """The ends of a job's tasks that count for good.
 
     ``done`` has one set of bits for each step, ``failed`` the numbers of the runs
-    that failed. An end that is noted again changes nothing.
+    that failed, ``checkpoints`` the run and the checkpoint from which a task that runs
+    again can go on. An end that is noted again changes nothing.
 
     >>> progress = JobProgress.of_steps((Step(3, None),))
     >>> progress.note_done((0, 2)), progress.note_done((0, 2)), progress.done
@@ -21,6 +22,7 @@
 
     done: list[int]
     failed: dict[TaskKey, list[int]] = attrs.field(factory=dict)
+    checkpoints: dict[TaskKey, tuple[int, str]] = attrs.field(factory=dict)
 
     @classmethod
     def of_steps(cls, steps: tuple[Step, ...]) -> "JobProgress":
@@ -30,7 +32,7 @@
     @property
     def is_begun(self) -> bool:
         """Tell whether any end is noted."""
-        return any(self.done) or bool(self.failed)
+        return any(self.done) or bool(self.failed or self.checkpoints)
 
     def is_done(self, key: TaskKey) -> bool:
         """Tell whether a task has ended ``done``."""
@@ -41,6 +43,7 @@
         if self.is_done(key):
             return False
         self.done[key[0]] |= 1 << key[1]
+        self.checkpoints.pop(key, None)
         return True
 
     def note_failed(self, key: TaskKey, run: int) -> bool:
@@ -51,6 +54,15 @@
         runs.append(run)
         return True
 
+    def note_checkpoint(self, key: TaskKey, run: int, checkpoint: str) -> bool:
+        """Note from where a task can go on; return whether that is news."""
+        known = self.checkpoints.get(key, (0, ""))
+        is_news = run >= known[0] and known != (run, checkpoint)
+        if is_news:
+            self.checkpoints[key] = (run, checkpoint)
+        return is_news
+
     def next_run(self, key: TaskKey) -> int:
         """Return a run number above all that are noted for a task."""
-        return max(self.failed.get(key, ()), default=0) + 1
+        checkpoint_run = self.checkpoints.get(key, (0, ""))[0]
+        return max(*self.failed.get(key, ()), checkpoint_run, 0) + 1
--- a/hibiscusstack/pool/stored/records.py
+++ b/hibiscusstack/pool/stored/records.py
@@ -109,6 +109,8 @@
         progress = record.progress
         values.append([f"{bits:x}" for bits in progress.done])
         values.append([[*key, runs] for key, runs in progress.failed.items()])
+        if progress.checkpoints:
+            values.append([[*key, *last] for key, last in progress.checkpoints.items()])
     return _dump(values)
 
 
@@ -123,7 +125,10 @@
         progress = None
         if len(values) > 3:
             failed = {(row[0], row[1]): row[2] for row in values[4]}
-            progress = JobProgress([int(bits, 16) for bits in values[3]], failed)
+            done = [int(bits, 16) for bits in values[3]]
+            rows = values[5] if len(values) > 5 else ()
+            checkpoints = {(row[0], row[1]): (row[2], row[3]) for row in rows}
+            progress = JobProgress(done, failed, checkpoints)
     except (ValueError, TypeError, IndexError):
         raise DecodeError(record.key, "progress", record.value[:80]) from None
     return ProgressRecord(queue, state, progress)
@@ -144,7 +149,7 @@
 
 def _step_values(step: Step) -> list[Any]:
     needs = step.needs
-    return [
+    values = [
         step.count,
         needs.cpu_milli,
         needs.memory_mb,
@@ -155,14 +160,17 @@
         step.data_rack,
         step.anti_affinity,
     ]
+    return [*values, 1] if step.is_checkpointing else values
 
 
 def _read_step(values: list[Any]) -> Step:
-    if len(values) != _STEP_FIELDS:
+    if len(values) not in (_STEP_FIELDS, _STEP_FIELDS + 1):
         raise ValueError(len(values))
     count, cpu, memory, accelerators, estimate_ms, after = values[:6]
     needs = Resources(cpu, memory, accelerators)
-    return Step(count, needs, estimate_ms, tuple(after), *values[6:])
+    is_checkpointing = len(values) > _STEP_FIELDS
+    rest = values[6:_STEP_FIELDS]
+    return Step(count, needs, estimate_ms, tuple(after), *rest, is_checkpointing)
 
 
 def _dump(values: list[Any]) -> bytes:
--- a/hibiscusstack/pool/stored/reviving.py
+++ b/hibiscusstack/pool/stored/reviving.py
@@ -27,6 +27,7 @@
     for key, task in active.tasks.items():
         task.next_run = max(job.first_run, progress.next_run(key))
         task.failures = len(progress.failed.get(key, ()))
+        task.note_checkpoint(*progress.checkpoints.get(key, (0, "")))
         if progress.is_done(key):
             if task in active.ready:
                 active.ready.remove(task)
--- a/hibiscusstack/pool/stored/tests/test_records.py
+++ b/hibiscusstack/pool/stored/tests/test_records.py
@@ -32,6 +32,7 @@
     TEXTS,
     TEXTS,
     NUMBERS,
+    st.booleans(),
 )
 JOBS = st.builds(
     PoolJob,
@@ -49,6 +50,7 @@
     JobProgress,
     st.lists(st.integers(0, 2**70), max_size=4),
     st.dictionaries(KEYS, st.lists(NUMBERS, max_size=3), max_size=3),
+    st.dictionaries(KEYS, st.tuples(NUMBERS, TEXTS), max_size=3),
 )
 
 
@@ -67,6 +69,7 @@
     assert (found.queue, found.state) == (queue, state)
     assert found.progress.done == progress.done
     assert found.progress.failed == progress.failed
+    assert found.progress.checkpoints == progress.checkpoints
 
 
 def test_an_end_has_only_its_state():
--- a/hibiscusstack/pool/timing.py
+++ b/hibiscusstack/pool/timing.py
@@ -14,7 +14,8 @@
     the work of a host within ``notice_ms`` after it lost that host. Runs that nobody
     asked for are stopped after ``adoption_ms``, or after ``recovery_ms`` while the
     stored jobs are being read. A coordinator that cannot tell whether its term is over
-    leaves stored jobs within ``seclusion_ms``.
+    leaves stored jobs within ``seclusion_ms``. A run takes ``restore_ms`` to go on from
+    a checkpoint, so that of a shorter run is of no use.
 
     Callers send a job again some time after their connection broke. The lease and
     ``notice_ms`` together have to be shorter, or the first runs may still go on then.
@@ -31,6 +32,7 @@
     recovery_ms: int = 500
     seclusion_ms: int = 3_500
     unlisted_ms: int = 2_500
+    restore_ms: int = 600
     clock_drift: float = 0.03
     lapse_margin_ms: int = 30
 
--- a/hibiscusstack/pool/work.py
+++ b/hibiscusstack/pool/work.py
@@ -26,7 +26,10 @@
 
 @attrs.define(eq=False)
 class PoolTask:
-    """One task; ``barred`` names the targets on which it failed or hung."""
+    """One task; ``barred`` names the targets on which it failed or hung.
+
+    ``checkpoint`` is the newest one, by the run ``checkpoint_run``.
+    """
 
     key: TaskKey
     step: Step
@@ -35,6 +38,14 @@
     next_run: int = 1
     overdue: int = 0
     barred: set[str] = attrs.field(factory=set)
+    checkpoint: str = ""
+    checkpoint_run: int = 0
+
+    def note_checkpoint(self, run: int, checkpoint: str) -> None:
+        """Take a checkpoint, unless a later run has made one."""
+        is_older = run < self.checkpoint_run
+        if checkpoint and self.step.is_checkpointing and not is_older:
+            self.checkpoint, self.checkpoint_run = checkpoint, run
 
 
 @attrs.define(eq=False)
--- a/hibiscusstack_standins/estate/tests/stored_site.py
+++ b/hibiscusstack_standins/estate/tests/stored_site.py
@@ -445,6 +445,7 @@
             needs=Resources(step.cpu, step.mem_mb, step.gpu),
             estimate_ms=step.work_ms,
             after=step.after,
+            is_checkpointing=step.checkpointing,
         )
         for step in job.steps
     )
