--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -31,6 +31,7 @@
     CancelSubmission,
     PoolHeartbeat,
     StoredAnswer,
+    StoredJobAccepted,
     SubmissionAnswer,
     SubmitPoolJob,
 )
@@ -41,7 +42,7 @@
 from hibiscusstack.pool.retaking import is_retaking_due
 from hibiscusstack.pool.standing_in import StandingIn
 from hibiscusstack.pool.stored.keeper import KeeperTiming
-from hibiscusstack.pool.stored.service import StoredJobs
+from hibiscusstack.pool.stored.service import StoredJobs, StoredMessage
 from hibiscusstack.pool.targets import ListedTarget
 from hibiscusstack.pool.timing import CoordinatorTiming
 from hibiscusstack.pool.vanished import VanishedTargets
@@ -212,7 +213,7 @@
             self._take_heartbeat(sender, message)
         elif isinstance(message, SubmissionAnswer):
             self.receiver.answered(sender, message)
-        elif isinstance(message, AskStored | StoredAnswer):
+        elif isinstance(message, AskStored | StoredAnswer | StoredJobAccepted):
             self.stored.take_message(sender, message)
         elif isinstance(message, SubmitPoolJob | CancelSubmission):
             self._office.take_message(sender, message)
@@ -263,7 +264,7 @@
     def _is_connected(self, peer: HostName) -> bool:
         return self._mesh.silent_ms(peer) is not None
 
-    def _send_stored(self, to: HostName, message: AskStored | StoredAnswer) -> bool:
+    def _send_stored(self, to: HostName, message: StoredMessage) -> bool:
         return self._mesh.send(to, message).is_ok()
 
     def _send(self, to: HostName, message: SubmitPoolJob | CancelSubmission) -> bool:
--- /dev/null
+++ b/hibiscusstack/pool/coordination/checkpoints.py
@@ -0,0 +1,24 @@
+"""The checkpoints from which tasks go on in their next runs."""
+
+__all__ = ["keep_checkpoint", "take_checkpoints"]
+
+from hibiscusstack.pool.coordination.state import CoordinatorState
+from hibiscusstack.pool.held_target import HeldTarget
+from hibiscusstack.pool.orders import HoldReply
+from hibiscusstack.pool.work import ActiveJob, PoolTask
+
+
+def take_checkpoints(target: HeldTarget, reply: HoldReply) -> None:
+    """Note the checkpoints of the runs that a target lists."""
+    for name, number, checkpoint in reply.checkpoints:
+        run = target.runs.get((name, number))
+        if run is not None and run.task is not None:
+            run.task.note_checkpoint(number, checkpoint)
+
+
+def keep_checkpoint(state: CoordinatorState, job: ActiveJob, task: PoolTask) -> None:
+    """Let the newest checkpoint of a stored job's task outlast this term."""
+    if job.is_stored and task.checkpoint:
+        state.journal.task_checkpointed(
+            job.job.job_id, task.key, task.checkpoint_run, task.checkpoint
+        )
--- a/hibiscusstack/pool/coordination/making_again.py
+++ b/hibiscusstack/pool/coordination/making_again.py
@@ -2,6 +2,7 @@
 
 __all__ = ["drop_all_runs", "drop_run", "requeue_task"]
 
+from hibiscusstack.pool.coordination.checkpoints import keep_checkpoint
 from hibiscusstack.pool.coordination.known_work import enqueue_job, forget_stray_run
 from hibiscusstack.pool.coordination.state import CoordinatorState
 from hibiscusstack.pool.held_target import HeldTarget, Run
@@ -15,6 +16,7 @@
     task.state = TaskState.WAITING
     if state.jobs.get(job.job.job_id) is not job:
         return
+    keep_checkpoint(state, job, task)
     state.events.run_again(run, cause, now_ms)
     job.ready.insert(0, task)
     enqueue_job(state, job)
--- a/hibiscusstack/pool/coordination/replies.py
+++ b/hibiscusstack/pool/coordination/replies.py
@@ -105,6 +105,9 @@
         target.is_looking = False
     else:
         target.is_holding = False
+    looked = target.take_looked(order.sent_ms) if order.wait_ms == 0 else ()
+    if target.looks_wanted:
+        send_look(state, target)
     if isinstance(reply, HoldReply):
         target = take_lists(state, target, reply, order.sent_ms, now_ms)
         if target.unsaved_ends:
@@ -120,6 +123,8 @@
     if is_due and not target.is_holding:
         send_hold(state, target)
     start_waiting(state)
+    for on_looked in looked:
+        on_looked()
 
 
 def _find_target(
--- a/hibiscusstack/pool/coordination/reported_runs.py
+++ b/hibiscusstack/pool/coordination/reported_runs.py
@@ -3,6 +3,7 @@
 __all__ = ["take_lists"]
 
 from hibiscusstack.pool.coordination.adopting import take_unknown_run
+from hibiscusstack.pool.coordination.checkpoints import take_checkpoints
 from hibiscusstack.pool.coordination.lives import begin_life
 from hibiscusstack.pool.coordination.making_again import drop_run
 from hibiscusstack.pool.coordination.run_ends import take_end
@@ -37,6 +38,7 @@
     for key in active:
         if key not in target.runs:
             take_unknown_run(state, target, key, now_ms)
+    take_checkpoints(target, reply)
     for key, run in list(target.runs.items()):
         if key in active:
             run.note_known(now_ms)
--- a/hibiscusstack/pool/coordination/starting.py
+++ b/hibiscusstack/pool/coordination/starting.py
@@ -79,6 +79,12 @@
     state.events.run_started(run, target.listing.name, now_ms)
     until_ms = target.extend_lease(now_ms)
     order = StartOrder(
-        name, number, job.job.payload, until_ms, state.token, target.takeover
+        name,
+        number,
+        job.job.payload,
+        until_ms,
+        state.token,
+        target.takeover,
+        task.checkpoint,
     )
     state.orders.start(target.listing, order)
--- a/hibiscusstack/pool/coordination/stored_jobs.py
+++ b/hibiscusstack/pool/coordination/stored_jobs.py
@@ -2,11 +2,15 @@
 
 __all__ = [
     "cancel_stored_job",
+    "look_for_end",
     "recover_stored_jobs",
     "release_stored_jobs",
     "take_stored_job",
 ]
 
+from collections.abc import Callable
+from functools import partial
+
 from hibiscusstack.pool.coordination.adopting import adopt_stored_runs
 from hibiscusstack.pool.coordination.closing import (
     abandon_runs,
@@ -15,8 +19,10 @@
 )
 from hibiscusstack.pool.coordination.known_work import enqueue_job
 from hibiscusstack.pool.coordination.run_ends import take_early_ends
+from hibiscusstack.pool.coordination.sending import send_look
 from hibiscusstack.pool.coordination.starting import start_waiting
 from hibiscusstack.pool.coordination.state import CoordinatorState
+from hibiscusstack.pool.held_target import HeldTarget
 from hibiscusstack.pool.messages import JobEnd
 from hibiscusstack.pool.work import ActiveJob
 
@@ -39,6 +45,38 @@
         start_waiting(state)
 
 
+def look_for_end(
+    state: CoordinatorState, job_id: str, on_looked: Callable[[], None]
+) -> None:
+    """Look at the targets with the last runs of a job, which may have ended.
+
+    Nothing is looked at where tasks still wait. A target that does not answer lets
+    ``on_looked`` wait.
+    """
+    job = state.jobs.get(job_id)
+    now_ms = state.clock.now_ms()
+    targets = set()
+    if job is not None and job.active_count == sum(job.open_by_step):
+        targets = {
+            target
+            for target in state.targets.values()
+            if target.silent_since_ms is None
+            and any(run.job is job for run in target.runs.values())
+        }
+    open_looks = set(targets)
+
+    def looked(target: HeldTarget) -> None:
+        open_looks.discard(target)
+        if not open_looks:
+            on_looked()
+
+    for target in targets:
+        target.looks_wanted.append((now_ms, partial(looked, target)))
+        send_look(state, target)
+    if not targets:
+        on_looked()
+
+
 def release_stored_jobs(state: CoordinatorState) -> None:
     """Leave all stored jobs, and stop their runs.
 
--- a/hibiscusstack/pool/coordination/tests/test_sending.py
+++ b/hibiscusstack/pool/coordination/tests/test_sending.py
@@ -1,5 +1,6 @@
 """Tests of holds and stops, and of what a stop that is owed holds up."""
 
+from hibiscusstack.pool.orders import ReplyLost
 from hibiscusstack.pool.tests.site import OWNER, Site, make_job
 from hibiscusstack.pool.timing import CoordinatorTiming
 
@@ -34,3 +35,15 @@
     site.reply_to_hold("t1", [run])
     assert len(site.starts) == 2
     assert site.last_hold("t1")[1].until_ms is not None
+
+
+def test_nothing_is_acknowledged_to_a_target_that_may_have_begun_another_life():
+    site = Site("t1")
+    site.take("t1")
+    site.end("t1", site.run())
+    assert site.last_hold("t1")[1].acked_through == 1
+    site.fail_hold("t1", ReplyLost("timeout"))
+    site.pass_time(TIMING.order_retry_ms)
+    assert site.last_hold("t1")[1].acked_through == 0
+    site.reply_to_hold("t1")
+    assert site.last_hold("t1")[1].acked_through == 1
--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -2,7 +2,7 @@
 
 __all__ = ["Coordinator", "SendAnswer"]
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from eliot import log_message
 
@@ -19,6 +19,7 @@
 from hibiscusstack.pool.coordination.state import CoordinatorState, SendAnswer
 from hibiscusstack.pool.coordination.stored_jobs import (
     cancel_stored_job,
+    look_for_end,
     recover_stored_jobs,
     release_stored_jobs,
     take_stored_job,
@@ -193,6 +194,14 @@
         """Stop a stored job."""
         cancel_stored_job(self._state, job_id)
 
+    def look_for_end(self, job_id: str, on_looked: Callable[[], None]) -> None:
+        """Look at the targets with the last runs of a job, which may have ended.
+
+        Nothing is looked at where tasks still wait. A target that does not answer lets
+        ``on_looked`` wait.
+        """
+        look_for_end(self._state, job_id, on_looked)
+
     def release_stored(self) -> None:
         """Leave all stored jobs, and stop their runs.
 
--- a/hibiscusstack/pool/stored/interfaces.py
+++ b/hibiscusstack/pool/stored/interfaces.py
@@ -29,6 +29,11 @@
     def task_failed(self, job_id: str, key: TaskKey, run: int) -> bool:
         """Keep that a run failed; return whether that is news."""
 
+    def task_checkpointed(
+        self, job_id: str, key: TaskKey, run: int, checkpoint: str
+    ) -> None:
+        """Keep from where a task that runs again can go on."""
+
     def job_ended(self, job_id: str, end: JobEnd) -> None:
         """Keep how a job has ended."""
 
@@ -51,6 +56,9 @@
     def cancel_stored(self, job_id: str) -> None:
         """Stop a stored job."""
 
+    def look_for_end(self, job_id: str, on_looked: Callable[[], None]) -> None:
+        """Look at the targets with the last runs of a job, which may have ended."""
+
     def release_stored(self) -> None:
         """Leave all stored jobs, and stop their runs."""
 
--- a/hibiscusstack/settings/pool_sections.py
+++ b/hibiscusstack/settings/pool_sections.py
@@ -175,6 +175,12 @@
         "How long a target that is no longer listed still counts.",
         _TARGETS.unlisted_ms,
     )
+    restore_ms: int | None = key(
+        _BOUND,
+        "How long a run takes to go on from a checkpoint; that of a shorter run is"
+        f" of no use. Nothing means {_TARGETS.restore_ms}.",
+        None,
+    )
     clock_drift_percent: int = key(
         Number(0, 50),
         "How much slower the clock of a target may run.",
@@ -190,6 +196,8 @@
         """Return the durations as a coordinator takes them."""
         values = attrs.asdict(self)
         values["clock_drift"] = values.pop("clock_drift_percent") / 100
+        if values["restore_ms"] is None:
+            del values["restore_ms"]
         longest_ms = values.pop("longest_lease_ms")
         if longest_ms is not None:
             values["lease_ms"] = min(self.lease_ms, longest_ms)
