Adopt runs that were listed before their job came

Cause: a target may list a run of an earlier coordinator before the host that received its job has handed it over. Such a run was stopped after adoption_ms though its job had come meanwhile, and was made again; only runs of stored jobs were looked at a second time. A job that comes now adopts its runs that are not being stopped yet, and both kinds of jobs do it in one place.

--- a/hibiscusstack/pool/coordination/adopting.py
+++ b/hibiscusstack/pool/coordination/adopting.py
@@ -1,6 +1,6 @@
 """Runs that an earlier coordinator started, and that go on for jobs known here."""
 
-__all__ = ["adopt_stored_runs", "take_unknown_run"]
+__all__ = ["adopt_stray_runs", "take_unknown_run"]
 
 from hibiscusstack.pool.coordination.known_work import (
     activate_task,
@@ -28,14 +28,12 @@
     _adopt_if_wanted(state, target, run, *find_task(state, name))
 
 
-def adopt_stored_runs(state: CoordinatorState) -> None:
-    """Adopt the runs of stored jobs that have become known after the runs."""
+def adopt_stray_runs(state: CoordinatorState) -> None:
+    """Adopt the runs of jobs that have become known after their runs."""
     for target in state.targets.values():
         for run in list(target.runs.values()):
             if run.job is None and run.state is not RunState.STOPPING:
-                job, task = find_task(state, run.name)
-                if job is not None and job.is_stored:
-                    _adopt_if_wanted(state, target, run, job, task)
+                _adopt_if_wanted(state, target, run, *find_task(state, run.name))
 
 
 def _adopt_if_wanted(
--- a/hibiscusstack/pool/coordination/stored_jobs.py
+++ b/hibiscusstack/pool/coordination/stored_jobs.py
@@ -7,7 +7,7 @@
     "take_stored_job",
 ]
 
-from hibiscusstack.pool.coordination.adopting import adopt_stored_runs
+from hibiscusstack.pool.coordination.adopting import adopt_stray_runs
 from hibiscusstack.pool.coordination.closing import (
     abandon_runs,
     close_job,
@@ -59,4 +59,4 @@
 def recover_stored_jobs(state: CoordinatorState) -> None:
     """Act on the ends and runs of stored jobs that were not known before."""
     take_early_ends(state, state.clock.now_ms())
-    adopt_stored_runs(state)
+    adopt_stray_runs(state)
--- a/hibiscusstack/pool/coordination/submissions.py
+++ b/hibiscusstack/pool/coordination/submissions.py
@@ -3,6 +3,7 @@
 __all__ = ["cancel_submission", "cancel_submissions_of", "take_submission"]
 
 from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.pool.coordination.adopting import adopt_stray_runs
 from hibiscusstack.pool.coordination.closing import close_job, complete_if_done
 from hibiscusstack.pool.coordination.known_work import enqueue_job
 from hibiscusstack.pool.coordination.starting import start_waiting
@@ -24,6 +25,8 @@
     job.submissions.append(submission)
     state.by_submission[submission] = job
     if not complete_if_done(state, job):
+        if job.job.job_id in state.ending:
+            adopt_stray_runs(state)
         enqueue_job(state, job)
         start_waiting(state)
 
--- a/hibiscusstack/pool/coordination/tests/test_adopting.py
+++ b/hibiscusstack/pool/coordination/tests/test_adopting.py
@@ -23,6 +23,33 @@
     assert site.ends() == [JobEnd.COMPLETED]
 
 
+def test_a_run_that_was_listed_before_its_job_came_is_adopted():
+    site = Site("t1")
+    run = ("j.0.0.0", 4)
+    site.reply_to_hold("t1", [run, ("other.0.0.0", 1)])
+    site.pass_time(10)
+    site.submit(unheard_ms=0)
+    assert site.state("t1").runs[run].job.job.job_id == "j"
+    site.pass_time(TIMING.adoption_ms)
+    site.reply_to_hold("t1", [run, ("other.0.0.0", 1)])
+    assert [order.task for _, order in site.stops] == ["other.0.0.0"]
+    site.end("t1", run, active=[("other.0.0.0", 1)])
+    assert site.ends() == [JobEnd.COMPLETED] and site.starts == []
+
+
+def test_a_run_that_is_being_stopped_is_not_adopted():
+    site = Site("t1")
+    site.reply_to_hold("t1", [("j.0.0.0", 4)])
+    site.pass_time(TIMING.adoption_ms)
+    site.reply_to_hold("t1", [("j.0.0.0", 4)])
+    site.submit(unheard_ms=0)
+    assert site.state("t1").runs["j.0.0.0", 4].job is None
+    site.reply_to_stop()
+    site.pass_time(10)
+    site.list_again("t1")
+    assert [name for _, name, _ in site.started()] == ["j.0.0.0"]
+
+
 def test_an_adopted_run_that_ends_without_a_result_is_made_again():
     site = Site("t1")
     site.submit(unheard_ms=0)
