Let the order of waiting jobs be chosen

Cause: orders can be compared only if the queue can take another than by slack. OrderingPolicy.order names one of four: slack, priority, estimated worth for the processor time, arrival. It counts within the tiers of the queue and is set with [queue] order; the default stays slack. The worth of each priority isn't told to hosts, so all count alike unless worth_by_priority is given, which has no setting. Which order is better isn't known: none was compared. The test that names all sections of the settings has the new one in its list. The tests of pool/ but test_faults.py and test_zones.py, of settings/, platform/ and the daemon's hosts of pools passed.

--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -44,6 +44,7 @@
     SubmissionAnswer,
     SubmitPoolJob,
 )
+from hibiscusstack.pool.ordering import OrderingPolicy
 from hibiscusstack.pool.orders import TargetOrders
 from hibiscusstack.pool.receiving import Receiver
 from hibiscusstack.pool.stored.keeper import KeeperTiming
@@ -84,12 +85,14 @@
         timing: CoordinatorTiming | None = None,
         stored_timing: KeeperTiming | None = None,
         events: PoolEvents | None = None,
+        ordering: OrderingPolicy | None = None,
     ) -> None:
         self.is_draining = False
         self.coordinator: Coordinator | None = None
         self._events = events or PoolEvents()
         self.receiver = Receiver(clock, self._send, self._events)
         self._timing = timing or CoordinatorTiming()
+        self._ordering = ordering
         self._settings = settings
         self._reactor = reactor
         self._clock = clock
@@ -340,6 +343,7 @@
             send_answer=self._answer,
             timing=self._timing,
             events=self._events,
+            ordering=self._ordering,
             missing=self._vanished.names(),
         )
         self.coordinator.journal = self.stored.coordinate(
@@ -439,6 +443,7 @@
             send_answer=self._answer,
             timing=self._timing,
             events=self._events,
+            ordering=self._ordering,
             is_deputy=True,
             voids_ends=self.stored.has_jobs,
         )
--- a/hibiscusstack/pool/coordination/state.py
+++ b/hibiscusstack/pool/coordination/state.py
@@ -47,6 +47,7 @@
     is_deputy: bool
     voids_ends: bool
     began_ms: float
+    queue: JobQueue
     is_deposed: bool = False
     journal: TaskJournal | None = None
     listed: dict[str, ListedTarget] = attrs.field(factory=dict)
@@ -54,7 +55,6 @@
     takeovers: int = 0
     jobs: dict[str, ActiveJob] = attrs.field(factory=dict)
     by_submission: dict[tuple[HostName, int], ActiveJob] = attrs.field(factory=dict)
-    queue: JobQueue = attrs.field(factory=JobQueue)
     ending: Counter[str] = attrs.field(factory=Counter)
     early_ends: list[tuple[HeldTarget, RunEnd]] = attrs.field(factory=list)
     unheard: set[HostName] = attrs.field(factory=set)
--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -31,6 +31,7 @@
 from hibiscusstack.pool.events import PoolEvents
 from hibiscusstack.pool.held_target import HeldTarget
 from hibiscusstack.pool.messages import SubmitPoolJob
+from hibiscusstack.pool.ordering import JobQueue, OrderingPolicy
 from hibiscusstack.pool.orders import (
     FencedOut,
     HoldOrder,
@@ -65,6 +66,8 @@
     notice. With ``voids_ends`` it lets the leases lapse that it finds, so that ends of
     stored jobs, which it does not know, do not count.
 
+    ``ordering`` says in which order jobs get room and when they are given up.
+
     What it decides is in the modules of ``coordination``.
     """
 
@@ -80,6 +83,7 @@
         missing: Iterable[str] = (),
         is_deputy: bool = False,
         voids_ends: bool = False,
+        ordering: OrderingPolicy | None = None,
     ) -> None:
         self._state = CoordinatorState(
             token=token,
@@ -92,6 +96,7 @@
             is_deputy=is_deputy,
             voids_ends=voids_ends,
             began_ms=clock.now_ms(),
+            queue=JobQueue(ordering),
         )
 
     @property
--- a/hibiscusstack/pool/jobs.py
+++ b/hibiscusstack/pool/jobs.py
@@ -96,6 +96,16 @@
             ends.append(start + step.estimate_ms)
         return max(ends, default=0)
 
+    def work_milli_ms(self) -> int:
+        """Return the estimated work of all tasks, in thousandths of a core times ms.
+
+        >>> PoolJob("j", "p", "", (Step(3, Resources(500), 40),)).work_milli_ms()
+        60000
+        """
+        return sum(
+            step.count * step.needs.cpu_milli * step.estimate_ms for step in self.steps
+        )
+
     def objective_ms(self) -> float:
         """Return the time in which the job should be answered."""
         return self.stretch * self.chain_ms() + self.target_latency_ms
--- a/hibiscusstack/pool/ordering.py
+++ b/hibiscusstack/pool/ordering.py
@@ -5,9 +5,11 @@
 from bisect import bisect_left, insort
 from collections.abc import Iterator
 from enum import IntEnum
+from itertools import islice
 
 import attrs
 
+from hibiscusstack.pool.ranking import JobOrder, JobRanking
 from hibiscusstack.pool.work import ActiveJob
 
 LATE_FACTOR = 3.0
@@ -17,7 +19,10 @@
 
 @attrs.frozen
 class OrderingPolicy:
-    """When a job that waits is given up.
+    """The order of jobs that wait, and when one is given up.
+
+    ``order`` decides within a tier of the queue. ``worth_by_priority`` tells what a
+    mean job of each priority is worth, for the order by worth.
 
     ``late_factor`` objectives after its arrival an answer is worth nothing. A job that
     has waited for ``early_part`` of its objective is refused if the jobs before it
@@ -25,6 +30,8 @@
     elsewhere then.
     """
 
+    order: JobOrder = JobOrder.SLACK
+    worth_by_priority: tuple[float, ...] = ()
     late_factor: float = LATE_FACTOR
     early_part: float = EARLY_PART
     reach_factor: float = REACH_FACTOR
@@ -37,21 +44,23 @@
     STORED = 3
 
 
-_Entry = tuple[int, float, int, ActiveJob]
+_Entry = tuple[int, float, float, int, ActiveJob]
 
 
 class JobQueue:
     """Jobs with tasks that wait for room.
 
     Those that have begun come first, since what they have done already is lost
-    otherwise. Then come those that can still end within their objective, by the time
-    at which they have to start; the others follow, in the same order. Stored jobs,
+    otherwise. Then come those that can still end within their objective, and then the
+    others. Within each of these tiers the policy's order decides, and then the time at
+    which they have to start. Stored jobs,
     for which nobody waits, come last, by their priority, unless that is higher than
     of any other job seen so far; such jobs are queued like the others.
     """
 
     def __init__(self, policy: OrderingPolicy | None = None) -> None:
-        self._policy = policy or OrderingPolicy()
+        self._policy = policy = policy or OrderingPolicy()
+        self._ranking = JobRanking(policy.order, policy.worth_by_priority)
         self._entries: list[_Entry] = []
         self._by_job: dict[ActiveJob, _Entry] = {}
         self._count = 0
@@ -67,34 +76,40 @@
         """Queue a job, or move one that is queued to its present place."""
         self.discard(job)
         self._count += 1
-        self._insert(self._tier_of(job, now_ms), job, self._count)
+        rank = self._ranking.rank(job)
+        self._insert(self._tier_of(job, now_ms), rank, job, self._count)
 
     def discard(self, job: ActiveJob) -> None:
         """Remove a job, if it is queued."""
         entry = self._by_job.pop(job, None)
         if entry is not None:
-            del self._entries[bisect_left(self._entries, entry[:3], key=_key)]
+            del self._entries[bisect_left(self._entries, entry[:4], key=_key)]
 
     def in_order(self) -> Iterator[ActiveJob]:
         """Return the queued jobs, the next to get room first."""
-        return iter([entry[3] for entry in self._entries])
+        return iter([entry[4] for entry in self._entries])
 
     def demote_late(self, now_ms: float) -> None:
         """Let jobs that can't end within their objective any more wait for others."""
         first = bisect_left(self._entries, (_Tier.IN_TIME,), key=_key)
-        while first < len(self._entries):
-            tier, latest_start_ms, number, job = self._entries[first]
-            if tier is not _Tier.IN_TIME or latest_start_ms >= now_ms:
-                return
+        late: list[_Entry] = []
+        for entry in islice(self._entries, first, None):
+            if entry[0] is not _Tier.IN_TIME:
+                break
+            if entry[2] < now_ms:
+                late.append(entry)
+            elif self._policy.order is JobOrder.SLACK:
+                break
+        for _, rank, _, number, job in late:
             self.discard(job)
-            self._insert(_Tier.LATE, job, number)
+            self._insert(_Tier.LATE, rank, job, number)
 
     def hopeless(self, now_ms: float) -> list[ActiveJob]:
         """Return the waiting jobs whose answer would come too late."""
         factor = self._policy.late_factor
         return [
             job
-            for tier, _, _, job in self._entries
+            for tier, _, _, _, job in self._entries
             if tier is _Tier.LATE
             and not job.is_stored
             and now_ms + job.chain_ms > job.received_ms + factor * job.objective_ms
@@ -112,7 +127,7 @@
         policy = self._policy
         found: list[ActiveJob] = []
         ahead_ms = 0.0
-        for tier, _, _, job in self._entries:
+        for tier, _, _, _, job in self._entries:
             if job.is_stored:
                 break
             waited_ms = now_ms - job.received_ms
@@ -137,11 +152,11 @@
             return _Tier.STARTED
         return _Tier.LATE if job.latest_start_ms < now_ms else _Tier.IN_TIME
 
-    def _insert(self, tier: int, job: ActiveJob, number: int) -> None:
-        entry = (tier, job.latest_start_ms, number, job)
+    def _insert(self, tier: int, rank: float, job: ActiveJob, number: int) -> None:
+        entry = (tier, rank, job.latest_start_ms, number, job)
         self._by_job[job] = entry
         insort(self._entries, entry, key=_key)
 
 
-def _key(entry: _Entry) -> tuple[int, float, int]:
-    return entry[:3]
+def _key(entry: _Entry) -> tuple[int, float, float, int]:
+    return entry[:4]
--- a/hibiscusstack/pool/tests/test_ordering.py
+++ b/hibiscusstack/pool/tests/test_ordering.py
@@ -2,7 +2,10 @@
 
 from random import Random
 
-from hibiscusstack.pool.ordering import JobQueue
+import pytest
+
+from hibiscusstack.pool.ordering import JobQueue, OrderingPolicy
+from hibiscusstack.pool.ranking import JobOrder
 from hibiscusstack.pool.tests.site import make_job
 from hibiscusstack.pool.work import ActiveJob
 
@@ -30,6 +33,31 @@
     assert names(queue) == ["c", "a", "b"]
 
 
+@pytest.mark.parametrize(
+    ("order", "expected"),
+    [
+        (JobOrder.SLACK, ["begun", "urgent", "small", "early", "late"]),
+        (JobOrder.PRIORITY, ["begun", "early", "small", "urgent", "late"]),
+        (JobOrder.WORTH, ["begun", "small", "urgent", "early", "late"]),
+        (JobOrder.ARRIVAL, ["begun", "early", "urgent", "small", "late"]),
+    ],
+)
+def test_the_order_of_the_policy_decides_within_a_tier(order, expected):
+    queue = JobQueue(OrderingPolicy(order))
+    for name, received_ms, tasks, terms in (
+        ("early", 100, 2, {"target_latency_ms": 5_000, "priority": 0}),
+        ("urgent", 200, 2, {"target_latency_ms": 500, "priority": 2}),
+        ("small", 300, 1, {"target_latency_ms": 1_000, "priority": 1}),
+        ("late", 0, 1, {"target_latency_ms": 100, "priority": 0}),
+        ("begun", 400, 2, {"target_latency_ms": 5_000, "priority": 3}),
+    ):
+        job = ActiveJob(make_job(name, tasks, **terms), received_ms, False)
+        job.first_start_ms = 0 if name == "begun" else None
+        queue.add(job, 90)
+    queue.demote_late(150)
+    assert names(queue) == expected
+
+
 def test_equal_jobs_go_in_the_order_of_their_arrival():
     assert names(queue_of(*(waiting(name, 200) for name in "cab"))) == ["c", "a", "b"]
 
--- a/hibiscusstack/settings/pool_sections.py
+++ b/hibiscusstack/settings/pool_sections.py
@@ -8,6 +8,8 @@
 
 from hibiscusstack.dispatch.messages import HostName
 from hibiscusstack.pool.host_settings import PoolHostSettings
+from hibiscusstack.pool.ordering import OrderingPolicy
+from hibiscusstack.pool.ranking import JobOrder
 from hibiscusstack.pool.timing import CoordinatorTiming
 from hibiscusstack.settings.kinds import Choice, Endpoint, Number
 from hibiscusstack.settings.sections import (
@@ -183,6 +185,23 @@
         return attrs.evolve(timing, lease_ms=lease_ms)
 
 
+@attrs.frozen
+class PoolQueueSettings:
+    """Jobs that wait for room."""
+
+    order: str = key(
+        Choice(tuple(order.value for order in JobOrder)),
+        "What puts one waiting job before another: the time at which it has to"
+        " start, its priority, its estimated worth for the processor time that it"
+        " takes, or its arrival.",
+        JobOrder.SLACK.value,
+    )
+
+    def policy(self) -> OrderingPolicy:
+        """Return the order as a coordinator takes it."""
+        return OrderingPolicy(JobOrder(self.order))
+
+
 @attrs.frozen
 class PoolStoredSettings:
     """Jobs that are kept in the log."""
@@ -226,6 +245,7 @@
     log: PoolLogSettings
     peers: PoolPeerSettings
     targets: PoolTargetSettings
+    queue: PoolQueueSettings
     stored: PoolStoredSettings
     telemetry: PoolTelemetrySettings
 
--- a/hibiscusstack/settings/tests/test_pool_sections.py
+++ b/hibiscusstack/settings/tests/test_pool_sections.py
@@ -5,6 +5,8 @@
 
 from hibiscusstack.dispatch.messages import HostName
 from hibiscusstack.pool.host_settings import PoolHostSettings
+from hibiscusstack.pool.ordering import OrderingPolicy
+from hibiscusstack.pool.ranking import JobOrder
 from hibiscusstack.pool.timing import CoordinatorTiming
 from hibiscusstack.settings import PoolSettings, parse_settings
 
@@ -56,6 +58,14 @@
     assert settings.coordinator_timing() == expected
 
 
+def test_the_order_of_waiting_jobs_can_be_set():
+    assert parse(WHOLE).ok.queue.policy() == OrderingPolicy()
+    for order in JobOrder:
+        settings = parse(f"{WHOLE}[queue]\norder = {order.value}\n").ok
+        assert settings.queue.policy() == OrderingPolicy(order)
+    assert parse(f"{WHOLE}[queue]\norder = chance\n").is_error()
+
+
 @pytest.mark.parametrize(
     ("setting", "lease_ms"),
     [
@@ -91,7 +101,8 @@
     faults = [str(fault) for fault in parse(text + "[platform]\n").error.faults]
     assert faults == [
         "h.ini [platform]: expected one of the sections host, caller, readiness,"
-        " operator, log, peers, targets, stored, telemetry, found 'platform'",
+        " operator, log, peers, targets, queue, stored, telemetry, found"
+        " 'platform'",
         "h.ini [host] name: expected 1 to 64 letters, digits, '.', '_' or '-',"
         " found 'no value'",
         "h.ini [caller] listen: expected IP:PORT, IPv6 numbers in brackets,"
