--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -36,6 +36,7 @@
     SubmitPoolJob,
 )
 from hibiscusstack.pool.office import Office
+from hibiscusstack.pool.ordering import OrderingPolicy
 from hibiscusstack.pool.orders import TargetOrders
 from hibiscusstack.pool.receiving import Receiver
 from hibiscusstack.pool.recent_targets import RecentTargets
@@ -71,6 +72,7 @@
         timing: CoordinatorTiming | None = None,
         stored_timing: KeeperTiming | None = None,
         events: PoolEvents | None = None,
+        ordering: OrderingPolicy | None = None,
     ) -> None:
         own = settings.name
         self.is_draining = False
@@ -103,6 +105,7 @@
             send_answer=self._answer,
             timing=self._timing,
             events=self._events,
+            ordering=ordering,
             targets=self._targets,
             stored=self.stored,
         )
@@ -194,6 +197,7 @@
     def peer_connected(self, peer: HostName) -> None:
         """Hand jobs over if the peer is the coordinator."""
         self._peers.connected(peer)
+        self.receiver.connection_replaced(peer)
         self._find_coordinator()
 
     def peer_disconnected(self, peer: HostName) -> None:
--- a/hibiscusstack/pool/coordination/state.py
+++ b/hibiscusstack/pool/coordination/state.py
@@ -49,6 +49,7 @@
     is_deputy: bool
     voids_ends: bool
     began_ms: float
+    queue: JobQueue
     turn: int = 0
     is_deposed: bool = False
     is_overloaded: bool = False
@@ -59,7 +60,6 @@
     takeovers: int = 0
     jobs: dict[str, ActiveJob] = attrs.field(factory=dict)
     by_submission: dict[tuple[HostName, int], ActiveJob] = attrs.field(factory=dict)
-    queue: JobQueue = attrs.field(factory=JobQueue)
     ending: Counter[str] = attrs.field(factory=Counter)
     early_ends: list[tuple[HeldTarget, RunEnd]] = attrs.field(factory=list)
     unheard: set[HostName] = attrs.field(factory=set)
