--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,10 @@
 bench-engine: setup
 	$(PYTHON) -m benches.engine
 
+.PHONY: bench-coordinator
+bench-coordinator: setup
+	$(PYTHON) -m benches.coordinator
+
 .PHONY: model model-deep
 model: setup
 	$(PYTHON) -m specs
