Play any faults against real coordinators as a hypothesis machine

Three hosts in two data centres run the product's coordinator, election, deputy choice and receiver over modelled links, against three modelled workers. Orders are lost, late, slow or unanswered, by kind; workers crash, return, move, drain and leave the list; hosts die, stand still, are cut off, and claim terms. After each step the auditor judges what the workers saw, and no token may have two holders; in the end all callers have to get an answer.

Two violations on the way were faults of the model: an attempt in progress counted as refused, and a job handed over twice as kept by one coordinator.

--- /dev/null
+++ b/hibiscusstack/pool/tests/machine_host.py
@@ -0,0 +1,343 @@
+"""A host of pools in a model: what it decides is the product's own, by its parts.
+
+It keeps to what ``PoolHost`` promises its coordinator, without streams or a log.
+"""
+
+__all__ = ["Link", "ModelHost"]
+
+from collections.abc import Callable, Iterable
+from functools import partial
+
+import attrs
+
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.pool.coordinator import Coordinator
+from hibiscusstack.pool.deputies import choose_deputy, deputy_token, term_token
+from hibiscusstack.pool.election import Election, Term
+from hibiscusstack.pool.host_settings import PoolHostSettings
+from hibiscusstack.pool.messages import (
+    CancelSubmission,
+    PoolHeartbeat,
+    PoolMessage,
+    SubmissionAnswer,
+    SubmitPoolJob,
+)
+from hibiscusstack.pool.receiving import Receiver
+from hibiscusstack.pool.targets import ListedTarget
+from hibiscusstack_standins.estate.tests.machine_orders import MeddledOrders
+
+_TICK_MS = 10
+_UNHEARD_MS = 250
+_SETTLING_MS = 700
+_DEPUTY_PATIENCE_MS = 100
+_FENCED_PATIENCE_MS = 100
+_LONGEST_FENCED_MS = 1_500
+_MISSING_MS = 30_000
+
+
+@attrs.define(eq=False)
+class Link:
+    """A connection of two hosts; what arrives during a cut is held up."""
+
+    ends: tuple["ModelHost", "ModelHost"]
+    is_open: bool = True
+    held: list[tuple[str, Callable[[], None]]] = attrs.field(factory=list)
+
+    def far_end(self, near: "ModelHost") -> "ModelHost":
+        """Return the peer of one end."""
+        return self.ends[self.ends[0] is near]
+
+
+class ModelHost:
+    """One run of a host; ``listing`` is the offset at which it listed itself."""
+
+    def __init__(self, site, name: HostName, listing: int) -> None:
+        self.name = name
+        self.party = name.name
+        self.is_over = False
+        self.coordinator: Coordinator | None = None
+        self.links: dict[str, Link] = {}
+        self.heard_ms: dict[str, int] = {}
+        self.in_touch_since_ms = -_SETTLING_MS
+        self.settings = PoolHostSettings(name, name.name, 1)
+        self.election = Election(name, self.settings.patience_ms)
+        self.orders = MeddledOrders(self, site)
+        self.receiver = Receiver(site.clock, self._send)
+        self._site = site
+        self._listing = listing
+        self._beats: dict[HostName, PoolHeartbeat] = {}
+        self._away_since_ms: dict[HostName, int] = {}
+        self._ticked_ms = self._next_beat_ms = site.now_ms
+        self._alone_since_ms: int | None = None
+        self._is_claiming = False
+        self._targets: tuple[ListedTarget, ...] = ()
+        self._recent: dict[str, ListedTarget] = {}
+        self._missing_since_ms: dict[str, int] = {}
+
+    def replace_targets(self, targets: Iterable[ListedTarget]) -> None:
+        """Take over a newer list of targets."""
+        now_ms, before = self._site.now_ms, {each.name for each in self._targets}
+        self._targets = tuple(targets)
+        names = {each.name for each in self._targets}
+        for name in before - names:
+            self._missing_since_ms.setdefault(name, now_ms)
+        for name in names:
+            self._missing_since_ms.pop(name, None)
+        self._recent |= {each.name: each for each in self._targets}
+        if self._is_deputy():
+            self.coordinator.replace_targets(self._own_targets())
+        elif self.coordinator is not None:
+            self.coordinator.replace_targets(self._targets)
+
+    def take(self, sender: "ModelHost", message: PoolMessage) -> None:
+        """Act on one message of a peer."""
+        self.heard_ms[sender.party] = self._site.now_ms
+        if isinstance(message, PoolHeartbeat):
+            before = self._beats.get(sender.name)
+            self._beats[sender.name] = message
+            if message.is_deputy != (before is not None and before.is_deputy):
+                self._find_coordinator()
+            if message.holder is not None:
+                self.take_term(Term(message.term, message.holder))
+        elif isinstance(message, SubmissionAnswer):
+            self.receiver.answered(sender.name, message)
+        elif self.coordinator is None:
+            return
+        elif isinstance(message, SubmitPoolJob):
+            self.coordinator.submit(sender.name, message)
+        else:
+            self.coordinator.cancel(sender.name, message.submission)
+
+    def connected(self, link: Link) -> None:
+        """Take a new connection to a peer."""
+        peer = link.far_end(self)
+        old = self.links.get(peer.party)
+        if old is not None:
+            self._site.close(old, self)
+        self.links[peer.party] = link
+        self.heard_ms[peer.party] = self._site.now_ms
+        self._away_since_ms.pop(peer.name, None)
+        self._find_coordinator()
+
+    def disconnected(self, link: Link) -> None:
+        """Wait for a peer for a while; then its work is stopped."""
+        peer = link.far_end(self)
+        if self.links.get(peer.party) is not link:
+            return
+        del self.links[peer.party]
+        self._beats.pop(peer.name, None)
+        self._away_since_ms.setdefault(peer.name, self._site.now_ms)
+        self._find_coordinator()
+
+    def take_term(self, term: Term) -> None:
+        """Take over a term, if it is newer than the known one."""
+        if not self.election.note_term(term):
+            return
+        is_own = self.election.is_holder
+        if is_own and self.coordinator is not None and not self._is_deputy():
+            self.coordinator.renew(term_token(term.offset))
+        else:
+            self._step_down()
+            if is_own:
+                self._coordinate(term)
+            self.receiver.coordinator_changed(None)
+        self._find_coordinator()
+
+    def claim(self) -> None:
+        """Claim the next term."""
+        if self._is_claiming:
+            return
+        self._is_claiming = True
+        self._site.claim(self, self.election.end)
+
+    def claim_ended(self, term: Term | None) -> None:
+        """Take the result of a claim."""
+        self._is_claiming = False
+        if term is not None:
+            self.take_term(term)
+        else:
+            self.election.claim_settled()
+
+    def tick(self) -> None:
+        """Act on the passing of time."""
+        site, now_ms = self._site, self._site.now_ms
+        paused_ms, self._ticked_ms = now_ms - self._ticked_ms, now_ms
+        if paused_ms > self.settings.longest_pause_ms:
+            self._step_down()
+            self.election.resign()
+            self.receiver.refuse_all("host was paused")
+        for party, link in list(self.links.items()):
+            if now_ms - self.heard_ms[party] > self.settings.silence_ms:
+                site.close(link, self)
+        site.connect(self)
+        for peer, since_ms in list(self._away_since_ms.items()):
+            if now_ms - since_ms > self.settings.owner_grace_ms:
+                del self._away_since_ms[peer]
+                if self.coordinator is not None:
+                    self.coordinator.owner_lost(peer)
+        self._claim_if_due(now_ms)
+        self._stand_in_if_due(now_ms)
+        self._retake_fenced(now_ms)
+        if self.coordinator is not None:
+            self.coordinator.note_unheard(self._unheard(now_ms))
+            self.coordinator.tick()
+        self.receiver.tick()
+        if now_ms >= self._next_beat_ms:
+            self._next_beat_ms = now_ms + self.settings.heartbeat_ms
+            self._send_beats()
+        site.network.after(self.party, _TICK_MS, self.tick)
+
+    def _send_beats(self) -> None:
+        term = self.election.term
+        beat = PoolHeartbeat(
+            term.offset if term else -1,
+            term.holder if term else None,
+            self._hears_staying_holder(),
+            is_draining=False,
+            is_deputy=self._is_deputy(),
+        )
+        for link in list(self.links.values()):
+            self._site.carry(link, self, beat)
+
+    def _send(self, to: HostName, message: SubmitPoolJob | CancelSubmission) -> bool:
+        if to != self.name:
+            return self._send_to_peer(to, message)
+        if self.coordinator is None:
+            return False
+        if isinstance(message, SubmitPoolJob):
+            self.coordinator.submit(to, message)
+        else:
+            self.coordinator.cancel(to, message.submission)
+        return True
+
+    def _send_to_peer(self, to: HostName, message: PoolMessage) -> bool:
+        link = self.links.get(to.name)
+        if link is None or link.far_end(self).name != to:
+            return False
+        self._site.carry(link, self, message)
+        return True
+
+    def _answer(self, owner: HostName, answer: SubmissionAnswer) -> None:
+        if owner == self.name:
+            answered = partial(self.receiver.answered, owner, answer)
+            self._site.network.after(self.party, 0, answered)
+        else:
+            self._send_to_peer(owner, answer)
+
+    def _step_down(self) -> None:
+        if self.coordinator is not None:
+            self.coordinator.step_down()
+            self.coordinator = None
+
+    def _coordinate(self, term: Term) -> None:
+        now_ms = self._site.now_ms
+        since_ms = self._missing_since_ms.items()
+        missing = [name for name, ms in since_ms if now_ms - ms < _MISSING_MS]
+        self._lead(self._targets, token=term_token(term.offset), missing=missing)
+
+    def _lead(self, targets: Iterable[ListedTarget], **options) -> None:
+        self.coordinator = self._site.make_coordinator(
+            clock=self._site.clock,
+            orders=self.orders,
+            send_answer=self._answer,
+            **options,
+        )
+        self.coordinator.replace_targets(targets)
+
+    def _own_targets(self) -> list[ListedTarget]:
+        own = self.name.data_centre
+        return [each for each in self._recent.values() if each.data_centre == own]
+
+    def _is_deputy(self) -> bool:
+        return self.coordinator is not None and self.coordinator.is_deputy
+
+    def _hears_holder(self) -> bool:
+        term = self.election.term
+        if term is None:
+            return False
+        if term.holder == self.name:
+            return self.coordinator is not None and not self._is_deputy()
+        link = self.links.get(term.holder.name)
+        return link is not None and link.far_end(self).name == term.holder
+
+    def _hears_staying_holder(self) -> bool:
+        term = self.election.term
+        if term is None or not self._hears_holder():
+            return False
+        beat = self._beats.get(term.holder)
+        if term.holder == self.name or beat is None:
+            return True
+        return beat.term != term.offset or beat.hears_holder
+
+    def _find_coordinator(self) -> None:
+        holder = None
+        if self._hears_holder():
+            holder = self.election.term.holder
+        elif self._is_deputy():
+            holder = self.name
+        else:
+            beats = self._beats.items()
+            deputies = [
+                peer
+                for peer, beat in beats
+                if beat.is_deputy and peer.data_centre == self.name.data_centre
+            ]
+            holder = min(deputies, default=None)
+        self.receiver.coordinator_changed(holder)
+
+    def _unheard(self, now_ms: int) -> list[HostName]:
+        late = [
+            link.far_end(self).name
+            for party, link in self.links.items()
+            if now_ms - self.heard_ms[party] > _UNHEARD_MS
+        ]
+        return [*late, *self._away_since_ms]
+
+    def _claim_if_due(self, now_ms: int) -> None:
+        is_cut = self.party in self._site.out_of_touch
+        if is_cut or now_ms - self.in_touch_since_ms < _SETTLING_MS:
+            return
+        known = self.election.term.offset if self.election.term else -1
+        hears = {
+            peer: beat.hears_holder and beat.term >= known
+            for peer, beat in self._beats.items()
+        }
+        if self.election.should_claim(now_ms, self._hears_staying_holder(), hears):
+            self.claim()
+
+    def _stand_in_if_due(self, now_ms: int) -> None:
+        if self._is_deputy():
+            if self._hears_holder():
+                self._step_down()
+                self._find_coordinator()
+                self._send_beats()
+        elif not self._may_stand_in():
+            self._alone_since_ms = None
+        elif self._alone_since_ms is None:
+            self._alone_since_ms = now_ms
+        elif now_ms - self._alone_since_ms >= _DEPUTY_PATIENCE_MS:
+            token = deputy_token(self.election.term.offset, self._listing)
+            self._lead(self._own_targets(), token=token, is_deputy=True)
+            self._find_coordinator()
+            self._send_beats()
+
+    def _may_stand_in(self) -> bool:
+        if self.election.term is None or self.coordinator is not None:
+            return False
+        if self._hears_holder() or any(b.is_deputy for b in self._beats.values()):
+            return False
+        peers = [link.far_end(self).name for link in self.links.values()]
+        return choose_deputy(self.name, self._site.places, peers) == self.name
+
+    def _retake_fenced(self, now_ms: int) -> None:
+        if self.coordinator is None or self._is_deputy():
+            return
+        beats = self._beats.items()
+        back = {p.data_centre for p, b in beats if not b.is_deputy and b.hears_holder}
+        back.add(self.name.data_centre)
+        for data_centre, since_ms in self.coordinator.fenced_since_ms().items():
+            fenced_ms = now_ms - since_ms
+            is_over = data_centre in back and fenced_ms >= _FENCED_PATIENCE_MS
+            if is_over or fenced_ms >= _LONGEST_FENCED_MS:
+                self.claim()
+                return
--- /dev/null
+++ b/hibiscusstack/pool/tests/machine_site.py
@@ -0,0 +1,499 @@
+"""Hosts, workers and callers of a model, for any sequence of faults."""
+
+__all__ = ["HOSTS", "SHAPES", "WORKERS", "ModelSite"]
+
+import math
+from collections import defaultdict
+from collections.abc import Callable
+from functools import partial
+
+import attrs
+
+from hibiscusstack.dispatch.messages import HostName
+from hibiscusstack.pool.coordinator import Coordinator
+from hibiscusstack.pool.election import Term
+from hibiscusstack.pool.jobs import PoolJob, Resources
+from hibiscusstack.pool.jobs import Step as PoolStep
+from hibiscusstack.pool.messages import JobEnd, PoolMessage, SubmissionAnswer
+from hibiscusstack.pool.receiving import ReceivedJob
+from hibiscusstack.pool.targets import ListedTarget
+from hibiscusstack.pool.tests.machine_host import Link, ModelHost
+from hibiscusstack_standins.estate.auditor import Auditor, ClientRecord, Violation
+from hibiscusstack_standins.estate.jobs import Catalog, Job, Step
+from hibiscusstack_standins.estate.network import Network
+from hibiscusstack_standins.estate.runs import Capacity
+from hibiscusstack_standins.estate.worker import Worker, WorkerFaults, WorkerPlan
+
+HOSTS = {"h1": "x", "h2": "x", "h3": "y"}
+WORKERS = {"w0": "x", "w1": "x", "w2": "y"}
+SHAPES = {
+    "two": (Step(2, 120, 400),),
+    "chain": (Step(2, 120, 400), Step(1, 60, 400, after=(0,))),
+    "wide": (Step(5, 250, 400),),
+    "slow": (Step(3, 1_500, 400),),
+    "long": (Step(1, 5_500, 400),),
+    "labelled": (Step(2, 120, 400, requires="ssd", anti_affinity=1),),
+    "failing": (Step(1, 60, 400, fails=True),),
+}
+
+_LABELS = {"w0": ("ssd",), "w2": ("ssd",)}
+_CLOCK_RATES = {"w1": 0.98}
+_POOL = "s"
+_CPU = 1_000
+_MAX_ATTEMPTS = 2
+_PATIENT_MS = 8_000
+_HASTY_MS = 250
+_WAIT_MS = 20_000
+_RESEND_MS = 1_300
+_RETRY_MS = 1_000
+_START_MS = 500
+_SETTLE_MS = 60_000
+_CALLERS = "callers"
+_LOG = "log"
+_STATUSES = {JobEnd.REFUSED: 503, JobEnd.UNKNOWN: 504}
+
+
+@attrs.define(eq=False)
+class Caller:
+    """A caller with one job, which it sends until it is answered.
+
+    ``terms`` counts the terms and deputies that there were when it first sent it.
+    """
+
+    job: Job = attrs.field(repr=lambda job: job.id)
+    target_latency_ms: int
+    terms: int
+    host: str = ""
+    attempt: int = 0
+    sends: int = 0
+    statuses: list[int | None] = attrs.field(factory=list)
+    completed_ms: float = math.inf
+    cancelled_ms: float = math.inf
+    received: ReceivedJob | None = attrs.field(default=None, repr=False)
+    leave: Callable[[], None] | None = attrs.field(default=None, repr=False)
+
+    @property
+    def is_over(self) -> bool:
+        """Tell whether the caller wants nothing any more."""
+        is_answered = bool(self.statuses) and self.statuses[-1] == 200
+        return is_answered or not math.isinf(self.cancelled_ms)
+
+    def record(self) -> ClientRecord:
+        """Return what the auditor needs to know."""
+        is_open = self.sends > len(self.statuses)
+        statuses = (*self.statuses, None) if is_open else tuple(self.statuses)
+        return ClientRecord(statuses, self.cancelled_ms, self.completed_ms)
+
+
+@attrs.define
+class _SiteClock:
+    network: Network
+
+    def now_ms(self) -> int:
+        """Return the time of the site."""
+        return self.network.now_ms
+
+
+class ModelSite:
+    """Two data centres; coordinators are made by ``coordinator_class``.
+
+    ``holders`` has the hosts whose orders a worker took, by worker and token.
+    """
+
+    def __init__(self, coordinator_class: type[Coordinator] = Coordinator) -> None:
+        self.network = Network(delay_ms=(1, 2))
+        self.clock = _SiteClock(self.network)
+        self.out_of_touch: set[str] = set()
+        self.places = {(place, name) for name, place in HOSTS.items()}
+        self.callers: list[Caller] = []
+        self.hosts: dict[str, ModelHost] = {}
+        self.frozen: set[str] = set()
+        self.cuts: set[frozenset[str]] = set()
+        self.holders: defaultdict[tuple, set[HostName]] = defaultdict(set)
+        self._coordinator_class = coordinator_class
+        self._coordinator_count = 0
+        self._catalog = Catalog()
+        self._links: list[Link] = []
+        self._log_end = 0
+        self._term: Term | None = None
+        self.workers = {name: self._worker(name) for name in WORKERS}
+        self.listed = {name: self._listing_of(name) for name in WORKERS}
+        for name in HOSTS:
+            self.start_host(name)
+        self.run(_START_MS)
+
+    @property
+    def now_ms(self) -> int:
+        """Return the time of the site."""
+        return self.network.now_ms
+
+    def run(self, duration_ms: int) -> None:
+        """Let time pass."""
+        self.network.run(duration_ms)
+
+    def make_coordinator(self, **options) -> Coordinator:
+        """Return the coordinator of a new term, or a deputy."""
+        self._coordinator_count += 1
+        return self._coordinator_class(**options)
+
+    def start_host(self, name: str) -> None:
+        """Start a host, or start it again."""
+        own = HostName(HOSTS[name], name, self.now_ms)
+        host = ModelHost(self, own, self._log_end)
+        self.hosts[name] = host
+        self._log_end += 1
+        for each in self.hosts.values():
+            self._read_later(each)
+        self.network.after(name, 2, host.tick)
+
+    def kill_host(self, name: str, resets: bool) -> None:
+        """End a host; without ``resets`` nobody is told."""
+        host = self.hosts.pop(name)
+        host.is_over = True
+        self.frozen.discard(name)
+        for link in list(host.links.values()):
+            if resets:
+                self.close(link, host)
+        self.network.kill(name)
+        self.network.revive(name)
+        for caller in self.callers:
+            if caller.host == name and not caller.is_over:
+                self._after(1, caller, self.break_connection)
+
+    def freeze_host(self, name: str) -> None:
+        """Stop the process of a host."""
+        self.frozen.add(name)
+        self.network.freeze(name)
+
+    def thaw_host(self, name: str) -> None:
+        """Let the process of a host go on."""
+        self.frozen.discard(name)
+        self.network.thaw(name)
+
+    def awake(self) -> list[ModelHost]:
+        """Return the hosts that run."""
+        return [host for name, host in self.hosts.items() if name not in self.frozen]
+
+    def claim(self, host: ModelHost, end: int) -> None:
+        """Append a term on condition that the log ends at ``end``."""
+        if host.party in self.out_of_touch:
+            self.network.after(host.party, 1_000, lambda: host.claim_ended(None))
+            return
+
+        def arrive() -> None:
+            term = None
+            if end == self._log_end:
+                term = self._term = Term(end, host.name)
+                self._log_end += 1
+                for each in self.hosts.values():
+                    self._read_later(each)
+            self.network.after(host.party, 1, lambda: host.claim_ended(term))
+
+        self.network.after(_LOG, 1, arrive)
+
+    def set_in_touch(self, name: str, is_in_touch: bool) -> None:
+        """Cut a host off from the log, or let it read what it has missed."""
+        if not is_in_touch:
+            self.out_of_touch.add(name)
+        elif name in self.out_of_touch:
+            self.out_of_touch.discard(name)
+            if name in self.hosts:
+                self.hosts[name].in_touch_since_ms = self.now_ms
+                self._read_later(self.hosts[name])
+
+    def connect(self, host: ModelHost) -> None:
+        """Connect a host to all that it can reach."""
+        for peer in self.awake():
+            is_cut = frozenset((host.party, peer.party)) in self.cuts
+            if peer is not host and peer.party not in host.links and not is_cut:
+                link = Link((host, peer))
+                self._links.append(link)
+                peer.connected(link)
+                host.connected(link)
+
+    def close(self, link: Link, near: ModelHost) -> None:
+        """Close a connection; a peer behind a cut isn't told."""
+        near.disconnected(link)
+        if not link.is_open:
+            return
+        link.is_open = False
+        self._links.remove(link)
+        far = link.far_end(near)
+        if frozenset((near.party, far.party)) not in self.cuts and not far.is_over:
+            self.network.after(far.party, 1, partial(far.disconnected, link))
+
+    def carry(self, link: Link, near: ModelHost, message: PoolMessage) -> None:
+        """Carry a message to the far end in its turn."""
+        far = link.far_end(near)
+
+        def arrive() -> None:
+            if not link.is_open or far.is_over:
+                return
+            if link.held or frozenset((near.party, far.party)) in self.cuts:
+                link.held.append((far.party, arrive))
+            else:
+                far.take(near, message)
+
+        if not far.is_over:
+            self.network.after(far.party, 1, arrive)
+
+    def cut(self, one: str, other: str) -> None:
+        """Cut two hosts, or a host and a worker, off from each other."""
+        self.cuts.add(frozenset((one, other)))
+        if other in WORKERS and one in self.hosts:
+            self.hosts[one].orders.cuts.add(other)
+
+    def cut_off(self, name: str) -> None:
+        """Cut a host off from its peers and the log, but from no worker."""
+        self.set_in_touch(name, False)
+        for other in HOSTS.keys() - {name}:
+            self.cut(name, other)
+
+    def coordinating(self) -> str | None:
+        """Return the host with the newest term that coordinates, if one does."""
+        leading = [host for host in self.awake() if host.coordinator is not None]
+        newest = max(leading, key=lambda host: host.coordinator.token, default=None)
+        return None if newest is None else newest.party
+
+    def cut_zone(self) -> None:
+        """Cut the smaller data centre off from the other and from the log."""
+        self.set_in_touch("h3", False)
+        for name in ("h1", "h2"):
+            self.cut(name, "h3")
+            self.cut(name, "w2")
+        for name in ("w0", "w1"):
+            self.cut("h3", name)
+
+    def mend(self) -> None:
+        """End all cuts; what was held up arrives."""
+        self.cuts.clear()
+        for host in self.hosts.values():
+            host.orders.cuts.clear()
+        for link in self._links:
+            held, link.held = link.held, []
+            for party, arrive in held:
+                self.network.after(party, 1, arrive)
+        for name in list(self.out_of_touch):
+            self.set_in_touch(name, True)
+
+    def crash_worker(self, name: str) -> None:
+        """End the life of a worker."""
+        if self.workers[name].is_up:
+            self.network.kill(name)
+
+    def return_worker(self, name: str, moves: bool = False) -> None:
+        """Begin another life of a worker, also at another address."""
+        self.network.kill(name)
+        worker = self.workers[name]
+        if moves:
+            address = f"{name}:{self.now_ms + 2}"
+            worker.plan = attrs.evolve(worker.plan, address=address)
+        self.network.revive(name)
+
+    def list_worker(self, name: str, is_listed: bool = True) -> None:
+        """Write the entry of a worker, or drop it."""
+        if not is_listed:
+            self.listed.pop(name, None)
+        elif self.workers[name].is_up:
+            self.listed[name] = self._listing_of(name)
+        for host in self.hosts.values():
+            self._read_later(host)
+
+    def drain_worker(self, name: str) -> None:
+        """Let a worker leave in a while."""
+        if self.workers[name].is_up:
+            self.workers[name].drain(self.now_ms, 2_000)
+            self.list_worker(name)
+
+    def set_faults(self, name: str, faults: WorkerFaults) -> None:
+        """Let a worker do wrong."""
+        self.workers[name].set_faults(self.now_ms, faults)
+
+    def submit(self, host: str, shape: str, is_hasty: bool = False) -> Caller:
+        """Let a caller send a job in."""
+        number = len(self.callers)
+        job = Job(
+            f"{number:016x}",
+            spec=f"job {number}",
+            steps=SHAPES[shape],
+            max_attempts=_MAX_ATTEMPTS,
+            best_effort=True,
+        )
+        self._catalog.add(job)
+        latency_ms = _HASTY_MS if is_hasty else _PATIENT_MS
+        caller = Caller(job, latency_ms, self._coordinator_count)
+        self.callers.append(caller)
+        self._send(caller, host)
+        return caller
+
+    def cancel(self, caller: Caller) -> None:
+        """Let a caller go for good."""
+        caller.cancelled_ms = self.now_ms
+        self._leave(caller)
+
+    def break_connection(self, caller: Caller) -> None:
+        """Let a caller lose its connection, and send again later."""
+        caller.statuses.append(None)
+        self._leave(caller)
+        caller.attempt += 1
+        self._after(_RESEND_MS, caller, self._send)
+
+    def violations(self) -> list[Violation]:
+        """Return what broke the rules so far.
+
+        A job that one coordinator alone had is held to those of kept jobs as well.
+        """
+        events = [event for worker in self.workers.values() for event in worker.events]
+        jobs, records = [], {}
+        for caller in self.callers:
+            jobs.append(attrs.evolve(caller.job, best_effort=not self._had_one(caller)))
+            records[caller.job.id] = caller.record()
+        return Auditor(Catalog(*jobs), records).audit(events, self.now_ms)
+
+    def settle(self) -> None:
+        """End all faults, and let time pass until every caller has its answer."""
+        self.mend()
+        for name in list(self.frozen):
+            self.thaw_host(name)
+        for name in HOSTS:
+            if name not in self.hosts:
+                self.start_host(name)
+            self.hosts[name].orders.fates.clear()
+        for name in self.workers:
+            self.set_faults(name, WorkerFaults())
+            self.list_worker(name)
+        end_ms = self.now_ms + _SETTLE_MS
+        while self.now_ms < end_ms and not all(each.is_over for each in self.callers):
+            for name, worker in self.workers.items():
+                if not worker.is_up:
+                    self.return_worker(name)
+                    self.list_worker(name)
+            self.run(100)
+
+    def _had_one(self, caller: Caller) -> bool:
+        """Tell whether one coordinator had a job all the time, without a break."""
+        received = caller.received
+        was_moved = received is not None and received.attempts > 1
+        is_first = caller.attempt <= 1 and caller.terms == self._coordinator_count
+        return is_first and not was_moved
+
+    def _worker(self, name: str) -> Worker:
+        plan = WorkerPlan(
+            name,
+            service=_POOL,
+            address=f"{name}:1",
+            zone=WORKERS[name],
+            labels=_LABELS.get(name, ()),
+            capacity=Capacity(_CPU),
+            is_guarded=False,
+            clock_rate=_CLOCK_RATES.get(name, 1.0),
+        )
+        worker = Worker(plan, self._catalog)
+        self.network.add(name, worker)
+        return worker
+
+    def _listing_of(self, name: str) -> ListedTarget:
+        worker = self.workers[name]
+        return ListedTarget(
+            name,
+            _POOL,
+            worker.plan.address,
+            worker.born,
+            Resources(worker.plan.capacity.cpu, worker.plan.capacity.mem_mb),
+            WORKERS[name],
+            frozenset(worker.plan.labels),
+            worker.report(self.now_ms)["state"] == "draining",
+        )
+
+    def _read_later(self, host: ModelHost) -> None:
+        """Let a host in touch read the log and the list of workers."""
+
+        def read() -> None:
+            if host.party in self.out_of_touch:
+                return
+            host.election.note_end(self._log_end)
+            if self._term is not None:
+                host.take_term(self._term)
+            host.replace_targets(self.listed.values())
+
+        self.network.after(host.party, 2, read)
+
+    def _send(self, caller: Caller, host: str = "") -> None:
+        if caller.is_over:
+            return
+        caller.attempt += 1
+        caller.sends += 1
+        others = [name for name in HOSTS if name != caller.host]
+        in_reach = [name for name in others if name in self.hosts]
+        caller.host = host or (in_reach or others)[0]
+        self._after(_WAIT_MS, caller, self.break_connection)
+        attempt = caller.attempt
+
+        def answered(answer: SubmissionAnswer) -> None:
+            respond = partial(self._answered, caller, attempt, answer)
+            self.network.after(_CALLERS, 1, respond)
+
+        def arrive() -> None:
+            if caller.attempt == attempt and not caller.is_over:
+                receiver = self.hosts[caller.host].receiver
+                job = _pool_job(caller)
+                caller.received = ReceivedJob(job, self.now_ms, None, answered)
+                submission = receiver.submit(caller.received)
+                caller.leave = partial(receiver.caller_gone, submission)
+
+        if caller.host in self.hosts:
+            self.network.after(caller.host, 1, arrive)
+        else:
+            self._after(1, caller, self.break_connection)
+
+    def _after(
+        self, delay_ms: int, caller: Caller, action: Callable[[Caller], None]
+    ) -> None:
+        attempt = caller.attempt
+
+        def act() -> None:
+            if caller.attempt == attempt and not caller.is_over:
+                action(caller)
+
+        self.network.after(_CALLERS, delay_ms, act)
+
+    def _answered(self, caller: Caller, attempt: int, answer: SubmissionAnswer) -> None:
+        if caller.attempt != attempt or caller.is_over:
+            return
+        status = _STATUSES.get(answer.end, 200)
+        caller.statuses.append(status)
+        caller.leave = None
+        if answer.end is JobEnd.COMPLETED:
+            caller.completed_ms = self.now_ms
+        if status != 200:
+            caller.attempt += 1
+            delay_ms = _RETRY_MS if status == 503 else _RESEND_MS
+            self._after(delay_ms, caller, self._send)
+
+    def _leave(self, caller: Caller) -> None:
+        leave, caller.leave = caller.leave, None
+        if leave is not None and caller.host in self.hosts:
+            self.network.after(caller.host, 1, leave)
+
+
+def _pool_job(caller: Caller) -> PoolJob:
+    steps = tuple(
+        PoolStep(
+            step.count,
+            Resources(step.cpu),
+            step.work_ms,
+            step.after,
+            step.requires,
+            "",
+            step.anti_affinity,
+        )
+        for step in caller.job.steps
+    )
+    return PoolJob(
+        caller.job.id,
+        _POOL,
+        caller.job.spec,
+        steps,
+        max_attempts=caller.job.max_attempts,
+        target_latency_ms=caller.target_latency_ms,
+    )
