Divide the targets of a lab's site into pools on request

One coordinator that sees all room was chosen over homes for parts of the targets; run.parts lets both be played with the same jobs. Targets of every kind are dealt out evenly. The audit now also checks that no task ran in another pool than its queue's, in the fleets of the tests as well.

--- a/hibiscusstack_standins/estate/queues.py
+++ b/hibiscusstack_standins/estate/queues.py
@@ -1,6 +1,7 @@
 """The queue of a site, as its operator publishes it and its clients use it."""
 
 __all__ = [
+    "DEFAULT_SERVICE",
     "QUEUE_HOST",
     "encode_job",
     "job_path",
@@ -17,6 +18,7 @@
 from hibiscusstack_standins.estate.records import frame_keyed
 
 QUEUE_HOST = "q.example"
+DEFAULT_SERVICE = "s"
 _PLAIN = ("cpu", "mem_mb", "gpu", "requires", "data_rack", "anti_affinity")
 
 
@@ -33,7 +35,7 @@
 ) -> None:
     """Write a configuration with the terms of each queue by its name.
 
-    Queues use the service ``s`` unless their terms name another.
+    Queues use the service ``DEFAULT_SERVICE`` unless their terms name another.
     """
     routes = [_encode_route(name, terms) for name, terms in queues.items()]
     body = json.dumps({"version": version, "routes": routes})
@@ -51,7 +53,7 @@
 
 def _encode_route(name: str, terms: Mapping[str, Any]) -> dict[str, Any]:
     place = {"host": QUEUE_HOST, "path_prefix": _prefix(name)}
-    return {"name": name, **place, "service": "s", **terms}
+    return {"name": name, **place, "service": DEFAULT_SERVICE, **terms}
 
 
 def encode_job(job: Job) -> bytes:
--- a/hibiscusstack_standins/lab/load.py
+++ b/hibiscusstack_standins/lab/load.py
@@ -1,6 +1,6 @@
 """The jobs of a run, drawn before it begins."""
 
-__all__ = ["Arrival", "draw_arrivals", "rate_per_s"]
+__all__ = ["Arrival", "draw_arrivals", "queue_name", "rate_per_s"]
 
 import math
 from collections.abc import Iterator
@@ -37,11 +37,21 @@
     ]
     arrivals = []
     for number, (at_ms, name, data_centre) in enumerate(sorted(places)):
-        job = _draw_job(number, name, scenario.classes[name], rng)
+        queue = queue_name(name, number % scenario.run.parts)
+        job = _draw_job(number, queue, scenario.classes[name], rng)
         arrivals.append(Arrival(at_ms, name, data_centre, job))
     return arrivals
 
 
+def queue_name(job_class: str, part: int) -> str:
+    """Return the queue of a class whose jobs go to one part of the targets.
+
+    >>> queue_name("quick", 0)
+    'quick-0'
+    """
+    return f"{job_class}-{part}"
+
+
 def rate_per_s(
     scenario: Scenario, data_centre: str, job_class: str, at_ms: float
 ) -> float:
@@ -82,7 +92,9 @@
             yield int(at_ms)
 
 
-def _draw_job(number: int, name: str, terms: JobClass, rng: np.random.Generator) -> Job:
+def _draw_job(
+    number: int, queue: str, terms: JobClass, rng: np.random.Generator
+) -> Job:
     count = _draw_whole(rng, terms.tasks, terms.tasks_spread, terms.most_tasks)
     cpu = _draw_whole(rng, terms.cpu_milli, terms.cpu_spread, terms.most_cpu_milli)
     run_ms = _draw_whole(rng, terms.run_ms, terms.run_spread, terms.most_run_ms)
@@ -103,7 +115,7 @@
     )
     return Job(
         f"{number:016x}",
-        queue=name,
+        queue=queue,
         spec=f"job {number}",
         steps=(step,),
         max_attempts=terms.max_attempts,
--- a/hibiscusstack_standins/lab/playing.py
+++ b/hibiscusstack_standins/lab/playing.py
@@ -2,6 +2,7 @@
 
 __all__ = ["play"]
 
+from collections import Counter
 from collections.abc import Callable, Iterator
 from itertools import cycle
 
@@ -12,7 +13,7 @@
 from hibiscusstack_standins.lab.callers import Callers
 from hibiscusstack_standins.lab.faults import FaultPlayer
 from hibiscusstack_standins.lab.figures import RunFigures, count_figures
-from hibiscusstack_standins.lab.load import draw_arrivals
+from hibiscusstack_standins.lab.load import draw_arrivals, queue_name
 from hibiscusstack_standins.lab.scenario import Scenario
 from hibiscusstack_standins.lab.site import START_MS, Site, SitePlan
 
@@ -53,13 +54,15 @@
         for number in range(place.hosts)
     }
     routes = {
-        name: {
+        queue_name(name, part): {
+            "service": _service_name(part),
             "priority": terms.priority,
             "max_attempts": terms.max_attempts,
             "stretch": terms.stretch,
             "target_latency_ms": terms.target_latency_ms,
         }
         for name, terms in scenario.classes.items()
+        for part in range(run.parts)
     }
     resend_ms = min(terms.resend_ms for terms in scenario.classes.values())
     return SitePlan(
@@ -80,15 +83,24 @@
         for name, kind in scenario.kinds.items()
         for _ in range(kind.weight)
     )
+    counts: Counter[str] = Counter()
     for place_name, place in scenario.data_centres.items():
         for number in range(place.targets):
             kind_name, kind = next(kinds)
             name = f"{place_name}-t{number}"
+            # Every part gets targets of every kind.
+            part = counts[kind_name] % scenario.run.parts
+            counts[kind_name] += 1
             yield WorkerPlan(
                 name,
+                service=_service_name(part),
                 address=f"{name}:1",
                 zone=place_name,
                 labels=(kind_name,),
                 capacity=Capacity(kind.cpu_milli, kind.memory_mb),
                 slowness=kind.slowness,
             )
+
+
+def _service_name(part: int) -> str:
+    return f"s{part}"
--- a/hibiscusstack_standins/lab/scenario.py
+++ b/hibiscusstack_standins/lab/scenario.py
@@ -73,6 +73,9 @@
     duration_ms: int = key(DURATION, "How long jobs arrive.", 30_000)
     settle_ms: int = key(_TIME, "How long the run goes on after that.", 5_000)
     window_ms: int = key(DURATION, "The length of the windows of figures.", 2_000)
+    parts: int = key(
+        Number(1, 100), "Into how many pools targets and jobs are divided.", 1
+    )
     least_delay_ms: int = key(_DELAY, "The least delay of a call, one way.", 0)
     most_delay_ms: int = key(_DELAY, "The most delay of a call, one way.", 1)
 
--- a/hibiscusstack_standins/lab/site.py
+++ b/hibiscusstack_standins/lab/site.py
@@ -14,7 +14,7 @@
 from hibiscusstack_standins.estate.jobs import Catalog, TaskName
 from hibiscusstack_standins.estate.log_store import LogStore
 from hibiscusstack_standins.estate.network import Network
-from hibiscusstack_standins.estate.queues import publish_queues
+from hibiscusstack_standins.estate.queues import DEFAULT_SERVICE, publish_queues
 from hibiscusstack_standins.estate.registry import Registry
 from hibiscusstack_standins.estate.store_service import StoreService
 from hibiscusstack_standins.estate.worker import Worker, WorkerPlan
@@ -174,7 +174,12 @@
 
     def audit(self, records: Mapping[str, ClientRecord]) -> list[Violation]:
         """Return what broke the rules so far; ``records`` are those of all jobs."""
-        return Auditor(self.catalog, records).audit(self.events(), self.now_ms)
+        services = {
+            name: (terms.get("service", DEFAULT_SERVICE),)
+            for name, terms in self.plan.routes.items()
+        }
+        auditor = Auditor(self.catalog, records, services)
+        return auditor.audit(self.events(), self.now_ms)
 
     def cpu_of(self, task: str) -> int:
         """Return the processor need of a task in thousandths of a core."""
--- a/hibiscusstack_standins/lab/tests/test_playing.py
+++ b/hibiscusstack_standins/lab/tests/test_playing.py
@@ -40,6 +40,12 @@
     assert refused[1] < refused[0]
 
 
+def test_parts_of_the_targets_keep_to_their_jobs():
+    run = play(small_scenario("run.parts=2", "data_centre b.targets=2"), 1)
+    assert run.violations == {}
+    assert run.total.ends == {"completed": run.total.jobs}
+
+
 @pytest.mark.parametrize("kind", FaultKind)
 def test_faults_break_no_rule_and_end(kind):
     fault = {
