Describe the lab for operators, with a generated page of its keys

Sections of scenario files have the same form as those of settings files, so the page on settings can describe both. A condition that is off by default was shown as 0; defaults now show as they are written, and the page on settings is the same as before.

--- a/Makefile
+++ b/Makefile
@@ -64,6 +64,10 @@
 lab: setup
 	$(VENV)/bin/hibiscus-lab $(ARGUMENTS)
 
+.PHONY: lab-page
+lab-page: setup
+	$(VENV)/bin/hibiscus-lab describe > docs/operators/lab-scenarios.md
+
 .PHONY: bench-caller-api
 bench-caller-api: setup
 	$(PYTHON) -m benches.caller_api
--- a/hibiscusstack/settings/document.py
+++ b/hibiscusstack/settings/document.py
@@ -1,6 +1,6 @@
 """The page on settings, written from the classes of the sections."""
 
-__all__ = ["describe_settings"]
+__all__ = ["describe_section", "describe_settings"]
 
 from typing import get_type_hints
 
@@ -43,10 +43,11 @@
 
 
 def _describe_sections(cls: type) -> list[str]:
-    return [_describe(*item) for item in get_type_hints(cls).items()]
+    return [describe_section(*item) for item in get_type_hints(cls).items()]
 
 
-def _describe(name: str, cls: type) -> str:
+def describe_section(name: str, cls: type) -> str:
+    """Return one section in Markdown, with a table of its keys."""
     summary = (cls.__doc__ or "").strip()
     lines = [f"## [{name}]", "", summary, ""]
     lines += ["| key | default | value | meaning |", "| --- | --- | --- | --- |"]
@@ -59,7 +60,7 @@
     if field.default is attrs.NOTHING:
         default = "required"
     else:
-        default = f"`{kind.render(field.default)}`" if field.default else "nothing"
-        default = "`0`" if field.default == 0 else default
+        rendered = kind.render(field.default)
+        default = f"`{rendered}`" if rendered else "nothing"
     doc = field.metadata["doc"]
     return f"| `{field.name}` | {default} | {kind.expected} | {doc} |"
--- a/hibiscusstack_standins/lab/arguments.py
+++ b/hibiscusstack_standins/lab/arguments.py
@@ -48,6 +48,7 @@
     )
     report = commands.add_parser("report", help="write the page of kept results")
     report.add_argument("folder", type=Path, metavar="DIR")
+    commands.add_parser("describe", help="print the page on scenario files")
     return parser
 
 
--- a/hibiscusstack_standins/lab/commands.py
+++ b/hibiscusstack_standins/lab/commands.py
@@ -1,12 +1,13 @@
 """What each command of the lab does."""
 
-__all__ = ["compare", "report", "run"]
+__all__ = ["compare", "describe", "report", "run"]
 
 import argparse
 from collections.abc import Iterable, Sequence
 
 from tqdm import tqdm
 
+from hibiscusstack_standins.lab.document import describe_scenarios
 from hibiscusstack_standins.lab.playing import play
 from hibiscusstack_standins.lab.reading import read_scenario
 from hibiscusstack_standins.lab.report import write_report
@@ -45,6 +46,11 @@
     print(write_report(read_results(options.folder), options.folder))
 
 
+def describe(options: argparse.Namespace) -> None:
+    """Print the page on scenario files."""
+    print(describe_scenarios(), end="")
+
+
 def _play_all(
     options: argparse.Namespace, variants: Sequence[Iterable[str]]
 ) -> Results:
--- a/hibiscusstack_standins/lab/main.py
+++ b/hibiscusstack_standins/lab/main.py
@@ -46,6 +46,7 @@
     return {
         "run": commands.run,
         "compare": commands.compare,
+        "describe": commands.describe,
         "report": commands.report,
     }
 
--- a/hibiscusstack_standins/lab/reading.py
+++ b/hibiscusstack_standins/lab/reading.py
@@ -1,6 +1,6 @@
 """Reading of scenario files, with every fault in one at once."""
 
-__all__ = ["parse_scenario", "read_scenario"]
+__all__ = ["NAMED_SECTIONS", "SECTIONS", "parse_scenario", "read_scenario"]
 
 import configparser
 from collections.abc import Iterable, Iterator
@@ -27,13 +27,13 @@
     Traffic,
 )
 
-_SINGLE = {
+SECTIONS: dict[str, type] = {
     "run": Run,
     "traffic": Traffic,
     "targets": PoolTargetSettings,
     "peers": PoolPeerSettings,
 }
-_NAMED = {
+NAMED_SECTIONS: dict[str, tuple[type, str]] = {
     "data_centre": (DataCentre, "data_centres"),
     "kind": (CapacityKind, "kinds"),
     "class": (JobClass, "classes"),
@@ -96,15 +96,17 @@
 
     def read(self) -> Scenario:
         """Return the scenario, or raise the faults."""
-        single = {name: self._read_section(name, cls) for name, cls in _SINGLE.items()}
-        named: dict[str, dict[str, Any]] = {field: {} for _, field in _NAMED.values()}
+        single = {name: self._read_section(name, cls) for name, cls in SECTIONS.items()}
+        named: dict[str, dict[str, Any]] = {
+            field: {} for _, field in NAMED_SECTIONS.values()
+        }
         for section in self.parser.sections():
             kind, _, name = section.partition(" ")
-            if kind in _NAMED and name.strip():
-                cls, field = _NAMED[kind]
+            if kind in NAMED_SECTIONS and name.strip():
+                cls, field = NAMED_SECTIONS[kind]
                 named[field][name.strip()] = self._read_section(section, cls)
-            elif section not in _SINGLE:
-                known = [*_SINGLE, *(f"{kind} NAME" for kind in _NAMED)]
+            elif section not in SECTIONS:
+                known = [*SECTIONS, *(f"{kind} NAME" for kind in NAMED_SECTIONS)]
                 expected = "one of the sections " + ", ".join(known)
                 self._add_fault(f"[{section}]", expected, section)
         self._raise_faults()
