--- a/hibiscusstack_standins/lab/plots.py
+++ b/hibiscusstack_standins/lab/plots.py
@@ -37,7 +37,7 @@
     axes = figure.add_subplot()
     draw(axes, results)
     axes.grid(alpha=0.3)
-    axes.legend(fontsize="small")
+    axes.legend(fontsize="small", loc="lower left")
     figure.savefig(path, metadata={"Date": None})
 
 
