Let all calls of a target come late in the lab, holds too

The lab let only starts and stops come late; holds that stay unanswered make a target look silent and pause it.

--- a/hibiscusstack_standins/lab/faults.py
+++ b/hibiscusstack_standins/lab/faults.py
@@ -39,6 +39,7 @@
             FaultKind.TARGET_FAILING: self._fail_targets,
             FaultKind.TARGET_REFUSING: self._let_targets_refuse,
             FaultKind.ORDERS_LATE: self._delay_orders,
+            FaultKind.CALLS_LATE: self._delay_calls,
             FaultKind.LOG_DOWN: self._stop_log,
             FaultKind.LOG_SLOW: self._slow_log,
             FaultKind.LOG_ANSWERS_LOST: self._lose_log_answers,
@@ -147,6 +148,13 @@
     def _delay_orders(self, fault: Fault) -> Callable[[], None]:
         names = self._targets(fault)
         lateness = Lateness(fault.call_share, _ORDER_PATHS)
+        return self._delay(names, lateness)
+
+    def _delay_calls(self, fault: Fault) -> Callable[[], None]:
+        """Delay holds as well, so that targets seem silent."""
+        return self._delay(self._targets(fault), Lateness(fault.call_share))
+
+    def _delay(self, names: list[str], lateness: Lateness) -> Callable[[], None]:
         for name in names:
             self._site.network.set_lateness(name, lateness)
         return lambda: [self._site.network.set_lateness(name, None) for name in names]
--- a/hibiscusstack_standins/lab/scenario.py
+++ b/hibiscusstack_standins/lab/scenario.py
@@ -56,6 +56,7 @@
     TARGET_FAILING = "target-failing"
     TARGET_REFUSING = "target-refusing"
     ORDERS_LATE = "orders-late"
+    CALLS_LATE = "calls-late"
     LOG_DOWN = "log-down"
     LOG_SLOW = "log-slow"
     LOG_ANSWERS_LOST = "log-answers-lost"
