--- a/hibiscusstack/pool/stored/keeper.py
+++ b/hibiscusstack/pool/stored/keeper.py
@@ -326,7 +326,7 @@
             ask()
 
     def _run_next(self) -> None:
-        jobs = self._backlog.take_next()
+        jobs = self._backlog.take_next(self._wall_ms())
         for job in jobs:
             self._run(job)
         if jobs:
--- a/hibiscusstack/pool/stored/tests/test_ledger.py
+++ b/hibiscusstack/pool/stored/tests/test_ledger.py
@@ -108,12 +108,12 @@
     records = [accepted(f"j{number}", submitted_ms=100 - number) for number in range(5)]
     for job in ledger.take_jobs([*records, accepted("first", priority=0)]):
         backlog.add(job)
-    assert [job.job_id for job in backlog.take_next()] == ["first", "j4"]
-    assert backlog.take_next() == []
+    assert [job.job_id for job in backlog.take_next(now_ms=0)] == ["first", "j4"]
+    assert backlog.take_next(now_ms=0) == []
     assert backlog.take("j3").job_id == "j3"
     backlog.settled("first")
     backlog.settled("first")
-    assert [job.job_id for job in backlog.take_next()] == ["j2"]
+    assert [job.job_id for job in backlog.take_next(now_ms=0)] == ["j2"]
 
 
 def active(job_id, is_stored, priority=1, received_ms=0):
