Refuse stored jobs early in their time while the log takes nothing

Ruled out: a refusal at the first failed append, which gives up what a repeat saves.

A record that was never sent, or only to be refused, is withdrawn after a quarter of the job's objective, from 100 ms to 1 s.

--- a/hibiscusstack/pool/stored/submitting.py
+++ b/hibiscusstack/pool/stored/submitting.py
@@ -16,6 +16,8 @@
 from hibiscusstack.pool.stored.writer import BatchWriter
 
 REFUSE_AFTER_MS = 1_000
+REFUSE_EARLIEST_MS = 100
+REFUSE_PART = 0.25
 GIVE_UP_AFTER_MS = 5_000
 _MARGIN_MS = 50
 
@@ -51,9 +53,10 @@
 class JobSubmitter:
     """Appends jobs, and answers each request when the outcome is sure.
 
-    A record that was never sent, or only to be refused, can be withdrawn, and its
-    caller gets a refusal. Once an answer of the log was lost the record may appear
-    at any time, so its caller is never refused.
+    A record that was never sent, or only to be refused, can be withdrawn after
+    ``REFUSE_PART`` of the job's objective, and its caller gets a refusal. Once an answer
+    of the log was lost the record may appear at any time, so its caller is never
+    refused.
     """
 
     def __init__(self, writer: BatchWriter, clock: Clock) -> None:
@@ -78,9 +81,8 @@
             return
         now_ms = self._clock.now_ms()
         limit_ms = GIVE_UP_AFTER_MS if timeout_ms is None else timeout_ms - _MARGIN_MS
-        waiting = _Waiting(
-            now_ms + min(REFUSE_AFTER_MS, limit_ms), now_ms + limit_ms, answer
-        )
+        refuse_ms = min(_refuse_after_ms(record), limit_ms)
+        waiting = _Waiting(now_ms + refuse_ms, now_ms + limit_ms, answer)
         others = self._waiting.get(job_id)
         if others is not None:
             others.append(waiting)
@@ -112,3 +114,11 @@
     def _answer_all(self, job_id: str, answer: SubmitAnswer) -> None:
         for waiting in self._waiting.pop(job_id, ()):
             waiting.answer(answer)
+
+
+def _refuse_after_ms(record: JobRecord) -> float:
+    objective_ms = record.job.objective_ms()
+    if not objective_ms:
+        return REFUSE_AFTER_MS
+    part_ms = max(REFUSE_EARLIEST_MS, REFUSE_PART * objective_ms)
+    return min(REFUSE_AFTER_MS, part_ms)
--- a/hibiscusstack/pool/stored/tests/test_submitting.py
+++ b/hibiscusstack/pool/stored/tests/test_submitting.py
@@ -24,8 +24,9 @@
     return BatchQueue()
 
 
-def record(job_id="a", count=1, payload="text"):
-    job = PoolJob(job_id, "p", payload, (Step(count, Resources(1)),))
+def record(job_id="a", count=1, payload="text", objective_ms=0):
+    steps = (Step(count, Resources(1)),)
+    job = PoolJob(job_id, "p", payload, steps, target_latency_ms=objective_ms)
     return JobRecord("q", job, 0)
 
 
@@ -53,6 +54,23 @@
     assert queue.next_batch() is None
 
 
+@pytest.mark.parametrize(
+    ("objective_ms", "refused_ms"), [(150, 100), (2_000, 500), (9_000, 1_000)]
+)
+def test_a_refusal_comes_early_in_the_time_of_the_job(
+    clock, queue, objective_ms, refused_ms
+):
+    submitter, answers = JobSubmitter(queue, clock), []
+    submitter.submit(record(objective_ms=objective_ms), 1_500, answers.append)
+    clock.advance(refused_ms - 1)
+    submitter.tick()
+    assert answers == []
+    clock.advance(1)
+    submitter.tick()
+    assert [type(answer) for answer in answers] == [NotAccepted]
+    assert queue.next_batch() is None
+
+
 def test_a_job_that_may_have_been_appended_is_never_refused(clock, queue):
     submitter, answers = JobSubmitter(queue, clock), []
     submitter.submit(record(), 1_500, answers.append)
