--- a/hibiscusstack/pool/stored/submitting.py
+++ b/hibiscusstack/pool/stored/submitting.py
@@ -54,9 +54,9 @@
     """Appends jobs, and answers each request when the outcome is sure.
 
     A record that was never sent, or only to be refused, can be withdrawn after
-    ``REFUSE_PART`` of the job's objective, and its caller gets a refusal. Once an answer
-    of the log was lost the record may appear at any time, so its caller is never
-    refused.
+    ``REFUSE_PART`` of the job's objective, and its caller gets a refusal. Once an
+    answer of the log was lost the record may appear at any time, so its caller is
+    never refused.
     """
 
     def __init__(self, writer: BatchWriter, clock: Clock) -> None:
