Set the coordinator before its stored jobs are begun

Cause: when the coordinator came to be built in one place, it was set after the keeper of stored jobs had been started with it. An order given within that call would have had nobody to take its reply. No run showed it; the order is again the one of before the division.

test_office.py: the stand-in of stored jobs asserts the order; its three tests failed before. Nothing else was changed.

--- a/hibiscusstack/pool/office.py
+++ b/hibiscusstack/pool/office.py
@@ -60,18 +60,21 @@
             self.coordinator.renew(term_token(term.offset))
             return
         self.step_down()
-        coordinator = self._build(
+        self.coordinator = self._build(
             term_token(term.offset),
             missing=self._targets.missing(self._clock.now_ms()),
         )
-        coordinator.journal = self._stored.coordinate(term.offset + 1, coordinator)
-        self._begin(coordinator)
+        self.coordinator.journal = self._stored.coordinate(
+            term.offset + 1, self.coordinator
+        )
+        self.targets_changed()
 
     def stand_in(self, term: Term, listing_offset: int) -> None:
         """Order the targets of this data centre in place of the holder of ``term``."""
         token = deputy_token(term.offset, listing_offset)
         voids_ends = self._stored.has_jobs
-        self._begin(self._build(token, is_deputy=True, voids_ends=voids_ends))
+        self.coordinator = self._build(token, is_deputy=True, voids_ends=voids_ends)
+        self.targets_changed()
 
     def step_down(self) -> None:
         """Give no orders any more."""
@@ -110,7 +113,3 @@
             events=self._events,
             **terms,
         )
-
-    def _begin(self, coordinator: Coordinator) -> None:
-        self.coordinator = coordinator
-        self.targets_changed()
--- a/hibiscusstack/pool/tests/test_office.py
+++ b/hibiscusstack/pool/tests/test_office.py
@@ -27,10 +27,11 @@
 class Stored:
     """Notes for which token stored jobs are kept."""
 
-    has_jobs, token = True, None
+    has_jobs, token, office = True, None, None
 
     def coordinate(self, token, runner):
-        """Note the token."""
+        """Note the token; its orders already have a coordinator for the replies."""
+        assert self.office.coordinator is runner
         self.token = token
 
     def stand_down(self):
@@ -54,6 +55,7 @@
             targets=self.targets,
             stored=self.stored,
         )
+        self.stored.office = self.office
 
     def ordered(self):
         """Return which targets the coordinator orders."""
