Let a general deputy order while no host reaches the log

Cause: while the log is away for all, no term can be claimed. A coordinator that died, froze or was cut off meanwhile had no follower, and nothing was served until the log was back.

Now one host may stand in for all data centres: it has not read the log for 1.3 s, more than half of the listed hosts are connected with it, each of them lacks the log too and hears no holder, and its listing is the first whose token is still above all that were heard of. Heartbeats carry the highest such token; whoever orders under a lower one yields, so a holder that comes back does not fight it. The next term ends it.

Safety does not need the choice to be unanimous: tokens of deputies differ, targets obey the higher one, and a general deputy waits and adopts as one of a data centre does. Ruled out: a deputy for each data centre (parts of the room only), votes among hosts, a successor named in the log (docs/design/platform.md). Not served any faster: jobs that the lost coordinator had; they wait for the notice and the lease.

All five mutations are caught; "two restarts" has 956,200 states, exhaustive.

--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -53,7 +53,8 @@
 
     It lists itself in the log, meets its peers, elects the coordinator with them and
     is the coordinator while the newest term is its own. While its data centre is cut
-    off from the coordinator, it may stand in for that one there.
+    off from the coordinator, it may stand in for that one there; while nobody reaches
+    the log, for all.
     """
 
     def __init__(
@@ -180,6 +181,10 @@
             is_draining=self.is_draining,
             is_deputy=self._office.is_deputy,
             has_stored=self.stored.has_jobs,
+            is_general=self._office.is_general,
+            token=self._office.token,
+            general_token=self._peers.general_token,
+            lacks_log=self._contact.is_away(self._clock.now_ms()),
         )
 
     def peer_connected(self, peer: HostName) -> None:
@@ -225,8 +230,11 @@
         self._mesh.replace_listed(self._listing.peer_addresses())
 
     def _take_heartbeat(self, sender: HostName, beat: PoolHeartbeat) -> None:
+        was_deputy = self._peers.is_deputy(sender)
         is_change = self._peers.take(sender, beat)
         self.stored.has_jobs |= beat.has_stored
+        if was_deputy and not beat.is_deputy:
+            self.receiver.coordinator_left(sender)
         if is_change:
             self._find_coordinator()
         if beat.holder is not None:
@@ -277,6 +285,7 @@
         for peer in self._peers.away_for(self._settings.owner_grace_ms, now_ms):
             self.peer_lost(peer)
         self._claim_if_due(now_ms)
+        self._yield_if_due()
         self._stand_in_if_due(now_ms)
         self._retake_if_due(now_ms)
         if self.coordinator is not None:
@@ -302,16 +311,30 @@
         if self._election.should_claim(now_ms, hears_holder, hears):
             self._claims.claim()
 
+    def _yield_if_due(self) -> None:
+        """Cease to order targets where another host has followed."""
+        if self.coordinator is None:
+            return
+        is_refused = self._office.is_general and self._office.is_refused()
+        if not is_refused and not self._holder.must_yield():
+            return
+        if self._office.is_holding:
+            log_message("pool:yielded", token=self._office.token)
+            self._election.resign()
+        else:
+            log_message("pool:deputy_ended", token=self._office.token)
+        self._office.step_down()
+        self._find_coordinator()
+        self._mesh.send_heartbeats()
+
     def _stand_in_if_due(self, now_ms: float) -> None:
-        """Become the deputy of a data centre that is cut off, or cease to be."""
-        if self._office.is_deputy:
-            if self._holder.hears_holder():
-                log_message("pool:deputy_ended")
-                self._office.step_down()
-                self._find_coordinator()
-                self._mesh.send_heartbeats()
-        elif self._standing_in.is_due(self._is_free(), self._mesh.peers(), now_ms):
-            self._stand_in()
+        """Become the deputy of this data centre, or of all."""
+        is_free, connected = self._is_free(), self._mesh.peers()
+        is_cut_off = is_free and self._contact.is_away(now_ms)
+        if self._standing_in.is_due(is_free, connected, now_ms):
+            self._stand_in(is_general=False)
+        elif self._standing_in.is_general_due(is_cut_off, self.term, connected, now_ms):
+            self._stand_in(is_general=True)
 
     def _is_free(self) -> bool:
         """Tell whether this host could order targets, and knows no holder."""
@@ -319,10 +342,14 @@
         is_idle = not self.is_draining and self.coordinator is None
         return is_known and is_idle and not self._holder.hears_holder()
 
-    def _stand_in(self) -> None:
-        self._office.stand_in(self.term, self._self_listing.offset)
-        token = self.coordinator.token
-        log_message("pool:deputy", token=token, term=self.term.offset)
+    def _stand_in(self, is_general: bool) -> None:
+        self._office.stand_in(self.term, self._self_listing.offset, is_general)
+        token = self._office.token
+        if is_general:
+            self._peers.note_general(token)
+        log_message(
+            "pool:deputy", token=token, term=self.term.offset, is_general=is_general
+        )
         self._find_coordinator()
         self._mesh.send_heartbeats()
 
@@ -330,6 +357,8 @@
         """Claim a new term to take back the targets of a deputy that has ended."""
         if not self._office.is_holding or self.is_draining:
             return
+        if self._contact.is_away(now_ms):
+            return
         returned = self._peers.returned_data_centres() | {self.name.data_centre}
         if is_retaking_due(self.coordinator.fenced_since_ms(), returned, now_ms):
             self._claims.claim()
--- a/hibiscusstack/pool/deputies.py
+++ b/hibiscusstack/pool/deputies.py
@@ -1,13 +1,13 @@
-"""Who orders the targets of a data centre that is cut off from the coordinator.
+"""Who orders targets where the coordinator is not heard and no term can be claimed.
 
 Such a deputy needs no call of the log: its token is the term's with the offset of its
 own listing in the lower bits. So it is above the coordinator's, below that of any
 later term, and no other run of a host has it.
 """
 
-__all__ = ["choose_deputy", "deputy_token", "term_token"]
+__all__ = ["choose_deputy", "choose_general_deputy", "deputy_token", "term_token"]
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 from hibiscusstack.dispatch.messages import HostName
 
@@ -54,3 +54,36 @@
     known |= {member.name for member in members}
     here = {member.name for member in members}
     return min(members) if 2 * len(here) > len(known) else None
+
+
+def choose_general_deputy(
+    members: Collection[HostName],
+    listed: Collection[tuple[str, str]],
+    tokens: Mapping[HostName, int],
+    highest_token: int,
+) -> HostName | None:
+    """Return the deputy for all data centres while the log is away, if there is one.
+
+    ``members`` are this host and the peers that are heard, ``tokens`` those that hosts
+    would have as deputies. More than half of the listed hosts have to be there. The one
+    with the lowest token comes first, and none after one that was higher: so each next
+    deputy is obeyed, and none takes turns with another.
+
+    >>> a, b = HostName("x", "a", 1), HostName("y", "b", 1)
+    >>> listed = [("x", "a"), ("y", "b"), ("y", "c")]
+    >>> choose_general_deputy([a, b], listed, {a: 9, b: 8}, 0) == b
+    True
+    >>> choose_general_deputy([a, b], listed, {a: 9, b: 8}, 8) == a
+    True
+    >>> choose_general_deputy([a], listed, {a: 9, b: 8}, 0) is None
+    True
+    """
+    here = {(member.data_centre, member.name) for member in members}
+    if 2 * len(here) <= len(here.union(listed)):
+        return None
+    candidates = {
+        member: tokens[member]
+        for member in members
+        if tokens.get(member, 0) > highest_token
+    }
+    return min(candidates, key=candidates.get, default=None)
--- a/hibiscusstack/pool/heard_peers.py
+++ b/hibiscusstack/pool/heard_peers.py
@@ -9,17 +9,28 @@
 
 
 class HeardPeers:
-    """The newest heartbeat of each connected peer, and since when others are away."""
+    """The newest heartbeat of each connected peer, and since when others are away.
+
+    ``general_token`` is the highest one of a general deputy that was heard of.
+    """
 
     def __init__(self) -> None:
+        self.general_token = 0
         self._beats: dict[HostName, PoolHeartbeat] = {}
         self._away_since_ms: dict[HostName, float] = {}
 
     def take(self, peer: HostName, beat: PoolHeartbeat) -> bool:
-        """Take over a heartbeat; return whether a deputy begins or ends with it."""
+        """Take over a heartbeat; return whether another host may coordinate now."""
         before = self._beats.get(peer)
         self._beats[peer] = beat
-        return beat.is_deputy != (before is not None and before.is_deputy)
+        is_news = self.note_general(beat.general_token)
+        return is_news or before is None or _office(beat) != _office(before)
+
+    def note_general(self, token: int) -> bool:
+        """Note the token of a general deputy; return whether it is the highest yet."""
+        is_higher = token > self.general_token
+        self.general_token = max(token, self.general_token)
+        return is_higher
 
     def connected(self, peer: HostName) -> None:
         """Note that a connection to the peer is open."""
@@ -55,6 +66,20 @@
         beat = self._beats.get(peer)
         return beat is not None and beat.is_draining
 
+    def lacks_log(self, peer: HostName) -> bool:
+        """Tell whether the peer said that it cannot read the log."""
+        beat = self._beats.get(peer)
+        return beat is not None and beat.lacks_log
+
+    def hears_any_holder(self) -> bool:
+        """Tell whether any peer hears the holder of the term that it knows."""
+        return any(beat.hears_holder for beat in self._beats.values())
+
+    def has_given_up(self, term: Term) -> bool:
+        """Tell whether the holder of ``term`` said that it orders nothing any more."""
+        beat = self._beats.get(term.holder)
+        return beat is not None and beat.term == term.offset and not beat.token
+
     def hands_over(self, term: Term) -> bool:
         """Tell whether the holder of ``term`` said that it wants another to follow."""
         beat = self._beats.get(term.holder)
@@ -74,10 +99,35 @@
             if not beat.is_draining
         }
 
+    def is_deputy(self, peer: HostName) -> bool:
+        """Tell whether the peer stands in for the coordinator."""
+        beat = self._beats.get(peer)
+        return beat is not None and beat.is_deputy
+
     def deputies(self) -> list[HostName]:
         """Return the peers that stand in for the coordinator."""
         return [peer for peer, beat in self._beats.items() if beat.is_deputy]
 
+    def has_general_deputy(self) -> bool:
+        """Tell whether the general deputy with the highest token is heard."""
+        return any(
+            beat.is_general and beat.token == self.general_token
+            for beat in self._beats.values()
+        )
+
+    def deputies_for(self, data_centre: str) -> dict[HostName, int]:
+        """Return the tokens of the peers that order targets there as deputies.
+
+        None counts that a general deputy with a higher token has followed.
+        """
+        return {
+            peer: beat.token
+            for peer, beat in self._beats.items()
+            if beat.is_deputy
+            and beat.token >= self.general_token
+            and (beat.is_general or peer.data_centre == data_centre)
+        }
+
     def returned_data_centres(self) -> set[str]:
         """Return where peers hear the holder and order nothing themselves."""
         return {
@@ -85,3 +135,8 @@
             for peer, beat in self._beats.items()
             if not beat.is_deputy and beat.hears_holder
         }
+
+
+def _office(beat: PoolHeartbeat) -> tuple[bool, bool]:
+    """Return whether the sender is a deputy, and whether it orders targets."""
+    return beat.is_deputy, bool(beat.token)
--- a/hibiscusstack/pool/host_listing.py
+++ b/hibiscusstack/pool/host_listing.py
@@ -28,7 +28,7 @@
 
     def __init__(self, own: HostName) -> None:
         self._own = own
-        self._hosts: dict[str, HostRecord] = {}
+        self._hosts: dict[str, tuple[HostRecord, int]] = {}
 
     def take(self, records: Iterable[KeyedRecord], is_whole: bool) -> list[Term]:
         """Return the terms among the records, and take over the hosts among them.
@@ -52,19 +52,23 @@
 
     def names(self) -> set[tuple[str, str]]:
         """Return the data centre and the name of each listed host."""
-        return {listed_name(host.name) for host in self._hosts.values()}
+        return {listed_name(host.name) for host, _ in self._hosts.values()}
+
+    def offsets(self) -> dict[HostName, int]:
+        """Return for each listed run the offset of its record."""
+        return {host.name: offset for host, offset in self._hosts.values()}
 
     def peer_addresses(self) -> list[PeerAddress]:
         """Return where the listed hosts other than this run accept their peers."""
         return [
             PeerAddress(host.address, host.port)
-            for host in self._hosts.values()
+            for host, _ in self._hosts.values()
             if host.name != self._own
         ]
 
     def _take_host(self, record: KeyedRecord) -> None:
         host = decode_host(record)
         if host is not None:
-            self._hosts[record.key] = host
+            self._hosts[record.key] = host, record.offset
         elif record.value is None:
             self._hosts.pop(record.key, None)
--- a/hibiscusstack/pool/log_contact.py
+++ b/hibiscusstack/pool/log_contact.py
@@ -19,12 +19,16 @@
             self._regained_ms = now_ms
         self._read_ms = now_ms
 
+    def is_away(self, now_ms: float) -> bool:
+        """Tell whether the log could not be read lately, or not at all yet."""
+        return self._read_ms is None or now_ms - self._read_ms > TOUCH_MS
+
     def is_in_touch(self, now_ms: float) -> bool:
         """Tell whether the log is read.
 
         For a host that was out of touch, it says so only once peers had time to be
         heard again. Otherwise such a host would claim a term as soon as it is back.
         """
-        if self._read_ms is None or now_ms - self._read_ms > TOUCH_MS:
+        if self.is_away(now_ms):
             return False
         return self._regained_ms is None or now_ms - self._regained_ms >= SETTLING_MS
--- a/hibiscusstack/pool/messages.py
+++ b/hibiscusstack/pool/messages.py
@@ -40,8 +40,11 @@
 
     ``term`` is the newest term that the sender knows, -1 for none, and
     ``hears_holder`` says whether it hears that term's holder. ``is_deputy`` says that
-    it orders the targets of its data centre meanwhile, ``has_stored`` that there have
-    been stored jobs.
+    it orders the targets of its data centre meanwhile, and with ``is_general`` those of
+    all. ``has_stored`` says that there have been stored jobs. ``token`` is the one
+    under which the sender orders targets, 0 if it does not, and ``general_token`` the
+    highest of a general deputy that it has heard of. ``lacks_log`` says that the sender
+    could not read the log lately.
     """
 
     term: int
@@ -50,6 +53,10 @@
     is_draining: bool
     is_deputy: bool = False
     has_stored: bool = False
+    is_general: bool = False
+    token: int = 0
+    general_token: int = 0
+    lacks_log: bool = False
 
 
 @attrs.frozen
--- a/hibiscusstack/pool/office.py
+++ b/hibiscusstack/pool/office.py
@@ -8,6 +8,7 @@
 from hibiscusstack.pool.deputies import deputy_token, term_token
 from hibiscusstack.pool.election import Term
 from hibiscusstack.pool.events import PoolEvents
+from hibiscusstack.pool.held_target import Phase
 from hibiscusstack.pool.messages import CancelSubmission, SubmitPoolJob
 from hibiscusstack.pool.orders import TargetOrders
 from hibiscusstack.pool.recent_targets import RecentTargets
@@ -19,7 +20,7 @@
     """Builds the coordinator of the host ``own``, and lets it step down.
 
     The holder of a term orders all listed targets and keeps the stored jobs; a deputy
-    orders the targets of its own data centre.
+    orders the targets of its own data centre, a general one those of all.
     """
 
     def __init__(
@@ -35,6 +36,7 @@
         stored: StoredJobs,
     ) -> None:
         self.coordinator: Coordinator | None = None
+        self._has_all = False
         self._own = own
         self._clock = clock
         self._orders = orders
@@ -54,6 +56,21 @@
         """Tell whether this host coordinates as the holder of a term."""
         return self.coordinator is not None and not self.coordinator.is_deputy
 
+    @property
+    def is_general(self) -> bool:
+        """Tell whether this host stands in for the holder in all data centres."""
+        return self.is_deputy and self._has_all
+
+    @property
+    def token(self) -> int:
+        """The token under which this host orders targets, 0 while it does not."""
+        return 0 if self.coordinator is None else self.coordinator.token
+
+    def is_refused(self) -> bool:
+        """Tell whether every target takes orders of another host only."""
+        states = self.coordinator.targets() if self.coordinator is not None else []
+        return bool(states) and all(state.phase is Phase.FENCED for state in states)
+
     def begin_term(self, term: Term) -> None:
         """Coordinate for a term of this host, or go on with it after an earlier one."""
         if self.is_holding:
@@ -69,8 +86,11 @@
         )
         self.targets_changed()
 
-    def stand_in(self, term: Term, listing_offset: int) -> None:
-        """Order the targets of this data centre in place of the holder of ``term``."""
+    def stand_in(
+        self, term: Term, listing_offset: int, is_general: bool = False
+    ) -> None:
+        """Order the targets here, or all, in place of the holder of ``term``."""
+        self._has_all = is_general
         token = deputy_token(term.offset, listing_offset)
         voids_ends = self._stored.has_jobs
         self.coordinator = self._build(token, is_deputy=True, voids_ends=voids_ends)
@@ -85,7 +105,7 @@
 
     def targets_changed(self) -> None:
         """Hand the newest list of targets to the coordinator."""
-        if self.is_deputy:
+        if self.is_deputy and not self._has_all:
             here = self._targets.recent_in(self._own.data_centre)
             self.coordinator.replace_targets(here)
         elif self.coordinator is not None:
--- a/hibiscusstack/pool/receiving.py
+++ b/hibiscusstack/pool/receiving.py
@@ -80,6 +80,11 @@
                 self._leave_coordinator(submission, received)
                 self._forward(submission, received)
 
+    def coordinator_left(self, coordinator: HostName) -> None:
+        """Take all jobs back from a host that has ceased to coordinate."""
+        if self._coordinator == coordinator:
+            self.coordinator_changed(None)
+
     def answered(self, sender: HostName, message: SubmissionAnswer) -> None:
         """Pass on the answer of the coordinator that has the job."""
         received = self._jobs.get(message.submission)
--- a/hibiscusstack/pool/tests/test_deputies.py
+++ b/hibiscusstack/pool/tests/test_deputies.py
@@ -6,6 +6,7 @@
 from hibiscusstack.pool.deputies import (
     LISTING_BITS,
     choose_deputy,
+    choose_general_deputy,
     deputy_token,
     term_token,
 )
@@ -56,3 +57,30 @@
 
 def test_another_run_of_a_host_counts_once():
     assert choose_deputy(A, LISTED, [HostName("x", "a", 2)]) is None
+
+
+TOKENS = {A: 12, B: 11, FAR: 13}
+
+
+@pytest.mark.parametrize(
+    ("members", "highest_token", "deputy"),
+    [
+        ([A, B, FAR], 0, B),
+        ([A, B, C], 10, B),
+        ([A, B, FAR], 11, A),
+        ([A, B, FAR], 12, FAR),
+        ([A, B, FAR], 13, None),
+        ([A, FAR], 0, None),
+        ([C, HostName("x", "e", 1), HostName("x", "f", 1)], 0, None),
+    ],
+)
+def test_the_lowest_token_that_is_still_obeyed_stands_in_for_all(
+    members, highest_token, deputy
+):
+    assert choose_general_deputy(members, LISTED, TOKENS, highest_token) == deputy
+
+
+def test_other_runs_of_a_host_count_once_and_have_no_token():
+    again = HostName("x", "a", 2)
+    assert choose_general_deputy([A, again], LISTED, TOKENS, 0) is None
+    assert choose_general_deputy([again, C, FAR], LISTED, TOKENS, 0) == FAR
--- a/hibiscusstack/pool/tests/test_host_listing.py
+++ b/hibiscusstack/pool/tests/test_host_listing.py
@@ -29,6 +29,7 @@
     listing = HostListing(A)
     assert listing.take([*BOTH, TERM], True) == [Term(7, B)]
     assert listing.names() == {("x", "a"), ("y", "b")}
+    assert listing.offsets() == {A: 4, B: 5}
     assert listing.peer_addresses() == [PeerAddress("10.0.0.1", 2)]
 
 
@@ -43,6 +44,7 @@
     listing.take(BOTH, True)
     listing.take([listing_of(6, B, 9)], False)
     assert listing.peer_addresses() == [PeerAddress("10.0.0.1", 9)]
+    assert listing.offsets() == {A: 4, B: 6}
     listing.take([KeyedRecord(8, host_key(B), None)], False)
     assert listing.names() == {("x", "a")}
     listing.take([], True)
--- a/hibiscusstack/pool/tests/test_office.py
+++ b/hibiscusstack/pool/tests/test_office.py
@@ -5,6 +5,7 @@
 from hibiscusstack.pool.deputies import deputy_token, term_token
 from hibiscusstack.pool.election import Term
 from hibiscusstack.pool.events import PoolEvents
+from hibiscusstack.pool.held_target import Phase
 from hibiscusstack.pool.jobs import PoolJob, Resources, Step
 from hibiscusstack.pool.messages import CancelSubmission, SubmitPoolJob
 from hibiscusstack.pool.office import Office
@@ -101,3 +102,21 @@
     office.step_down()
     office.step_down()
     assert office.coordinator is None and not office.take_message(OWN, job)
+
+
+def test_a_general_deputy_orders_all_and_yields_where_all_refuse_it():
+    site = Site()
+    office = site.office
+    assert office.token == 0 and not office.is_refused()
+    office.stand_in(Term(4, OWN), 2, is_general=True)
+    assert office.is_general and office.token == deputy_token(4, 2)
+    assert site.ordered() == ["tx", "ty"] and site.stored.token is None
+    here, there = office.coordinator.targets()
+    here.phase = Phase.FENCED
+    assert not office.is_refused()
+    there.phase = Phase.FENCED
+    assert office.is_refused()
+    office.step_down()
+    assert office.token == 0 and not office.is_general
+    office.stand_in(Term(4, OWN), 2)
+    assert office.is_deputy and not office.is_general
--- a/hibiscusstack/pool/tests/test_receiving.py
+++ b/hibiscusstack/pool/tests/test_receiving.py
@@ -69,6 +69,18 @@
     assert [answer.end for answer in host.answers["j"]] == [COMPLETED]
 
 
+def test_jobs_are_taken_back_from_a_host_that_ceased_to_coordinate():
+    host = Host()
+    host.receiver.coordinator_changed(C1)
+    number = host.submit()
+    host.receiver.coordinator_left(C2)
+    assert host.submissions() == [(C1, "j", False)]
+    host.receiver.coordinator_left(C1)
+    assert host.sent[-1] == (C1, CancelSubmission(number))
+    host.receiver.coordinator_changed(C1)
+    assert host.submissions() == [(C1, "j", False), (C1, "j", True)]
+
+
 def test_a_job_that_was_handed_on_is_never_refused():
     host = Host()
     host.receiver.coordinator_changed(C1)
--- a/specs/coordinator_tokens.py
+++ b/specs/coordinator_tokens.py
@@ -1,9 +1,12 @@
-"""Fencing tokens of coordinators: won in the log, and never held by two.
+"""Fencing tokens of coordinators and deputies: never held by two.
 
 Two hosts campaign by appending a record on condition of the log's end. The offset of
 the record that was appended is the token; an append may be carried out late, and its
-answer may be lost. The record names the deputy of the one zone, whose token comes
-next to it. A host may restart at any time and is then another holder.
+answer may be lost. Each host also lists itself in the log. A host that has been told
+the offset of its listing may be the deputy of any term that has begun, without another
+call of the log: its token is the term's with that offset in the lower bits. Several
+hosts may take themselves for the deputy at once. A host may restart at any time and is
+then another holder.
 """
 
 __all__ = ["SPECIFICATION"]
@@ -15,7 +18,8 @@
 
 HOSTS = (0, 1)
 COORDINATOR = 0
-DEPUTY = 1
+ANYWHERE = -1
+UNLISTED = -1
 
 
 class Holder(NamedTuple):
@@ -26,10 +30,10 @@
 
 
 class Record(NamedTuple):
-    """A campaign of ``holder``, which names ``deputy``."""
+    """A campaign of ``holder``, or its listing."""
 
     holder: Holder
-    deputy: Holder
+    is_listing: bool = False
 
 
 class Draft(NamedTuple):
@@ -47,7 +51,10 @@
 
 
 class State(NamedTuple):
-    """``held`` records every use of a token; ``hopes`` are appends unanswered."""
+    """``held`` records every use of a token; ``hopes`` are appends unanswered.
+
+    ``listings`` holds for each host the offset of its listing, once it was told.
+    """
 
     capacity: int
     restarts_left: int
@@ -55,6 +62,7 @@
     drafts: frozenset[Draft] = frozenset()
     hopes: frozenset[Draft] = frozenset()
     incarnations: tuple[int, ...] = (0,) * len(HOSTS)
+    listings: tuple[int, ...] = (UNLISTED,) * len(HOSTS)
     held: frozenset[tuple[Token, Holder]] = frozenset()
 
 
@@ -62,34 +70,54 @@
     """Return what may happen next."""
     if len(state.log) < state.capacity:
         for draft in sorted(state.drafts):
-            if draft.offset == len(state.log):
-                log = (*state.log, draft.record)
-                drafts = state.drafts - {draft}
-                yield f"append {draft}", state._replace(log=log, drafts=drafts)
+            if draft.offset in {ANYWHERE, len(state.log)}:
+                yield from _append(state, draft)
         for host in HOSTS:
-            yield from _campaign(state, host)
+            yield from _send_appends(state, host)
     for host in HOSTS:
         yield from _take_tokens(state, host, rules)
         if state.restarts_left:
-            incarnations = list(state.incarnations)
-            incarnations[host] += 1
-            restarted = state._replace(
-                incarnations=tuple(incarnations),
-                hopes=frozenset(h for h in state.hopes if h.record.holder.host != host),
-                restarts_left=state.restarts_left - 1,
-            )
-            yield f"{host} restarts", restarted
-
-
-def _campaign(state: State, host: int) -> Iterable[Step]:
+            yield f"{host} restarts", _restart(state, host, rules)
+
+
+def _restart(state: State, host: int, rules: Rules) -> State:
+    incarnations = list(state.incarnations)
+    incarnations[host] += 1
+    listings = list(state.listings)
+    if "a listing is of one run" in rules:
+        listings[host] = UNLISTED
+    return state._replace(
+        incarnations=tuple(incarnations),
+        listings=tuple(listings),
+        hopes=frozenset(h for h in state.hopes if h.record.holder.host != host),
+        restarts_left=state.restarts_left - 1,
+    )
+
+
+def _append(state: State, draft: Draft) -> Iterable[Step]:
+    """Return how an append is carried out; a host may be told of its listing."""
+    record, offset = draft.record, len(state.log)
+    done = state._replace(log=(*state.log, record), drafts=state.drafts - {draft})
+    yield f"append {draft}", done
+    host = record.holder.host
+    is_current = record.holder.incarnation == state.incarnations[host]
+    if record.is_listing and is_current:
+        listings = list(state.listings)
+        listings[host] = offset
+        yield f"append {draft}, answered", done._replace(listings=tuple(listings))
+
+
+def _send_appends(state: State, host: int) -> Iterable[Step]:
     holder = Holder(host, state.incarnations[host])
-    deputy = Holder(1 - host, state.incarnations[1 - host])
-    draft = Draft(len(state.log), Record(holder, deputy))
+    draft = Draft(len(state.log), Record(holder))
     if all(hope.record.holder != holder for hope in state.hopes):
         campaigning = state._replace(
             drafts=state.drafts | {draft}, hopes=state.hopes | {draft}
         )
         yield f"{holder} campaigns", campaigning
+    listing = Draft(ANYWHERE, Record(holder, is_listing=True))
+    if state.listings[host] == UNLISTED and listing not in state.drafts:
+        yield f"{holder} lists", state._replace(drafts=state.drafts | {listing})
 
 
 def _take_tokens(state: State, host: int, rules: Rules) -> Iterable[Step]:
@@ -97,11 +125,13 @@
     holder = Holder(host, state.incarnations[host])
     is_strict = "a restart ends the office" in rules
     for offset, record in enumerate(state.log):
+        if record.is_listing:
+            continue
         if _is_same(record.holder, holder, is_strict):
             yield from _hold(state, Token(offset, COORDINATOR), holder)
-            yield from _name_another(state, offset, record, rules)
-        if _is_same(record.deputy, holder, is_strict):
-            yield from _hold(state, Token(offset, DEPUTY), holder)
+        if state.listings[host] != UNLISTED:
+            token = _deputy_token(offset, state.listings[host], rules)
+            yield from _hold(state, token, holder)
     for hope in sorted(state.hopes):
         if hope.record.holder != holder:
             continue
@@ -115,20 +145,18 @@
             yield from _hold(state, Token(hope.offset, COORDINATOR), holder)
 
 
-def _is_same(named: Holder, holder: Holder, is_strict: bool) -> bool:
-    return named == holder if is_strict else named.host == holder.host
+def _deputy_token(term_offset: int, listing: int, rules: Rules) -> Token:
+    """Return the token of a deputy, between its term's and the next one's."""
+    rank = COORDINATOR + 1
+    if "the listing is in the token" in rules:
+        rank += listing
+    if "a deputy has bits of its own" not in rules:
+        return Token(term_offset + rank, COORDINATOR)
+    return Token(term_offset, rank)
 
 
-def _name_another(
-    state: State, offset: int, record: Record, rules: Rules
-) -> Iterable[Step]:
-    """Return how a coordinator names another deputy without a new record."""
-    if "the record names the deputy" not in rules:
-        other = Holder(record.deputy.host, state.incarnations[record.deputy.host])
-        log = list(state.log)
-        log[offset] = record._replace(deputy=other)
-        if other != record.deputy:
-            yield f"{record.holder} names {other}", state._replace(log=tuple(log))
+def _is_same(named: Holder, holder: Holder, is_strict: bool) -> bool:
+    return named == holder if is_strict else named.host == holder.host
 
 
 def _hold(state: State, token: Token, holder: Holder) -> Iterable[Step]:
@@ -146,6 +174,7 @@
     name="tokens of coordinators",
     initial={
         "hosts stay": State(capacity=2, restarts_left=0),
+        "hosts stay, three records": State(capacity=3, restarts_left=0),
         "a host restarts": State(capacity=2, restarts_left=1),
         "two restarts": State(capacity=2, restarts_left=2),
     },
@@ -155,6 +184,12 @@
     mutations=(
         Mutation("silence is no election", "one holder", "hosts stay"),
         Mutation("a restart ends the office", "one holder", "a host restarts"),
-        Mutation("the record names the deputy", "one holder", "a host restarts"),
+        Mutation("a listing is of one run", "one holder", "a host restarts"),
+        Mutation(
+            "the listing is in the token", "one holder", "hosts stay, three records"
+        ),
+        Mutation(
+            "a deputy has bits of its own", "one holder", "hosts stay, three records"
+        ),
     ),
 )
