Show that the machine of pools misses rules that are taken away

To this end the machine now cancels several callers at once, and cuts the successor of a lost coordinator off from workers.

--- a/hibiscusstack/pool/tests/test_pool_machine.py
+++ b/hibiscusstack/pool/tests/test_pool_machine.py
@@ -61,10 +61,13 @@
         self.site.run(duration_ms)
 
     @precondition(lambda self: self.waiting())
-    @rule(data=st.data())
-    def cancel(self, data):
-        """Let a caller go for good."""
-        self.site.cancel(data.draw(st.sampled_from(self.waiting())))
+    @rule(data=st.data(), duration_ms=st.sampled_from([5, 300, 4_000]))
+    def cancel(self, data, duration_ms):
+        """Let callers go for good."""
+        some = st.lists(st.sampled_from(self.waiting()), min_size=1, unique=True)
+        for caller in data.draw(st.one_of(st.just(self.waiting()), some)):
+            self.site.cancel(caller)
+        self.site.run(duration_ms)
 
     @precondition(lambda self: self.waiting())
     @rule(data=st.data())
@@ -172,15 +175,23 @@
         self.site.cancel(caller)
 
     @precondition(lambda self: self.site.coordinating())
-    @rule(unlisted=st.sets(workers, max_size=1), resets=st.booleans())
-    def lose_coordinator(self, unlisted, resets):
-        """End the coordinator, soon after a worker has left the list."""
+    @rule(
+        unlisted=st.sets(workers, max_size=1),
+        apart=st.sets(workers, max_size=2),
+        resets=st.booleans(),
+        duration_ms=pauses,
+    )
+    def lose_coordinator(self, unlisted, apart, resets, duration_ms):
+        """End the coordinator; its successor does not know or reach all workers."""
         first = self.site.coordinating()
-        for worker in unlisted:
+        for worker in sorted(unlisted):
             self.site.list_worker(worker, is_listed=False)
+        for host in sorted(HOSTS.keys() - {first}):
+            for worker in sorted(apart):
+                self.site.cut(host, worker)
         self.site.run(20)
         self.site.kill_host(first, resets)
-        self.site.run(700)
+        self.site.run(duration_ms)
 
     @precondition(lambda self: self.site.coordinating())
     @rule(apart=st.sets(workers, max_size=2), duration_ms=pauses)
--- /dev/null
+++ b/hibiscusstack/pool/tests/test_pool_machine_mutations.py
@@ -0,0 +1,148 @@
+"""The machine of pools finds each rule that is taken away from the decisions."""
+
+from unittest.mock import patch
+
+import attrs
+import pytest
+from hypothesis import HealthCheck, Phase, Verbosity, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from hibiscusstack.pool.coordinator import Coordinator
+from hibiscusstack.pool.held_target import HeldTarget, Run
+from hibiscusstack.pool.tests import machine_host
+from hibiscusstack.pool.tests.test_pool_machine import PoolMachine
+from hibiscusstack.pool.work import ActiveJob, PoolTask
+
+FAULTS = {
+    "abandon",
+    "break_connection",
+    "cancel",
+    "claim",
+    "crash_workers",
+    "cut",
+    "cut_zone",
+    "deafen",
+    "drain_worker",
+    "freeze_host",
+    "kill_host",
+    "list_worker",
+    "lose_coordinator",
+    "meddle",
+    "mend",
+    "return_worker",
+    "set_faults",
+    "split",
+    "start_hosts",
+    "thaw_hosts",
+}
+EXAMPLES = settings(
+    derandomize=True,
+    max_examples=40,
+    stateful_step_count=20,
+    deadline=None,
+    database=None,
+    report_multiple_bugs=False,
+    phases=[Phase.generate],
+    verbosity=Verbosity.quiet,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def ignore(*_arguments):
+    """Do nothing."""
+
+
+def constant(value):
+    """Return an attribute that keeps its value whatever is assigned."""
+    return property(lambda _: value, ignore)
+
+
+def extend_uncounted(self, now_ms):
+    """Return the end of a lease without counting it."""
+    return int(now_ms + self.clock_offset_ms + self.timing.lease_ms)
+
+
+def make_ready_at_once(self, number):
+    """Let the tasks of a step wait for no other step."""
+    tasks = [task for key, task in self.tasks.items() if key[0] == number]
+    self.ready.extend(task for task in tasks if task not in self.ready)
+
+
+class KeepsLostOwners(Coordinator):
+    """Goes on for hosts that are gone."""
+
+    owner_lost = note_unheard = ignore
+
+
+class IgnoresCancels(Coordinator):
+    """Goes on for callers that are gone."""
+
+    cancel = ignore
+
+
+class TakesEveryLabel(Coordinator):
+    """Takes all targets as alike."""
+
+    def replace_targets(self, listed):
+        """Take over a list in which each target has all labels."""
+        labels = frozenset(["ssd"])
+        super().replace_targets([attrs.evolve(each, labels=labels) for each in listed])
+
+
+# Each with the rules of the machine that bring the fault out.
+MUTATIONS = {
+    "leases are not counted": (
+        (HeldTarget, "extend_lease", extend_uncounted),
+        {"cut", "deafen"},
+    ),
+    "ends are acknowledged unseen": (
+        (HeldTarget, "acked_through", constant(10**6)),
+        {"meddle"},
+    ),
+    "tokens are not raised": (
+        (machine_host, "term_token", lambda _offset: 5),
+        {"split", "claim"},
+    ),
+    "absence is an end": (
+        (Run, "was_known_before", lambda _self, _sent_ms: True),
+        {"meddle"},
+    ),
+    "room is not counted": (
+        (HeldTarget, "free", property(lambda self: self.listing.capacity)),
+        {"cancel"},
+    ),
+    "steps do not wait": (
+        (ActiveJob, "_make_ready_if_due", make_ready_at_once),
+        {"cancel"},
+    ),
+    "resubmitted jobs do not wait": (
+        (ActiveJob, "is_resubmitted", constant(False)),
+        {"lose_coordinator"},
+    ),
+    "begun jobs are refused": (
+        (ActiveJob, "first_start_ms", constant(None)),
+        {"crash_workers"},
+    ),
+    "failures are not counted": ((PoolTask, "failures", constant(0)), {"cancel"}),
+    "lost owners are kept": (KeepsLostOwners, {"abandon"}),
+    "cancels are ignored": (IgnoresCancels, {"cancel"}),
+    "labels are ignored": (TakesEveryLabel, {"cancel"}),
+}
+
+
+def focused(rules, coordinator_class=Coordinator):
+    """Return the machine with some of its rules only."""
+    left_out = dict.fromkeys(FAULTS - rules)
+    fields = left_out | {"coordinator_class": coordinator_class}
+    return type("FocusedMachine", (PoolMachine,), fields)
+
+
+@pytest.mark.parametrize("name", MUTATIONS)
+def test_a_rule_that_is_taken_away_is_missed(name):
+    mutation, rules = MUTATIONS[name]
+    with pytest.raises(AssertionError):
+        if isinstance(mutation, tuple):
+            with patch.object(*mutation):
+                run_state_machine_as_test(focused(rules), settings=EXAMPLES)
+        else:
+            run_state_machine_as_test(focused(rules, mutation), settings=EXAMPLES)
