--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -25,7 +25,6 @@
 from hibiscusstack.pool.host_settings import PoolHostSettings
 from hibiscusstack.pool.interfaces import KeyedRecord, SequencedLog
 from hibiscusstack.pool.log_contact import LogContact
-from hibiscusstack.pool.loop_load import LoopLoad
 from hibiscusstack.pool.messages import (
     AskStored,
     CancelSubmission,
@@ -84,7 +83,6 @@
         self._reactor = reactor
         self._clock = clock
         self._ticked_ms = clock.now_ms()
-        self._load = LoopLoad(TICK_MS)
         vanished = VanishedTargets(self._timing.quiet_bound_ms)
         self._targets = RecentTargets(vanished)
         self._listing = HostListing(own)
@@ -303,9 +301,7 @@
         self._stand_in_if_due(now_ms)
         self._retake_if_due(now_ms)
         self._forget_vanished(now_ms)
-        self._load.note_tick(paused_ms)
         if self.coordinator is not None:
-            self.coordinator.note_load(self._load.is_overloaded)
             self.coordinator.note_unheard(self._unheard_peers())
             self.coordinator.tick()
         self.receiver.tick()
--- a/hibiscusstack/pool/coordination/closing.py
+++ b/hibiscusstack/pool/coordination/closing.py
@@ -1,14 +1,7 @@
 """How a job leaves its coordinator: everyone is answered, and its runs are stopped."""
 
-__all__ = [
-    "abandon_runs",
-    "abandon_task",
-    "close_job",
-    "complete_if_done",
-    "refuse_submission",
-]
+__all__ = ["abandon_runs", "abandon_task", "close_job", "complete_if_done"]
 
-from hibiscusstack.dispatch.messages import HostName
 from hibiscusstack.pool.coordination.known_work import count_stray_run
 from hibiscusstack.pool.coordination.sending import send_stop
 from hibiscusstack.pool.coordination.state import CoordinatorState
@@ -41,15 +34,6 @@
     abandon_runs(state, job)
 
 
-def refuse_submission(
-    state: CoordinatorState, owner: HostName, submission: int, cause: str
-) -> None:
-    """Tell a host that a job was not taken, and when its caller may come back."""
-    state.events.submission_refused()
-    answer = SubmissionAnswer(submission, JobEnd.REFUSED, cause, RETRY_MS)
-    state.send_answer(owner, answer)
-
-
 def complete_if_done(state: CoordinatorState, job: ActiveJob) -> bool:
     """Close a job whose tasks are all done; return whether they are."""
     if job.is_complete:
--- a/hibiscusstack/pool/coordination/state.py
+++ b/hibiscusstack/pool/coordination/state.py
@@ -52,7 +52,6 @@
     queue: JobQueue
     turn: int = 0
     is_deposed: bool = False
-    is_overloaded: bool = False
     journal: TaskJournal | None = None
     listed: dict[str, ListedTarget] = attrs.field(factory=dict)
     targets: dict[str, HeldTarget] = attrs.field(factory=dict)
--- a/hibiscusstack/pool/coordination/submissions.py
+++ b/hibiscusstack/pool/coordination/submissions.py
@@ -4,11 +4,7 @@
 
 from hibiscusstack.dispatch.messages import HostName
 from hibiscusstack.pool.coordination.adopting import adopt_stray_runs
-from hibiscusstack.pool.coordination.closing import (
-    close_job,
-    complete_if_done,
-    refuse_submission,
-)
+from hibiscusstack.pool.coordination.closing import close_job, complete_if_done
 from hibiscusstack.pool.coordination.known_work import enqueue_job
 from hibiscusstack.pool.coordination.starting import start_waiting
 from hibiscusstack.pool.coordination.state import CoordinatorState
@@ -19,18 +15,11 @@
 def take_submission(
     state: CoordinatorState, owner: HostName, message: SubmitPoolJob
 ) -> None:
-    """Take a job from the host that received it, or join it to the one known.
-
-    A coordinator that is overloaded refuses new jobs, so that it can end those that it
-    has: to refuse one costs a small part of the orders for it.
-    """
+    """Take a job from the host that received it, or join it to the one known."""
     submission = (owner, message.submission)
     if submission in state.by_submission:
         return
     job = state.jobs.get(message.job.job_id)
-    if job is None and state.is_overloaded and not message.is_resubmitted:
-        refuse_submission(state, owner, message.submission, "coordinator overloaded")
-        return
     if job is None:
         job = _begin_job(state, message)
     job.submissions.append(submission)
--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -174,10 +174,6 @@
         """
         self._state.unheard = set(owners)
 
-    def note_load(self, is_overloaded: bool) -> None:
-        """Refuse new jobs while the process has more to do than it can."""
-        self._state.is_overloaded = is_overloaded
-
     @property
     def has_missing(self) -> bool:
         """Whether a target is missing at which others may have work."""
--- a/hibiscusstack/pool/counters.py
+++ b/hibiscusstack/pool/counters.py
@@ -33,7 +33,6 @@
     jobs: Counter[str] = attrs.field(factory=Counter)
     refused_requests: Counter[str] = attrs.field(factory=Counter)
     jobs_moved: int = 0
-    shed_jobs: int = 0
     starts: int = 0
     refused_starts: Counter[str] = attrs.field(factory=Counter)
     runs_again: int = 0
--- a/hibiscusstack/pool/events.py
+++ b/hibiscusstack/pool/events.py
@@ -46,10 +46,6 @@
         attempts = max((task.next_run - 1 for task in job.tasks.values()), default=0)
         _log_job(name, job.job.job_id, cause, now_ms - job.received_ms, attempts)
 
-    def submission_refused(self) -> None:
-        """Count a job that an overloaded coordinator did not take."""
-        self.counters.shed_jobs += 1
-
     def job_dropped(
         self, job_id: str, end: JobEnd, cause: str, waited_ms: float, attempts: int
     ) -> None:
--- a/hibiscusstack/pool/exposition.py
+++ b/hibiscusstack/pool/exposition.py
@@ -13,7 +13,6 @@
     "jobs": ("end", "Jobs of callers at this host, by end."),
     "refused_requests": ("reason", "Requests refused before there was a job."),
     "jobs_moved": ("", "Jobs handed to another coordinator than before."),
-    "shed_jobs": ("", "Jobs that this coordinator was too busy to take."),
     "starts": ("", "Starts sent to targets."),
     "refused_starts": ("reason", "Starts that brought no run, by reason."),
     "runs_again": ("", "Tasks that wait again after a run without a result."),
