--- a/hibiscusstack_standins/estate/edges.py
+++ b/hibiscusstack_standins/estate/edges.py
@@ -18,6 +18,7 @@
 from hibiscusstack.daemon.pool_host import PoolHost, PoolHostSettings
 from hibiscusstack.http.client import AnswerLost, HttpAnswer, NotSent
 from hibiscusstack.http.server import HttpRequest
+from hibiscusstack.pool.ordering import OrderingPolicy
 from hibiscusstack.pool.service import PoolService
 from hibiscusstack.pool.timing import CoordinatorTiming
 from hibiscusstack_standins.estate.jobs import Job
@@ -103,7 +104,8 @@
 class Edge:
     """One run of a host, with the store and the workers of ``network``.
 
-    ``peers`` are settings of the host by name, ``timing`` those of its orders.
+    ``peers`` are settings of the host by name, ``timing`` those of its orders and
+    ``ordering`` the policy for jobs that wait.
     """
 
     def __init__(
@@ -117,6 +119,7 @@
         port: int,
         peers: Mapping[str, int] | None = None,
         timing: CoordinatorTiming | None = None,
+        ordering: OrderingPolicy | None = None,
     ) -> None:
         timing = timing or CoordinatorTiming()
         settings = PoolHostSettings(name, "127.0.0.1", port, **(peers or {}))
@@ -130,6 +133,7 @@
             log=log,
             orders=orders,
             timing=timing,
+            ordering=ordering,
         )
         service = PoolService(self.host.receiver, clock)
         self.front = Front(
--- a/hibiscusstack_standins/lab/playing.py
+++ b/hibiscusstack_standins/lab/playing.py
@@ -73,6 +73,7 @@
         host_terms={
             "peers": attrs.asdict(scenario.peers),
             "timing": scenario.targets.timing(resend_ms),
+            "ordering": scenario.queue.policy(scenario.classes.values()),
         },
     )
 
--- a/hibiscusstack_standins/lab/reading.py
+++ b/hibiscusstack_standins/lab/reading.py
@@ -22,6 +22,7 @@
     DataCentre,
     Fault,
     JobClass,
+    Queueing,
     Run,
     Scenario,
     Traffic,
@@ -30,6 +31,7 @@
 SECTIONS: dict[str, type] = {
     "run": Run,
     "traffic": Traffic,
+    "queue": Queueing,
     "targets": PoolTargetSettings,
     "peers": PoolPeerSettings,
 }
--- a/hibiscusstack_standins/lab/scenario.py
+++ b/hibiscusstack_standins/lab/scenario.py
@@ -7,17 +7,25 @@
     "Fault",
     "FaultKind",
     "JobClass",
+    "Queueing",
     "Run",
     "Scenario",
     "Shape",
     "Traffic",
 ]
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from enum import StrEnum
 
 import attrs
 
+from hibiscusstack.pool.ordering import (
+    EARLY_PART,
+    LATE_FACTOR,
+    REACH_FACTOR,
+    OrderingPolicy,
+)
+from hibiscusstack.pool.ranking import JobOrder
 from hibiscusstack.settings.kinds import Choice, Number
 from hibiscusstack.settings.pool_sections import PoolPeerSettings, PoolTargetSettings
 from hibiscusstack.settings.sections import DURATION, MAX_DURATION_MS, key
@@ -146,6 +154,41 @@
     factor: float = key(_FACTOR, "By what all rates are multiplied.", 1.0)
 
 
+@attrs.frozen
+class Queueing:
+    """How the product's coordinators order jobs that wait, and give them up."""
+
+    order: str = key(
+        Choice(tuple(order.value for order in JobOrder)),
+        "What puts one waiting job before another, as in the product's settings.",
+        JobOrder.SLACK.value,
+    )
+    early_part: float = key(
+        _FACTOR,
+        "The part of its objective after which a job out of reach is refused.",
+        EARLY_PART,
+    )
+    reach_factor: float = key(
+        _FACTOR, "In how many objectives a job is within reach.", REACH_FACTOR
+    )
+    late_factor: float = key(
+        _FACTOR, "After how many objectives a job is given up.", LATE_FACTOR
+    )
+
+    def policy(self, classes: Iterable[JobClass]) -> OrderingPolicy:
+        """Return the policy; the worth of each priority is that of its classes."""
+        worths: dict[int, float] = {}
+        for each in classes:
+            worths[each.priority] = max(each.worth, worths.get(each.priority, 0.0))
+        return OrderingPolicy(
+            JobOrder(self.order),
+            tuple(worths.get(n, 0.0) for n in range(max(worths, default=-1) + 1)),
+            self.late_factor,
+            self.early_part,
+            self.reach_factor,
+        )
+
+
 @attrs.frozen
 class Burst:
     """More arrivals for a while."""
@@ -183,6 +226,7 @@
 
     run: Run
     traffic: Traffic
+    queue: Queueing
     targets: PoolTargetSettings
     peers: PoolPeerSettings
     data_centres: Mapping[str, DataCentre]
