--- a/hibiscusstack_standins/estate/jobs.py
+++ b/hibiscusstack_standins/estate/jobs.py
@@ -49,8 +49,6 @@
 
     count: int = 1
     work_ms: int = 100
-    estimate_ms: int = 0
-    uneven_work_ms: tuple[int, ...] = ()
     cpu: int = 0
     mem_mb: int = 0
     gpu: int = 0
@@ -64,6 +62,8 @@
     speculative: bool = False
     fills: bool = False
     fails: bool = False
+    estimate_ms: int = 0
+    uneven_work_ms: tuple[int, ...] = ()
 
     def work_of(self, index: int) -> int:
         """Return the true duration of one task.
