--- /dev/null
+++ b/hibiscusstack/pool/coordination/adopting.py
@@ -0,0 +1,60 @@
+"""Runs that an earlier coordinator started, and that go on for jobs known here."""
+
+__all__ = ["adopt_stored_runs", "take_unknown_run"]
+
+from hibiscusstack.pool.coordination.known_work import (
+    activate_task,
+    count_stray_run,
+    enqueue_job,
+    find_task,
+    forget_stray_run,
+    is_unheard,
+)
+from hibiscusstack.pool.coordination.state import CoordinatorState
+from hibiscusstack.pool.held_target import HeldTarget, Run, RunState
+from hibiscusstack.pool.jobs import NO_RESOURCES
+from hibiscusstack.pool.work import ActiveJob, PoolTask
+
+
+def take_unknown_run(
+    state: CoordinatorState, target: HeldTarget, key: tuple[str, int], now_ms: float
+) -> None:
+    """List a run that was not started here, and adopt it if its job waits for it."""
+    name, number = key
+    run = Run(name, number, None, None, NO_RESOURCES, RunState.RUNNING, now_ms)
+    run.known_ms = now_ms
+    target.add(run)
+    count_stray_run(state, name)
+    _adopt_if_wanted(state, target, run, *find_task(state, name))
+
+
+def adopt_stored_runs(state: CoordinatorState) -> None:
+    """Adopt the runs of stored jobs that have become known after the runs."""
+    for target in state.targets.values():
+        for run in list(target.runs.values()):
+            if run.job is None and run.state is not RunState.STOPPING:
+                job, task = find_task(state, run.name)
+                if job is not None and job.is_stored:
+                    _adopt_if_wanted(state, target, run, job, task)
+
+
+def _adopt_if_wanted(
+    state: CoordinatorState,
+    target: HeldTarget,
+    run: Run,
+    job: ActiveJob | None,
+    task: PoolTask | None,
+) -> None:
+    if task is None or task not in job.ready:
+        return
+    if state.is_deputy or is_unheard(state, job):
+        return
+    forget_stray_run(state, run.name)
+    target.remove(run)
+    run.job, run.task, run.needs = job, task, task.step.needs
+    target.add(run)
+    activate_task(state, job, task, run.started_ms)
+    task.next_run = max(task.next_run, run.number + 1)
+    # A job that has begun goes first, and is not given up for being late.
+    state.queue.discard(job)
+    enqueue_job(state, job)
--- a/hibiscusstack/settings/kinds.py
+++ b/hibiscusstack/settings/kinds.py
@@ -6,6 +6,7 @@
     "Choice",
     "Endpoint",
     "Number",
+    "Part",
     "Text",
     "Url",
     "ValueKind",
@@ -73,6 +74,35 @@
         return "" if value is None else str(value)
 
 
+@attrs.frozen
+class Part:
+    """A part of a whole, as a decimal fraction; all of it if nothing is said.
+
+    >>> Part().parse("0.25"), Part().parse("")
+    (0.25, 1.0)
+    """
+
+    @property
+    def expected(self) -> str:
+        """Return the bounds."""
+        return "a decimal fraction above 0 and at most 1, or nothing"
+
+    def parse(self, text: str) -> float:
+        """Return the fraction."""
+        if not text:
+            return 1.0
+        if not re.fullmatch(r"[0-9]{0,3}\.?[0-9]{1,18}", text):
+            raise ValueError(text)
+        value = float(text)
+        if not 0 < value <= 1:
+            raise ValueError(text)
+        return value
+
+    def render(self, value: float) -> str:
+        """Return the shortest digits."""
+        return f"{value:g}"
+
+
 @attrs.frozen
 class Text:
     """A name that ids and metrics can carry."""
--- a/hibiscusstack/settings/tests/test_pool_sections.py
+++ b/hibiscusstack/settings/tests/test_pool_sections.py
@@ -44,7 +44,8 @@
 
 def test_every_duration_can_be_set():
     settings = parse(WHOLE).ok
-    durations = attrs.fields_dict(PoolHostSettings).keys() - {"name", "address", "port"}
+    no_durations = {"name", "address", "port", "cpu_milli"}
+    durations = attrs.fields_dict(PoolHostSettings).keys() - no_durations
     assert durations == attrs.fields_dict(type(settings.peers)).keys()
     durations = attrs.fields_dict(CoordinatorTiming).keys() - {"clock_drift"}
     assert durations <= attrs.fields_dict(type(settings.targets)).keys()
@@ -121,3 +122,19 @@
     assert old in WHOLE
     faults = parse(WHOLE.replace(old, new, 1)).error.faults
     assert [fault.where for fault in faults] == [f"h.ini {where}"]
+
+
+@pytest.mark.parametrize(
+    ("lines", "cpu_milli"),
+    [("", 0), ("cores = 3\ncore_share = 0.717", 2_151), ("cores = 2", 2_000)],
+)
+def test_the_processor_of_a_host_is_its_share_of_its_cores(lines, cpu_milli):
+    text = WHOLE.replace("name = h1", f"name = h1\n{lines}")
+    assert parse(text).ok.host_settings(7).cpu_milli == cpu_milli
+
+
+@pytest.mark.parametrize("share", ["0", "1.5", "-1", "half", "1e-3"])
+def test_a_share_is_a_fraction(share):
+    text = WHOLE.replace("name = h1", f"name = h1\ncore_share = {share}")
+    (fault,) = parse(text).error.faults
+    assert "core_share" in str(fault)
--- a/hibiscusstack_standins/estate/tests/edges.py
+++ b/hibiscusstack_standins/estate/edges.py
@@ -1,10 +1,10 @@
 """One host with the platform's adapter, over a network in virtual time."""
 
-__all__ = ["Edge"]
+__all__ = ["Edge", "NetworkClient"]
 
 import json
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from urllib.parse import parse_qsl
 
 import attrs
@@ -25,6 +25,7 @@
 from hibiscusstack_standins.estate.queues import QUEUE_HOST, encode_job, job_path
 
 STORE_TIMEOUT_MS = 700
+_DEADLINE_HEADER = "hibiscusstack-deadline-ms"
 
 
 class NetworkClient:
@@ -90,30 +91,45 @@
 
 @attrs.frozen
 class CallerConnection:
-    """Gives the status of the answer to the caller."""
+    """Gives the status and the body of the answer to the caller."""
 
-    answered: Callable[[int], None]
+    answered: Callable[[int, bytes], None]
 
     def answer(self, request, status, body, headers) -> None:
-        """Pass the status on."""
-        self.answered(status)
+        """Pass the answer on."""
+        self.answered(status, body)
 
 
 class Edge:
-    """One run of a host, with the store and the workers of ``network``."""
-
-    def __init__(self, network, party: str, *, reactor, clock, name, port: int) -> None:
+    """One run of a host, with the store and the workers of ``network``.
+
+    ``peers`` are settings of the host by name, ``timing`` those of its orders.
+    """
+
+    def __init__(
+        self,
+        network,
+        party: str,
+        *,
+        reactor,
+        clock,
+        name,
+        port: int,
+        peers: Mapping[str, int] | None = None,
+        timing: CoordinatorTiming | None = None,
+    ) -> None:
+        timing = timing or CoordinatorTiming()
+        settings = PoolHostSettings(name, "127.0.0.1", port, **(peers or {}))
         client, server = NetworkClient(network, party), QuietServer()
         log = StoreLog(client, "store:1", STORE_TIMEOUT_MS)
-        orders = WorkerOrders(
-            client, CoordinatorTiming(), lambda: self.host.coordinator
-        )
+        orders = WorkerOrders(client, timing, lambda: self.host.coordinator)
         self.host = PoolHost(
-            settings=PoolHostSettings(name=name, address="127.0.0.1", port=port),
+            settings=settings,
             reactor=reactor,
             clock=clock,
             log=log,
             orders=orders,
+            timing=timing,
         )
         service = PoolService(self.host.receiver, clock)
         self.front = Front(
@@ -134,13 +150,21 @@
         self.edge = PoolEdge(reactor, self.host, service, parts)
         self.edge.start()
 
-    def post(self, job: Job, answered: Callable[[int], None]) -> HttpRequest:
-        """Send a job in as a caller does."""
+    def post(
+        self,
+        job: Job,
+        answered: Callable[[int, bytes], None],
+        deadline_ms: int | None = None,
+    ) -> HttpRequest:
+        """Send a job in as a caller does, which may say how long it waits."""
         connection = CallerConnection(answered)
+        headers = {"host": QUEUE_HOST}
+        if deadline_ms is not None:
+            headers[_DEADLINE_HEADER] = str(deadline_ms)
         request = HttpRequest(
             "POST",
             job_path(job),
-            {"host": QUEUE_HOST},
+            headers,
             encode_job(job),
             0,
             connection,
@@ -151,7 +175,7 @@
     def is_ready(self) -> bool:
         """Tell what the balancer is told."""
         statuses: list[int] = []
-        connection = CallerConnection(statuses.append)
+        connection = CallerConnection(lambda status, _: statuses.append(status))
         request = HttpRequest("GET", "/ready", {}, b"", 0, connection)
         self.front.answer_readiness(request)
         return statuses == [200]
