--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -25,24 +25,28 @@
 from hibiscusstack.pool.host_settings import PoolHostSettings
 from hibiscusstack.pool.interfaces import KeyedRecord, SequencedLog
 from hibiscusstack.pool.log_contact import LogContact
+from hibiscusstack.pool.loop_load import LoopLoad
 from hibiscusstack.pool.messages import (
     AskStored,
     CancelSubmission,
     PoolHeartbeat,
     StoredAnswer,
+    StoredJobAccepted,
     SubmissionAnswer,
     SubmitPoolJob,
 )
 from hibiscusstack.pool.office import Office
+from hibiscusstack.pool.ordering import OrderingPolicy
 from hibiscusstack.pool.orders import TargetOrders
 from hibiscusstack.pool.receiving import Receiver
 from hibiscusstack.pool.recent_targets import RecentTargets
 from hibiscusstack.pool.retaking import is_retaking_due
 from hibiscusstack.pool.standing_in import StandingIn
 from hibiscusstack.pool.stored.keeper import KeeperTiming
-from hibiscusstack.pool.stored.service import StoredJobs
+from hibiscusstack.pool.stored.service import StoredJobs, StoredMessage
 from hibiscusstack.pool.targets import ListedTarget
 from hibiscusstack.pool.timing import CoordinatorTiming
+from hibiscusstack.pool.vanished import VanishedTargets
 
 HOSTS_WAIT_MS = 1_000
 TICK_MS = 10
@@ -68,6 +72,7 @@
         timing: CoordinatorTiming | None = None,
         stored_timing: KeeperTiming | None = None,
         events: PoolEvents | None = None,
+        ordering: OrderingPolicy | None = None,
     ) -> None:
         own = settings.name
         self.is_draining = False
@@ -78,7 +83,9 @@
         self._reactor = reactor
         self._clock = clock
         self._ticked_ms = clock.now_ms()
-        self._targets = RecentTargets()
+        self._load = LoopLoad(TICK_MS)
+        vanished = VanishedTargets(self._timing.quiet_bound_ms)
+        self._targets = RecentTargets(vanished)
         self._listing = HostListing(own)
         self._peers = HeardPeers()
         self._contact = LogContact()
@@ -98,6 +105,7 @@
             send_answer=self._answer,
             timing=self._timing,
             events=self._events,
+            ordering=ordering,
             targets=self._targets,
             stored=self.stored,
         )
@@ -189,6 +197,7 @@
     def peer_connected(self, peer: HostName) -> None:
         """Hand jobs over if the peer is the coordinator."""
         self._peers.connected(peer)
+        self.receiver.connection_replaced(peer)
         self._find_coordinator()
 
     def peer_disconnected(self, peer: HostName) -> None:
@@ -208,7 +217,7 @@
             self._take_heartbeat(sender, message)
         elif isinstance(message, SubmissionAnswer):
             self.receiver.answered(sender, message)
-        elif isinstance(message, AskStored | StoredAnswer):
+        elif isinstance(message, AskStored | StoredAnswer | StoredJobAccepted):
             self.stored.take_message(sender, message)
         elif isinstance(message, SubmitPoolJob | CancelSubmission):
             self._office.take_message(sender, message)
@@ -259,7 +268,7 @@
     def _is_connected(self, peer: HostName) -> bool:
         return self._mesh.silent_ms(peer) is not None
 
-    def _send_stored(self, to: HostName, message: AskStored | StoredAnswer) -> bool:
+    def _send_stored(self, to: HostName, message: StoredMessage) -> bool:
         return self._mesh.send(to, message).is_ok()
 
     def _send(self, to: HostName, message: SubmitPoolJob | CancelSubmission) -> bool:
@@ -284,7 +293,10 @@
         self._claim_if_due(now_ms)
         self._stand_in_if_due(now_ms)
         self._retake_if_due(now_ms)
+        self._forget_vanished(now_ms)
+        self._load.note_tick(paused_ms)
         if self.coordinator is not None:
+            self.coordinator.note_load(self._load.is_overloaded)
             self.coordinator.note_unheard(self._unheard_peers())
             self.coordinator.tick()
         self.receiver.tick()
@@ -294,6 +306,7 @@
     def _resume_after(self, paused_ms: float) -> None:
         """Give up the term: its leases have lapsed, and others may have taken over."""
         log_message("pool:paused", level="warning", for_ms=int(paused_ms))
+        self._targets.vanished.note_hosts(False, self._clock.now_ms())
         self._office.step_down()
         self._election.resign()
         self.receiver.refuse_all("host was paused")
@@ -357,6 +370,21 @@
         if is_retaking_due(self.coordinator.fenced_since_ms(), returned, now_ms):
             self._claims.claim()
 
+    def _forget_vanished(self, now_ms: float) -> None:
+        """Wait no more for targets that are missing once nobody else orders any."""
+        coordinator, vanished = self.coordinator, self._targets.vanished
+        is_waiting = coordinator is not None and coordinator.has_missing
+        is_united = (is_waiting or bool(vanished)) and self._is_united(now_ms)
+        if vanished.note_hosts(is_united, now_ms) and coordinator is not None:
+            coordinator.forget_missing()
+
+    def _is_united(self, now_ms: float) -> bool:
+        """Tell whether all listed hosts are heard and follow the newest term."""
+        if not self._contact.is_in_touch(now_ms) or not self._hears_staying_holder():
+            return False
+        following = self._peers.following(self.term) | {listed_name(self.name)}
+        return self._listing.names() <= following
+
     def _unheard_peers(self) -> list[HostName]:
         silent = {peer: self._mesh.silent_ms(peer) for peer in self._mesh.peers()}
         late = [peer for peer, ms in silent.items() if ms is None or ms > UNHEARD_MS]
--- a/hibiscusstack/pool/coordination/crediting.py
+++ b/hibiscusstack/pool/coordination/crediting.py
@@ -2,6 +2,7 @@
 
 __all__ = ["credit_earlier_end", "credit_stored_end"]
 
+from hibiscusstack.pool.coordination.checkpoints import keep_checkpoint
 from hibiscusstack.pool.coordination.closing import (
     abandon_task,
     close_job,
@@ -20,6 +21,7 @@
     if task is None:
         return
     task.next_run = max(task.next_run, end.run + 1)
+    task.note_checkpoint(end.run, end.checkpoint)
     if job.is_stored:
         credit_stored_end(state, job, task, end)
     elif end.how == RUN_DONE and task in job.ready:
@@ -40,6 +42,7 @@
         if task.failures >= job.job.max_attempts:
             close_job(state, job, JobEnd.FAILED, "a task failed too often")
     if end.how != RUN_DONE:
+        keep_checkpoint(state, job, task)
         return
     state.journal.task_done(job_id, task.key)
     if task.state is TaskState.ACTIVE:
--- a/hibiscusstack/pool/coordination/run_ends.py
+++ b/hibiscusstack/pool/coordination/run_ends.py
@@ -77,6 +77,8 @@
         if task is not None and job.is_stored:
             credit_stored_end(state, job, task, end)
         return
+    if now_ms - run.started_ms >= state.timing.restore_ms:
+        task.note_checkpoint(end.run, end.checkpoint)
     if end.how == RUN_DONE:
         if job.is_stored:
             state.journal.task_done(job.job.job_id, task.key)
--- a/hibiscusstack/pool/coordination/tests/test_order.py
+++ b/hibiscusstack/pool/coordination/tests/test_order.py
@@ -10,6 +10,7 @@
 ORDER = (
     "state",
     "known_work",
+    "checkpoints",
     "sending",
     "closing",
     "making_again",
--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -2,7 +2,7 @@
 
 __all__ = ["Coordinator", "SendAnswer"]
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from eliot import log_message
 
@@ -19,6 +19,7 @@
 from hibiscusstack.pool.coordination.state import CoordinatorState, SendAnswer
 from hibiscusstack.pool.coordination.stored_jobs import (
     cancel_stored_job,
+    look_for_end,
     recover_stored_jobs,
     release_stored_jobs,
     take_stored_job,
@@ -31,6 +32,7 @@
 from hibiscusstack.pool.events import PoolEvents
 from hibiscusstack.pool.held_target import HeldTarget
 from hibiscusstack.pool.messages import SubmitPoolJob
+from hibiscusstack.pool.ordering import JobQueue, OrderingPolicy
 from hibiscusstack.pool.orders import (
     FencedOut,
     HoldOrder,
@@ -59,11 +61,13 @@
     to have ended, or the lease that it ran under has surely lapsed.
 
     ``missing`` names targets that were listed earlier and are not now: an earlier
-    coordinator may still have work there. A deputy has only some of the targets, and
-    the coordinator that it stands in for may still be at work elsewhere: it adopts no
-    run, and waits as long as that one may take to notice. With ``voids_ends`` it lets
-    the leases lapse that it finds, so that ends of stored jobs, which it does not know,
-    do not count.
+    coordinator may still have work there, until ``forget_missing`` is called. A deputy
+    has only some of the targets, and the coordinator that it stands in for may still be
+    at work elsewhere: it adopts no run, and waits as long as that one may take to
+    notice. With ``voids_ends`` it lets the leases lapse that it finds, so that ends of
+    stored jobs, which it does not know, do not count.
+
+    ``ordering`` says in which order jobs get room and when they are given up.
 
     What it decides is in the modules of ``coordination``.
     """
@@ -80,6 +84,7 @@
         missing: Iterable[str] = (),
         is_deputy: bool = False,
         voids_ends: bool = False,
+        ordering: OrderingPolicy | None = None,
     ) -> None:
         self._state = CoordinatorState(
             token=token,
@@ -92,6 +97,7 @@
             is_deputy=is_deputy,
             voids_ends=voids_ends,
             began_ms=clock.now_ms(),
+            queue=JobQueue(ordering),
         )
 
     @property
@@ -168,6 +174,19 @@
         """
         self._state.unheard = set(owners)
 
+    def note_load(self, is_overloaded: bool) -> None:
+        """Refuse new jobs while the process has more to do than it can."""
+        self._state.is_overloaded = is_overloaded
+
+    @property
+    def has_missing(self) -> bool:
+        """Whether a target is missing at which others may have work."""
+        return bool(self._state.missing)
+
+    def forget_missing(self) -> None:
+        """Wait for no target that is missing, since nobody else orders any."""
+        self._state.missing.clear()
+
     def run_stored(self, job: ActiveJob) -> None:
         """Take a stored job; nothing of it starts within this call."""
         take_stored_job(self._state, job)
@@ -180,6 +199,14 @@
         """Stop a stored job."""
         cancel_stored_job(self._state, job_id)
 
+    def look_for_end(self, job_id: str, on_looked: Callable[[], None]) -> None:
+        """Look at the targets with the last runs of a job, which may have ended.
+
+        Nothing is looked at where tasks still wait. A target that does not answer lets
+        ``on_looked`` wait.
+        """
+        look_for_end(self._state, job_id, on_looked)
+
     def release_stored(self) -> None:
         """Leave all stored jobs, and stop their runs.
 
--- a/hibiscusstack/pool/jobs.py
+++ b/hibiscusstack/pool/jobs.py
@@ -54,7 +54,8 @@
 
     ``requires`` is a label that the target must have, ``data_rack`` the rack where
     the tasks run fastest, and ``anti_affinity`` the most tasks of the step on one
-    target (0: any number).
+    target (0: any number). With ``is_checkpointing`` a run can go on from a checkpoint
+    of an earlier one.
     """
 
     count: int
@@ -64,6 +65,7 @@
     requires: str = ""
     data_rack: str = ""
     anti_affinity: int = 0
+    is_checkpointing: bool = False
 
 
 @attrs.frozen
@@ -96,6 +98,16 @@
             ends.append(start + step.estimate_ms)
         return max(ends, default=0)
 
+    def work_milli_ms(self) -> int:
+        """Return the estimated work of all tasks, in thousandths of a core times ms.
+
+        >>> PoolJob("j", "p", "", (Step(3, Resources(500), 40),)).work_milli_ms()
+        60000
+        """
+        return sum(
+            step.count * step.needs.cpu_milli * step.estimate_ms for step in self.steps
+        )
+
     def objective_ms(self) -> float:
         """Return the time in which the job should be answered."""
         return self.stretch * self.chain_ms() + self.target_latency_ms
--- a/hibiscusstack/pool/office.py
+++ b/hibiscusstack/pool/office.py
@@ -9,6 +9,7 @@
 from hibiscusstack.pool.election import Term
 from hibiscusstack.pool.events import PoolEvents
 from hibiscusstack.pool.messages import CancelSubmission, SubmitPoolJob
+from hibiscusstack.pool.ordering import OrderingPolicy
 from hibiscusstack.pool.orders import TargetOrders
 from hibiscusstack.pool.recent_targets import RecentTargets
 from hibiscusstack.pool.stored.service import StoredJobs
@@ -33,6 +34,7 @@
         events: PoolEvents,
         targets: RecentTargets,
         stored: StoredJobs,
+        ordering: OrderingPolicy | None = None,
     ) -> None:
         self.coordinator: Coordinator | None = None
         self._own = own
@@ -43,6 +45,7 @@
         self._events = events
         self._targets = targets
         self._stored = stored
+        self._ordering = ordering
 
     @property
     def is_deputy(self) -> bool:
@@ -61,8 +64,7 @@
             return
         self.step_down()
         coordinator = self._build(
-            term_token(term.offset),
-            missing=self._targets.missing(self._clock.now_ms()),
+            term_token(term.offset), missing=self._targets.vanished.names()
         )
         coordinator.journal = self._stored.coordinate(term.offset + 1, coordinator)
         self._begin(coordinator)
@@ -108,6 +110,7 @@
             send_answer=self._send_answer,
             timing=self._timing,
             events=self._events,
+            ordering=self._ordering,
             **terms,
         )
 
--- a/hibiscusstack/pool/recent_targets.py
+++ b/hibiscusstack/pool/recent_targets.py
@@ -7,8 +7,9 @@
 import attrs
 
 from hibiscusstack.pool.targets import ListedTarget
+from hibiscusstack.pool.vanished import VanishedTargets
 
-MISSING_MS = 30_000
+RECENT_MS = 30_000
 
 
 @attrs.define
@@ -20,15 +21,20 @@
 
 
 class RecentTargets:
-    """The newest list of targets, and those that went missing from it lately."""
+    """The newest list of targets, and those that went missing from it lately.
 
-    def __init__(self) -> None:
+    ``vanished`` names those of them at which another coordinator may have work.
+    """
+
+    def __init__(self, vanished: VanishedTargets) -> None:
         self.listed: tuple[ListedTarget, ...] = ()
+        self.vanished = vanished
         self._recent: dict[str, _Recent] = {}
 
     def replace(self, targets: Iterable[ListedTarget], now_ms: float) -> None:
         """Take over a newer list, and forget what is missing for long."""
         self.listed = tuple(targets)
+        self.vanished.replace_listed([each.name for each in self.listed], now_ms)
         for recent in self._recent.values():
             if recent.missing_since_ms is None:
                 recent.missing_since_ms = now_ms
@@ -36,18 +42,9 @@
             self._recent[target.name] = _Recent(target)
         for name, recent in list(self._recent.items()):
             since_ms = recent.missing_since_ms
-            if since_ms is not None and now_ms - since_ms > MISSING_MS:
+            if since_ms is not None and now_ms - since_ms > RECENT_MS:
                 del self._recent[name]
 
-    def missing(self, now_ms: float) -> list[str]:
-        """Return the names of the targets that went missing lately."""
-        return [
-            name
-            for name, recent in self._recent.items()
-            if recent.missing_since_ms is not None
-            and now_ms - recent.missing_since_ms < MISSING_MS
-        ]
-
     def recent_in(self, data_centre: str) -> list[ListedTarget]:
         """Return the targets of a data centre that are listed or missing lately."""
         return [
--- a/hibiscusstack/pool/stored/keeper.py
+++ b/hibiscusstack/pool/stored/keeper.py
@@ -31,6 +31,7 @@
     JOBS_TOPIC,
     PROGRESS_TOPIC,
     TERM_KEY,
+    JobRecord,
     encode_terms,
 )
 from hibiscusstack.pool.stored.reviving import first_run_of, revive_job
@@ -51,13 +52,16 @@
 
     A job is known for ``keep_ms`` after its end. A read waits for records for
     ``wait_ms``, and the next one begins ``pause_ms`` later. Records that are of no
-    use any more are dropped every ``drop_ms``.
+    use any more are dropped every ``drop_ms``. An answer waits for targets and the
+    log for at most ``look_ms``.
     """
 
     keep_ms: int = 180_000
     wait_ms: int = 1_500
-    pause_ms: int = 20
+    pause_ms: int = 300
+    stale_ms: int = 4_000
     linger_ms: int = 5
+    look_ms: int = 80
     drop_ms: int = 2_000
 
 
@@ -100,6 +104,7 @@
             self._take_jobs,
             wait_ms=self._timing.wait_ms,
             pause_ms=self._timing.pause_ms,
+            clock=clock,
             on_end=self._note_end,
         )
         self._end = 0
@@ -166,19 +171,38 @@
             self._writer.put(job_id, bytes)
 
     def read(self, queue: str, job_id: str, answer: OnState) -> None:
-        """Answer where a job stands."""
-        self._when_known(job_id, lambda: answer(self._state_of(queue, job_id)))
+        """Answer where a job stands.
+
+        An answer that says that it runs is no older than the question, if the targets
+        tell so within ``look_ms``.
+        """
+        self._when_known(job_id, lambda: self._read(queue, job_id, answer))
 
     def cancel(self, queue: str, job_id: str, answer: OnState) -> None:
         """Cancel a job, and answer its state once that is in the log."""
         self._when_known(job_id, lambda: self._cancel(queue, job_id, answer))
 
     def count(self, queue: str, answer: OnCount) -> None:
-        """Answer how many jobs of a queue have not begun."""
+        """Answer how many jobs of a queue have not begun.
+
+        The count includes all that stood in the log ``stale_ms`` ago.
+        """
         if self.is_recovering:
             self._asked.append(lambda: self.count(queue, answer))
-        else:
+        elif self._clock.now_ms() - self._follower.known_ms < self._timing.stale_ms:
             answer(self._ledger.pending(queue))
+        else:
+            self._asked.append(lambda: answer(self._ledger.pending(queue)))
+            self._refresh()
+
+    def take_accepted(self, record: JobRecord) -> None:
+        """Take a job that was stored lately, before the log shows it."""
+        if self.is_recovering or self._is_stopped:
+            return
+        jobs = self._ledger.take_accepted(record)
+        if jobs:
+            self._add(jobs)
+            self._run_next()
 
     def offer(self, job_id: str) -> None:
         """Hand over a job at once, if it waits for its turn."""
@@ -203,6 +227,12 @@
         """Keep that a run failed; return whether that is news."""
         return self._journal.task_failed(job_id, key, run)
 
+    def task_checkpointed(
+        self, job_id: str, key: TaskKey, run: int, checkpoint: str
+    ) -> None:
+        """Keep from where a task that runs again can go on."""
+        self._journal.task_checkpointed(job_id, key, run, checkpoint)
+
     def job_ended(self, job_id: str, end: JobEnd) -> None:
         """Keep how a job has ended."""
         self._journal.job_ended(job_id, end)
@@ -266,18 +296,21 @@
         self._recover_if_read()
 
     def _take_jobs(self, records: Sequence[KeyedRecord], is_whole: bool) -> None:
+        self._add(self._ledger.take_jobs(records))
+        self._has_read = True
+        if self.is_recovering:
+            self._recover_if_read()
+        else:
+            self._run_next()
+
+    def _add(self, jobs: Sequence[StoredJob]) -> None:
         settled_ms = self._began_ms + SETTLING_MS
         is_early = self.is_recovering or self._clock.now_ms() < settled_ms
-        for job in self._ledger.take_jobs(records):
+        for job in jobs:
             if is_early:
                 job.is_early = True
                 job.first_run = first_run_of(self._ledger.terms)
             self._backlog.add(job)
-        self._has_read = True
-        if self.is_recovering:
-            self._recover_if_read()
-        else:
-            self._run_next()
 
     def _recover_if_read(self) -> None:
         if not (self._has_read and self._is_term_counted and self.is_recovering):
@@ -326,6 +359,24 @@
             return StoredState.UNKNOWN
         return job.state
 
+    def _read(self, queue: str, job_id: str, answer: OnState) -> None:
+        if self._state_of(queue, job_id) is not StoredState.RUNNING:
+            answer(self._state_of(queue, job_id))
+            return
+        job = self._ledger.find(job_id)
+        reply = _once(lambda: answer(self._state_of(queue, job_id)))
+        self._reactor.callLater(self._timing.look_ms / 1000, reply)
+        if job.final is None:
+            self._runner.look_for_end(job_id, lambda: self._reply_if_shown(job, reply))
+        else:
+            self._reply_if_shown(job, reply)
+
+    def _reply_if_shown(self, job: StoredJob, reply: Callable[[], None]) -> None:
+        if job.final is None:
+            reply()
+        else:
+            self._journal.when_shown(job, reply)
+
     def _cancel(self, queue: str, job_id: str, answer: OnState) -> None:
         job = self._ledger.find(job_id)
         if job is None or job.queue != queue:
@@ -392,3 +443,14 @@
 
     def _note_end(self, end: int) -> None:
         self._end = max(self._end, end)
+
+
+def _once(call: Callable[[], None]) -> Callable[[], None]:
+    """Return a function that carries out ``call`` the first time only."""
+    calls = [call]
+
+    def call_first() -> None:
+        if calls:
+            calls.pop()()
+
+    return call_first
--- a/hibiscusstack/settings/pool_sections.py
+++ b/hibiscusstack/settings/pool_sections.py
@@ -8,6 +8,8 @@
 
 from hibiscusstack.dispatch.messages import HostName
 from hibiscusstack.pool.host_settings import PoolHostSettings
+from hibiscusstack.pool.ordering import OrderingPolicy
+from hibiscusstack.pool.ranking import JobOrder
 from hibiscusstack.pool.timing import CoordinatorTiming
 from hibiscusstack.settings.kinds import Choice, Endpoint, Number, Part
 from hibiscusstack.settings.sections import (
@@ -175,6 +177,12 @@
         "How long a target that is no longer listed still counts.",
         _TARGETS.unlisted_ms,
     )
+    restore_ms: int | None = key(
+        _BOUND,
+        "How long a run takes to go on from a checkpoint; that of a shorter run is"
+        f" of no use. Nothing means {_TARGETS.restore_ms}.",
+        None,
+    )
     clock_drift_percent: int = key(
         Number(0, 50),
         "How much slower the clock of a target may run.",
@@ -190,6 +198,8 @@
         """Return the durations as a coordinator takes them."""
         values = attrs.asdict(self)
         values["clock_drift"] = values.pop("clock_drift_percent") / 100
+        if values["restore_ms"] is None:
+            del values["restore_ms"]
         longest_ms = values.pop("longest_lease_ms")
         if longest_ms is not None:
             values["lease_ms"] = min(self.lease_ms, longest_ms)
@@ -202,6 +212,23 @@
         return attrs.evolve(timing, lease_ms=lease_ms)
 
 
+@attrs.frozen
+class PoolQueueSettings:
+    """Jobs that wait for room."""
+
+    order: str = key(
+        Choice(tuple(order.value for order in JobOrder)),
+        "What puts one waiting job before another: the time at which it has to"
+        " start, its priority, its estimated worth for the processor time that it"
+        " takes, or its arrival.",
+        JobOrder.SLACK.value,
+    )
+
+    def policy(self) -> OrderingPolicy:
+        """Return the order as a coordinator takes it."""
+        return OrderingPolicy(JobOrder(self.order))
+
+
 @attrs.frozen
 class PoolStoredSettings:
     """Jobs that are kept in the log."""
@@ -245,6 +272,7 @@
     log: PoolLogSettings
     peers: PoolPeerSettings
     targets: PoolTargetSettings
+    queue: PoolQueueSettings
     stored: PoolStoredSettings
     telemetry: PoolTelemetrySettings
 
