Expose jobs that do not wait after a resubmission by explicit steps

Random examples reached the mutation "resubmitted jobs do not wait" at example 126 to 261 of 300, and not at all when only hibiscusstack/pool and hibiscusstack/daemon were loaded, since Hypothesis draws from the integer literals of the loaded modules.

The mutation is now exposed by two steps of the same state machine, found by shrinking: a job of two steps and one of a long run are submitted, and the coordinator is killed without resets. They must find TWICE with the mutation and nothing without it, so the check no longer depends on what is drawn.

--- a/hibiscusstack/pool/tests/test_pool_machine_mutations.py
+++ b/hibiscusstack/pool/tests/test_pool_machine_mutations.py
@@ -47,6 +47,7 @@
     verbosity=Verbosity.quiet,
     suppress_health_check=list(HealthCheck),
 )
+LONG_AND_CHAIN = [("h1", "chain", False), ("h2", "long", False)]
 
 
 def ignore(*_arguments):
@@ -117,10 +118,6 @@
         (ActiveJob, "_make_ready_if_unblocked", make_ready_at_once),
         {"cancel"},
     ),
-    "resubmitted jobs do not wait": (
-        (ActiveJob, "is_resubmitted", constant(False)),
-        {"lose_coordinator"},
-    ),
     "started jobs are rejected": (
         (ActiveJob, "first_start_ms", constant(None)),
         {"crash_workers"},
@@ -131,6 +128,25 @@
     "labels are ignored": (TakesEveryLabel, {"cancel"}),
 }
 
+# Mutations that random examples reach only by luck, each with the steps that expose it.
+STEPS = {
+    "resubmitted jobs do not wait": (
+        (ActiveJob, "is_resubmitted", constant(False)),
+        (
+            ("submit", {"shapes": LONG_AND_CHAIN, "duration_ms": 5}),
+            (
+                "lose_coordinator",
+                {
+                    "unlisted": set(),
+                    "apart": set(),
+                    "resets": False,
+                    "duration_ms": 5,
+                },
+            ),
+        ),
+    ),
+}
+
 
 def focused(rules, coordinator_class=Coordinator):
     """Return the state machine with only these of its fault rules."""
@@ -148,3 +164,21 @@
                 run_state_machine_as_test(focused(rules), settings=EXAMPLES)
         else:
             run_state_machine_as_test(focused(rules, mutation), settings=EXAMPLES)
+
+
+def play(steps):
+    """Play the rules in ``steps`` on a new state machine, then end all faults."""
+    machine = PoolMachine()
+    machine.start_cluster()
+    for rule, arguments in steps:
+        getattr(machine, rule)(**arguments)
+        machine.no_rule_is_broken()
+    machine.teardown()
+
+
+@pytest.mark.parametrize("name", STEPS)
+def test_steps_detect_disabled_safeguard(name):
+    mutation, steps = STEPS[name]
+    play(steps)
+    with patch.object(*mutation), pytest.raises(AssertionError, match="TWICE"):
+        play(steps)
