Log failed records of targets once an outage

While the log refuses appends and a target is unrecorded, pool:recording_failed was logged at each retry, five times a second. It is now logged at the first failure after an answered append.

--- a/hibiscusstack/pool/target_recorder.py
+++ b/hibiscusstack/pool/target_recorder.py
@@ -53,6 +53,7 @@
         self._records = records
         self._on_recorded = on_recorded
         self._is_appending = False
+        self._has_failed = False
         self._next_append_ms = 0.0
         self._min_end = 0
         self._next_cleanup_ms = 0.0
@@ -113,6 +114,7 @@
     def _append_answered(
         self, result: Appended | AppendRefused, records: Sequence[tuple[str, bytes]]
     ) -> None:
+        self._has_failed = False
         if isinstance(result, AppendRefused):
             # Until the log has been read up to there, each append would be refused.
             self._min_end = result.end
@@ -127,4 +129,6 @@
 
     def _append_failed(self, failure: Failure) -> None:
         self._next_append_ms = self._clock.now_ms() + FAILED_RETRY_MS
-        log_message("pool:recording_failed", cause=failure.getErrorMessage())
+        if not self._has_failed:
+            log_message("pool:recording_failed", cause=failure.getErrorMessage())
+        self._has_failed = True
--- a/hibiscusstack/pool/tests/test_target_recorder.py
+++ b/hibiscusstack/pool/tests/test_target_recorder.py
@@ -1,5 +1,6 @@
 """Tests of the appends that record, retire and delete targets, with failures."""
 
+import eliot
 import pytest
 from twisted.internet.defer import Deferred
 
@@ -22,6 +23,7 @@
 )
 from hibiscusstack.pool.tests.coordinator_harness import make_target
 
+FAILED = "pool:recording_failed"
 OUTAGE = UnavailableError("log", "down")
 END = 5
 
@@ -197,3 +199,26 @@
     harness.succeed()
     harness.update(*names)
     assert changed_targets(harness.calls[1]) == names[MAX_RECORDS_PER_APPEND:]
+
+
+@pytest.fixture
+def logged():
+    """Return the list of the messages logged during the test."""
+    messages = []
+    eliot.add_destinations(messages.append)
+    # The first destination receives what was logged before there was any.
+    messages.clear()
+    yield messages
+    eliot.remove_destination(messages.append)
+
+
+def test_an_outage_of_the_log_is_logged_once(logged):
+    harness = RecorderHarness()
+    for outage in (1, 2):
+        for _ in range(5):
+            harness.update("t", pass_ms=FAILED_RETRY_MS)
+            harness.answer.errback(OUTAGE)
+        failures = [m for m in logged if m["message_type"] == FAILED]
+        assert len(failures) == outage
+        harness.update("t", pass_ms=FAILED_RETRY_MS)
+        harness.answer.callback(AppendRefused(END))
