--- a/hibiscusstack/host/dialing.py
+++ b/hibiscusstack/host/dialing.py
@@ -26,6 +26,7 @@
     backoff: Backoff
     next_attempt_ms: int
     is_dialling: bool = False
+    ended_attempts: int = 0
 
 
 class AddressBook:
@@ -80,8 +81,17 @@
         dial_state = self._dial_states.get(address)
         if dial_state is not None:
             dial_state.is_dialling = False
+            dial_state.ended_attempts += 1
             dial_state.next_attempt_ms = now_ms + dial_state.backoff.next_delay_ms()
 
+    def ended_attempts(self, address: PeerAddress) -> int:
+        """Return how many attempts to connect to an address have failed or ended.
+
+        Attempts from before the address was last removed don't count.
+        """
+        dial_state = self._dial_states.get(address)
+        return 0 if dial_state is None else dial_state.ended_attempts
+
     def reset_backoff(self, address: PeerAddress) -> None:
         """Reset the backoff of an address after a successful connection."""
         dial_state = self._dial_states.get(address)
--- a/hibiscusstack/host/mesh.py
+++ b/hibiscusstack/host/mesh.py
@@ -106,6 +106,10 @@
         """Replace the listed addresses by those of a newer list of live hosts."""
         self._address_book.replace_listed(addresses)
 
+    def ended_attempts(self, address: PeerAddress) -> int:
+        """Return how many attempts to connect to a listed address have ended."""
+        return self._address_book.ended_attempts(address)
+
     def send(self, peer: HostName, message: Message) -> Result[None, SendFailure]:
         """Send to exactly this incarnation, or return why nothing was written.
 
--- a/hibiscusstack/host/tests/test_dialing.py
+++ b/hibiscusstack/host/tests/test_dialing.py
@@ -62,3 +62,12 @@
 def test_addresses_that_peers_announced_are_dialled():
     book = AddressBook([], random.Random(1))
     assert book.take_due_addresses((LISTED,), set(), 0) == [LISTED]
+
+
+def test_attempts_that_ended_are_counted_for_each_address():
+    book = AddressBook([SEED], random.Random(1))
+    assert book.ended_attempts(SEED) == 0
+    book.take_due_addresses([], set(), 0)
+    assert book.ended_attempts(SEED) == 0
+    book.schedule_redial(SEED, 10)
+    assert book.ended_attempts(SEED) == 1
--- a/hibiscusstack/pool/host_registry.py
+++ b/hibiscusstack/pool/host_registry.py
@@ -60,6 +60,13 @@
         """Return the log offset of each registered host's record."""
         return {host.name: offset for host, offset in self._hosts.values()}
 
+    def address_of(self, host: HostName) -> PeerAddress | None:
+        """Return where exactly this run of a host is registered, None if it isn't."""
+        for registered, _ in self._hosts.values():
+            if registered.name == host:
+                return PeerAddress(registered.address, registered.port)
+        return None
+
     def peer_addresses(self) -> list[PeerAddress]:
         """Return the peer addresses of all registrations except this run's own.
 
--- a/hibiscusstack/pool/tests/test_takeovers.py
+++ b/hibiscusstack/pool/tests/test_takeovers.py
@@ -60,6 +60,14 @@
             fleet.cancel(caller)
 
 
+def run_until_it_follows(fleet, host):
+    """Let time pass until a started host hears the coordinator, so it can succeed it.
+
+    Before that, other hosts may claim the next term first.
+    """
+    run_until(fleet, fleet.edges[host].host.is_serving)
+
+
 def take_over_by(fleet, successor):
     """Let the coordinator drain and the successor claim the next term."""
     first = fleet.coordinator()
@@ -178,6 +186,7 @@
     run_until(fleet, lambda: "w0" not in listed_by(fleet, fleet.coordinator()))
     fleet.start("h1")
     run_until(fleet, lambda: listed_by(fleet, "h1") == {"w1", "w2", "w3"})
+    run_until_it_follows(fleet, "h1")
     take_over_by(fleet, "h1")
     verify(fleet)
 
@@ -193,6 +202,7 @@
     run_until(fleet, lambda: listed_by(fleet, holder) == {"w0", "w1"})
     fleet.start("h1")
     run_until(fleet, lambda: listed_by(fleet, "h1") == {"w0", "w1"})
+    run_until_it_follows(fleet, "h1")
     fleet.edges[holder].host.drain()
     run_until(fleet, lambda: fleet.edges["h1"].host.coordinator is not None)
     fleet.run(500)
--- a/hibiscusstack_standins/lab/streams.py
+++ b/hibiscusstack_standins/lab/streams.py
@@ -9,6 +9,7 @@
 from twisted.internet.address import IPv4Address
 from twisted.internet.error import ConnectionLost
 from twisted.internet.error import ConnectionRefusedError as Refused
+from twisted.internet.error import TimeoutError as TimedOut
 from twisted.python.failure import Failure
 
 from hibiscusstack_standins.estate.network import Network
@@ -142,12 +143,20 @@
                 self.carry(end, end.far.lose)
             end.is_open = False
 
-    def connect(self, caller: str, port: int, factory) -> None:
-        """Connect to a listener, or fail."""
+    def connect(self, caller: str, port: int, factory, timeout_ms: int) -> None:
+        """Connect to a listener, or fail: across a cut only after the timeout."""
         owner, listening = self.listeners.get(port, (None, None))
-        if owner is None or frozenset((caller, owner)) in self.cuts:
+        if owner is None:
             factory.clientConnectionFailed(None, Failure(Refused()))
             return
+        if frozenset((caller, owner)) in self.cuts:
+            timed_out = Failure(TimedOut())
+            self.network.after(
+                caller,
+                timeout_ms,
+                lambda: factory.clientConnectionFailed(None, timed_out),
+            )
+            return
         near, far = End(self, caller), End(self, owner)
         near.far, far.far = far, near
         self._ends += [near, far]
@@ -193,4 +202,5 @@
     ) -> None:
         """Connect to a peer."""
         connect = self._streams.connect
-        self.callLater(0.002, connect, self._party, port, factory)
+        timeout_ms = round(timeout * 1000)
+        self.callLater(0.002, connect, self._party, port, factory, timeout_ms)
