Read before a late timeout counts as silence of the peer

Twisted calls due timers before it reads. On a host that is short of processor a pass of the event loop takes longer than the timeout of a start (60 ms), so the timeout fired while the answer lay unread, or while the request was still in the buffer. The connection was dropped, the target marked as silent, the start stopped and made again on a new connection: work that made the loop still later.

A deadline that fires more than 5 ms late now lets the reactor read three times first: one pass sends what is buffered, one may come before the answer, one reads it. A punctual deadline expires as before, and a silent peer is noticed after three passes more.

--- a/hibiscusstack/http/client.py
+++ b/hibiscusstack/http/client.py
@@ -8,7 +8,7 @@
 
 from collections import deque
 from collections.abc import Callable, Sequence
-from typing import Any
+from functools import partial
 
 import attrs
 from twisted.internet.defer import Deferred, succeed
@@ -37,6 +37,8 @@
 
 _MAX_HEAD_BYTES = 32 << 10
 _MAX_UNACKNOWLEDGED_MS = 2_000
+# How often a busy reactor reads before an answer counts as missing.
+_LATE_PASSES = 3
 
 
 @attrs.frozen
@@ -71,7 +73,7 @@
     request: bytes
     due_s: float
     outcome: Deferred[Outcome]
-    waiting: Any = None
+    waiting: Deadline | None = None
 
     def settle(self, outcome: Outcome) -> None:
         """Tell ``outcome`` to the caller of the request."""
@@ -190,9 +192,10 @@
         if self._idle:
             self._idle.pop().send(exchange)
             return
-        exchange.waiting = self._reactor.callLater(
-            timeout_ms / 1000, self._give_up, exchange
+        exchange.waiting = Deadline(
+            self._reactor, partial(self._give_up, exchange), late_passes=_LATE_PASSES
         )
+        exchange.waiting.set(timeout_ms)
         self._waiting.append(exchange)
         self._connect_if_needed()
 
@@ -308,7 +311,7 @@
         self._reactor = reactor
         self._pool = pool
         self._max_answer_bytes = max_answer_bytes
-        self._deadline = Deadline(reactor, self._expired)
+        self._deadline = Deadline(reactor, self._expired, late_passes=_LATE_PASSES)
         self._buffer = bytearray()
         self._exchange: _Exchange | None = None
         self._head: AnswerHead | None = None
