Replace a pending timer instead of moving it to an earlier time

Twisted searches the list of all pending calls to move one to an earlier time. A kept connection to a target has an idle timeout of 10 s, and each request over it after a pause moved that deadline to 60 ms: the coordinator paid for each start in proportion to its connections.

The deadline now cancels the pending call and makes a new one.

A new test fails if a pending call is moved.

--- a/hibiscusstack/http/deadline.py
+++ b/hibiscusstack/http/deadline.py
@@ -54,7 +54,9 @@
         if self._call is None:
             self._call = self._reactor.callLater(duration_s, self._fire)
         elif self._call.getTime() > due_s:
-            self._call.reset(duration_s)
+            # Twisted searches all pending calls to move one to an earlier time.
+            self._call.cancel()
+            self._call = self._reactor.callLater(duration_s, self._fire)
 
     def clear(self) -> None:
         """Don't expire before a time is set again."""
--- a/hibiscusstack/http/tests/test_deadline.py
+++ b/hibiscusstack/http/tests/test_deadline.py
@@ -1,5 +1,6 @@
 """Tests of the deadline."""
 
+from twisted.internet.base import DelayedCall
 from twisted.internet.testing import MemoryReactorClock
 
 from hibiscusstack.http.deadline import Deadline
@@ -65,3 +66,18 @@
     assert not watch.reactor.getDelayedCalls()
     watch.run(4)
     assert watch.expired == []
+
+
+# A connection that was idle waits for an answer: its deadline moves to an earlier time.
+def test_an_earlier_time_costs_no_search_of_the_pending_calls(monkeypatch):
+    def move(self, delay_s):
+        raise AssertionError("a pending call was moved")
+
+    monkeypatch.setattr(DelayedCall, "reset", move)
+    watch = _Watch()
+    for _ in range(100):
+        watch.deadline.set(10_000)
+        watch.deadline.set(1_000)
+    assert len(watch.reactor.getDelayedCalls()) == 1
+    watch.run(4)
+    assert watch.expired == [1.0]
