Let only peers that answer count after the loss of the holder

With rare heartbeats, what a peer said last may be old. When a data centre was cut off with the coordinator in it, the hosts elsewhere went on counting its other hosts, which had said that they hear the coordinator, until silence_ms after they had noticed the loss themselves: the next term came 0.4 s later than on a small site. Deputies of a data centre that was cut off were as late. Small sites, too, measured the silence of all peers from the loss of the holder.

A host that loses the holder now asks its peers by its own heartbeat. Until a peer has answered, its word that it hears the holder doesn't count; after 200 ms without an answer it counts as not reachable. On sites below 9 hosts silence counts from the last message, as before heartbeats were paced.

--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -39,6 +39,7 @@
 )
 from hibiscusstack.pool.ordering import OrderingPolicy
 from hibiscusstack.pool.orders import TargetOrders
+from hibiscusstack.pool.peer_answers import PeerAnswers
 from hibiscusstack.pool.peer_states import PeerStates
 from hibiscusstack.pool.recent_targets import RecentTargets
 from hibiscusstack.pool.stored.manager import StoredJobTiming
@@ -109,10 +110,11 @@
         self._registry = HostRegistry(own)
         self._peer_states = PeerStates()
         self._log_availability = LogAvailability()
-        pacing = RolePacing(
+        self._pacing = RolePacing(
             self._peer_states, self._registry.count, settings.silence_ms
         )
-        self._mesh = build_pool_mesh(settings, self, pacing, reactor, clock)
+        self._peer_answers = PeerAnswers()
+        self._mesh = build_pool_mesh(settings, self, self._pacing, reactor, clock)
         self._first_contact = FirstContact(
             own, self._registry, self._mesh.ended_attempts
         )
@@ -383,6 +385,7 @@
         ):
             self.peer_lost(peer)
         self._hand_over_if_due(now_ms)
+        self._ask_peers_if_holder_lost(now_ms)
         self._claim_if_due(now_ms)
         self._step_down_if_due()
         self._begin_deputy_if_due(now_ms)
@@ -430,6 +433,22 @@
             self._is_handing_over = is_due
             self._mesh.send_heartbeats()
 
+    def _ask_peers_if_holder_lost(self, now_ms: float) -> None:
+        """Ask the peers of a large site for their state once the holder is lost."""
+        hears_holder = (
+            not self._pacing.has_rare_pairs() or self._hears_holder_keeping_term()
+        )
+        if self._peer_answers.record(hears_holder, now_ms):
+            self._mesh.send_heartbeats()
+
+    def _reachable_peers(self, now_ms: float) -> list[HostName]:
+        """Return the connected peers without those that don't answer any more."""
+        return [
+            peer
+            for peer in self._mesh.peers()
+            if self._peer_answers.is_reachable(self._mesh.silent_ms(peer), now_ms)
+        ]
+
     def _claim_if_due(self, now_ms: float) -> None:
         """Claim the next term if the election says so and the log is stable.
 
@@ -446,9 +465,13 @@
         )
         hearing_peers, offered = {}, {}
         if not may_keep_term:
-            hearing_peers = self._peer_states.hearing_holder(
-                term.offset if term else -1
-            )
+            hearing_peers = {
+                peer: hears
+                and self._peer_answers.has_answered(self._mesh.silent_ms(peer), now_ms)
+                for peer, hears in self._peer_states.hearing_holder(
+                    term.offset if term else -1
+                ).items()
+            }
             offered = self._peer_states.offered_cpu_milli()
             offered[self.name] = self._settings.cpu_milli
         if self._election.should_claim(now_ms, may_keep_term, hearing_peers, offered):
@@ -486,7 +509,7 @@
         The deputy of all data centres is called the general deputy.
         """
         is_eligible = self._is_eligible_deputy()
-        connected = self._mesh.peers() if is_eligible else ()
+        connected = self._reachable_peers(now_ms) if is_eligible else ()
         is_eligible_without_log = is_eligible and self._log_availability.is_unavailable(
             now_ms
         )
--- a/hibiscusstack/pool/heartbeat_pacing.py
+++ b/hibiscusstack/pool/heartbeat_pacing.py
@@ -66,15 +66,20 @@
 
     def silent_since_ms(self, last_received_ms: int) -> int:
         """Return since when a connection counts as silent."""
-        return max(last_received_ms, self._needs_frequent_since_ms or last_received_ms)
+        if self._needs_frequent_since_ms is None or not self.has_rare_pairs():
+            return last_received_ms
+        return max(last_received_ms, self._needs_frequent_since_ms)
+
+    def has_rare_pairs(self) -> bool:
+        """Return whether some hosts of the site may hear each other rarely."""
+        return self._count_hosts() >= MIN_RARE_HOSTS
 
     def silence_timeout_ms(self, peer: HostName | None) -> int:
         """Return how long a connection may be silent, before the hello as well."""
-        host_count = self._count_hosts()
-        if peer is None or host_count < MIN_RARE_HOSTS or self._is_frequent(peer):
+        if peer is None or not self.has_rare_pairs() or self._is_frequent(peer):
             return self._silence_ms
         # Hosts that know more hosts send less often.
-        return 2 * rare_interval_ms(host_count) + self._silence_ms
+        return 2 * rare_interval_ms(self._count_hosts()) + self._silence_ms
 
     def _is_frequent(self, peer: HostName) -> bool:
         return (
--- a/hibiscusstack/pool/tests/test_heartbeat_pacing.py
+++ b/hibiscusstack/pool/tests/test_heartbeat_pacing.py
@@ -5,6 +5,8 @@
 
 from hibiscusstack.dispatch.messages import HostName
 from hibiscusstack.host.mesh_interfaces import SentHeartbeat
+from hibiscusstack.pool.deputy_activation import DEPUTY_DELAY_MS
+from hibiscusstack.pool.election import CLAIM_STAGGER_MS
 from hibiscusstack.pool.heartbeat_pacing import (
     MAX_FREQUENT_HOSTS,
     MIN_RARE_HOSTS,
@@ -12,6 +14,7 @@
     rare_interval_ms,
 )
 from hibiscusstack.pool.messages import PoolHeartbeat
+from hibiscusstack.pool.peer_answers import ANSWER_TIMEOUT_MS, PeerAnswers
 from hibiscusstack.pool.peer_states import PeerStates
 from hibiscusstack.pool.tests.fleet import Fleet
 
@@ -19,6 +22,10 @@
 PEER = HostName("dc1", "b", 1)
 SILENCE_MS = 400
 ROUND_MS = 100
+# By then a host has noticed that a connection to the coordinator is silent.
+NOTICED_MS = SILENCE_MS + 2 * ROUND_MS
+# The election timeout, the ranks of five lost hosts before the claimant, and the claim.
+CLAIMED_MS = 200 + 5 * CLAIM_STAGGER_MS + 50
 FOLLOWING = PoolHeartbeat(4, HOLDER, True, False)
 COORDINATING = attrs.evolve(FOLLOWING, token=7)
 LOST = attrs.evolve(FOLLOWING, hears_holder=False)
@@ -129,13 +136,80 @@
     fleet.recover_and_verify(8_000)
 
 
-# The silent peer is noticed only by hosts that depend on it.
+# Guards against a wait for peers that were lost with the coordinator and had said that
+# they hear it: the election timeout and the ranks of all hosts bound the next claim.
 def test_a_peer_lost_with_the_coordinator_does_not_delay_the_next_term():
     fleet = Fleet(3, hosts=15, workers=3)
     first = fleet.coordinator()
     lost = [first, *fleet.others(first)[:4]]
     for name in lost:
         fleet.kill(name, resets=False)
-    fleet.run(SILENCE_MS + SILENCE_MS + 4 * ROUND_MS + 200 + 400)
+    fleet.run(NOTICED_MS + CLAIMED_MS)
     assert fleet.coordinator() not in ("", *lost)
     fleet.recover_and_verify(8_000)
+
+
+ZONES = {
+    "x": ("h1", "h2", "h3", "h4", "h5", "w0"),
+    "y": ("h6", "h7", "h8", "h9", "h10", "w1"),
+    "z": ("h11", "h12", "h13", "h14", "h15", "w2"),
+}
+
+
+def holder_of(fleet, zone):
+    """Return the host of a zone that coordinates for a term, or nothing."""
+    edges = ((name, fleet.edges[name].host) for name in fleet.members(zone)[0])
+    holders = [n for n, h in edges if h.coordinator and not h.coordinator.is_deputy]
+    return holders[0] if holders else ""
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_cut_of_the_coordinators_zone_is_noticed_as_soon_on_a_large_site(seed):
+    fleet = Fleet(seed, hosts=15, workers=3, zones=ZONES)
+    zone = fleet.zone_of(fleet.coordinator())
+    others = [other for other in ZONES if other != zone]
+    fleet.run(1_000 + 300 * seed)
+    fleet.cut_zone(zone)
+    fleet.run(NOTICED_MS + CLAIMED_MS)
+    assert any(holder_of(fleet, other) for other in others)
+    fleet.recover_and_verify(8_000)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_zone_that_is_cut_off_has_a_deputy_as_soon_on_a_large_site(seed):
+    fleet = Fleet(seed, hosts=15, workers=3, zones=ZONES)
+    zone = next(name for name in ZONES if name != fleet.zone_of(fleet.coordinator()))
+    fleet.run(1_000 + 300 * seed)
+    fleet.cut_zone(zone)
+    fleet.run(NOTICED_MS + ANSWER_TIMEOUT_MS + DEPUTY_DELAY_MS + ROUND_MS)
+    hosts = fleet.members(zone)[0]
+    assert any(fleet.edges[name].host.build_heartbeat().is_deputy for name in hosts)
+    fleet.mend()
+    fleet.run(3_500)
+    assert not any(
+        edge.host.build_heartbeat().is_deputy for edge in fleet.edges.values()
+    )
+    fleet.recover_and_verify(8_000)
+
+
+def test_the_last_word_of_a_rarely_heard_peer_does_not_count_after_the_loss():
+    answers = PeerAnswers()
+    assert not answers.record(hears_holder=True, now_ms=900)
+    assert answers.has_answered(4_000, 900) and answers.is_reachable(4_000, 900)
+    assert answers.record(hears_holder=False, now_ms=1_000)
+    assert not answers.record(hears_holder=False, now_ms=1_010)
+    assert not answers.has_answered(20, 1_010) and answers.is_reachable(20, 1_010)
+    assert answers.has_answered(5, 1_010)
+    late_ms = 1_000 + ANSWER_TIMEOUT_MS
+    assert not answers.is_reachable(ANSWER_TIMEOUT_MS + 1, late_ms)
+    assert answers.is_reachable(ANSWER_TIMEOUT_MS, late_ms)
+    assert not answers.has_answered(None, late_ms)
+    answers.record(hears_holder=True, now_ms=late_ms)
+    assert answers.is_reachable(4_000, late_ms)
+
+
+@pytest.mark.parametrize("hosts", [6, MIN_RARE_HOSTS - 1])
+def test_a_small_site_counts_silence_from_the_last_message(hosts):
+    pacing = make_pacing(LOST, FOLLOWING, hosts)
+    assert pacing.silent_since_ms(600) == 600
+    assert pacing.silence_timeout_ms(PEER) == SILENCE_MS
