--- a/hibiscusstack/settings/pool_sections.py
+++ b/hibiscusstack/settings/pool_sections.py
@@ -96,7 +96,10 @@
     """Connections to the other hosts, and how the loss of a host is detected."""
 
     heartbeat_ms: int = key(
-        DURATION, "The interval between heartbeats.", _DEFAULT_PEERS.heartbeat_ms
+        DURATION,
+        "The interval between heartbeats. On sites of more than 12 hosts only"
+        " coordinators and hosts that hear none send one in every interval.",
+        _DEFAULT_PEERS.heartbeat_ms,
     )
     silence_ms: int = key(
         DURATION,
