Count only punctual time for the answers of peers

On sites of 9 hosts or more, a host that lost the holder counted the answers of its peers as missing after 200 ms by the clock. If a pass of its own loop took longer, the answers lay unread meanwhile, so it could claim the term although others hear the coordinator: own lag taken for silence. Of the time between two ticks at most 20 ms count now, and a claim waits until the time for answers is over; the election timeout runs at the same time, so nothing changes for a loop that is not late, nor on smaller sites.

Measured: the tests of heartbeat pacing and the new ones of a late loop pass.

--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -474,8 +474,14 @@
             }
             offered = self._peer_states.offered_cpu_milli()
             offered[self.name] = self._settings.cpu_milli
-        if self._election.should_claim(now_ms, may_keep_term, hearing_peers, offered):
+        if not self._election.should_claim(
+            now_ms, may_keep_term, hearing_peers, offered
+        ):
+            return
+        if term is None or self._peer_answers.is_time_over():
             self._term_claimer.claim()
+        else:
+            self._election.claim_failed()
 
     def _step_down_if_due(self) -> None:
         """Stop coordinating if another host has taken over.
--- a/hibiscusstack/pool/tests/test_heartbeat_pacing.py
+++ b/hibiscusstack/pool/tests/test_heartbeat_pacing.py
@@ -201,6 +201,8 @@
     assert not answers.has_answered(20, 1_010) and answers.is_reachable(20, 1_010)
     assert answers.has_answered(5, 1_010)
     late_ms = 1_000 + ANSWER_TIMEOUT_MS
+    for now_ms in range(1_020, late_ms + 1, 10):
+        answers.record(hears_holder=False, now_ms=now_ms)
     assert not answers.is_reachable(ANSWER_TIMEOUT_MS + 1, late_ms)
     assert answers.is_reachable(ANSWER_TIMEOUT_MS, late_ms)
     assert not answers.has_answered(None, late_ms)
@@ -213,3 +215,26 @@
     pacing = make_pacing(LOST, FOLLOWING, hosts)
     assert pacing.silent_since_ms(600) == 600
     assert pacing.silence_timeout_ms(PEER) == SILENCE_MS
+
+
+# Guards against a claim by a host whose own loop is late: the answers of its peers lie
+# unread while the time for them passes.
+@pytest.mark.parametrize("pass_ms", [210, 250, 600])
+def test_a_late_loop_does_not_count_answers_as_missing(pass_ms):
+    answers = PeerAnswers()
+    answers.record(hears_holder=False, now_ms=1_000)
+    for late_pass in (1, 2, 3):
+        now_ms = 1_000 + late_pass * pass_ms
+        answers.record(hears_holder=False, now_ms=now_ms)
+        assert not answers.is_time_over()
+        assert answers.is_reachable(now_ms, now_ms)
+
+
+def test_the_time_for_answers_passes_at_a_punctual_loop():
+    answers = PeerAnswers()
+    assert answers.is_time_over()
+    for now_ms in range(1_000, 1_000 + ANSWER_TIMEOUT_MS, 10):
+        answers.record(hears_holder=False, now_ms=now_ms)
+        assert not answers.is_time_over()
+    answers.record(hears_holder=False, now_ms=1_000 + ANSWER_TIMEOUT_MS)
+    assert answers.is_time_over()
