--- a/hibiscusstack/pool/coordination/replies.py
+++ b/hibiscusstack/pool/coordination/replies.py
@@ -193,4 +193,4 @@
             )
         return
     cause = "unreached" if isinstance(reply, NotReached) else reply.reason
-    requeue_task(state, run, now_ms, cause)
+    requeue_task(state, target, run, now_ms, cause)
--- a/hibiscusstack/pool/coordination/requeuing.py
+++ b/hibiscusstack/pool/coordination/requeuing.py
@@ -9,15 +9,17 @@
 from hibiscusstack.pool.target_state import Run, TargetState
 
 
-def requeue_task(state: CoordinatorState, run: Run, now_ms: float, cause: str) -> None:
-    """Requeue the task of a run that ended without a result."""
+def requeue_task(
+    state: CoordinatorState, target: TargetState, run: Run, now_ms: float, cause: str
+) -> None:
+    """Requeue the task of a run that ended without a result at ``target``."""
     job, task = run.job, run.task
     job.active_count -= 1
     task.state = TaskState.WAITING
     if state.jobs.get(job.job.job_id) is not job:
         return
     save_checkpoint(state, job, task)
-    state.events.task_requeued(run, cause, now_ms)
+    state.events.task_requeued(run, target, cause, now_ms)
     job.ready.insert(0, task)
     enqueue_job(state, job)
 
@@ -34,12 +36,13 @@
     if run.job is None:
         uncount_stray_run(state, run.name)
     else:
-        requeue_task(state, run, now_ms, cause)
+        requeue_task(state, target, run, now_ms, cause)
 
 
 def drop_all_runs(
     state: CoordinatorState, target: TargetState, now_ms: float, cause: str
 ) -> None:
     """Treat all runs of a target as ended, since its instance or lease has ended."""
+    state.events.runs_lost(target, cause, now_ms)
     for run in list(target.runs.values()):
         drop_run(state, target, run, now_ms, cause)
--- a/hibiscusstack/pool/coordination/run_ends.py
+++ b/hibiscusstack/pool/coordination/run_ends.py
@@ -149,7 +149,7 @@
             state.journal.task_failed(job.job.job_id, task.key, run.number)
         _record_failure(state, target, run, now_ms)
     else:
-        requeue_task(state, run, now_ms, end.outcome)
+        requeue_task(state, target, run, now_ms, end.outcome)
 
 
 def _record_success(
@@ -184,4 +184,4 @@
             "a task reached its maximum number of attempts",
         )
         return
-    requeue_task(state, run, now_ms, "failed")
+    requeue_task(state, target, run, now_ms, "failed")
--- a/hibiscusstack/pool/coordination/sending.py
+++ b/hibiscusstack/pool/coordination/sending.py
@@ -82,6 +82,7 @@
     state: CoordinatorState, target: TargetState, now_ms: float, cause: str
 ) -> None:
     """Mark an unresponsive target; it gets no work until it reports its runs again."""
+    target.last_failure = cause
     if target.silent_since_ms is None:
         target.silent_since_ms = now_ms
         state.events.counters.silent_targets += 1
--- a/hibiscusstack/pool/events.py
+++ b/hibiscusstack/pool/events.py
@@ -13,7 +13,7 @@
 from hibiscusstack.pool.counters import PoolCounters
 from hibiscusstack.pool.messages import JobEnd
 from hibiscusstack.pool.orders import FencedOut, NotReached, Refused, ReplyLost, Started
-from hibiscusstack.pool.target_state import Run
+from hibiscusstack.pool.target_state import Run, TargetState
 
 _EVENT_NAMES = {
     JobEnd.FAILED: "pool:job_failed",
@@ -249,16 +249,44 @@
         elif not isinstance(reply, Started):
             self.counters.refused_starts[_FAILURE_REASONS[type(reply)]] += 1
 
-    def task_requeued(self, run: Run, cause: str, now_ms: float) -> None:
+    def runs_lost(self, target: TargetState, cause: str, now_ms: float) -> None:
+        """Count and log the runs that ended with the instance or lease of a target.
+
+        Each logged run comes with the time since its start. ``last_failure`` tells how
+        the last failed order to the target failed.
+        """
+        runs = list(target.runs.values())
+        if not runs:
+            return
+        self.counters.lost_runs += len(runs)
+        silent_ms = target.silent_since_ms
+        log_message(
+            "pool:runs_lost",
+            target=target.listing.name,
+            instance=target.listing.instance_started_ms,
+            cause=cause,
+            last_failure=target.last_failure,
+            silent_ms=0 if silent_ms is None else int(now_ms - silent_ms),
+            count=len(runs),
+            runs=_join(
+                f"{run.name}/{run.number}@{int(now_ms - run.started_ms)}"
+                for run in runs
+            ),
+        )
+
+    def task_requeued(
+        self, run: Run, target: TargetState, cause: str, now_ms: float
+    ) -> None:
         """Count and log that a task is queued again after a run without a result.
 
-        The logged ``attempts`` is the number of that run.
+        The logged ``attempts`` is the number of that run, which was at ``target``.
         """
         self.counters.runs_again += 1
         log_message(
             "pool:run_again",
             job=run.job.job.job_id,
             task=run.name,
+            target=target.listing.name,
             cause=cause,
             waited_ms=int(now_ms - run.job.received_ms),
             attempts=run.number,
--- a/hibiscusstack/pool/exposition.py
+++ b/hibiscusstack/pool/exposition.py
@@ -16,6 +16,7 @@
     "starts": ("", "Starts sent to targets."),
     "refused_starts": ("reason", "Starts that brought no run, by reason."),
     "runs_again": ("", "Tasks that wait again after a run without a result."),
+    "lost_runs": ("", "Runs that ended with the instance or lease of their target."),
     "delayed_jobs": ("cause", "Jobs that waited for an earlier run, by cause."),
     "resubmitted_starts": ("reason", "Starts for resubmitted jobs, by reason."),
     "adopted_runs": ("", "Runs of an earlier coordinator that were adopted."),
--- a/hibiscusstack/pool/target_state.py
+++ b/hibiscusstack/pool/target_state.py
@@ -117,6 +117,9 @@
     ``is_recorded`` tells whether the target is recorded in the log, where a later
     coordinator will read of it. No runs are started before.
 
+    ``last_failure`` tells how the last failed order failed, empty if none did. It is
+    only logged.
+
     ``poll_waiters`` are callbacks that wait for a poll, each with the time at which it
     was requested. ``on_free_capacity_changed`` is called after each change of the free
     capacity.
@@ -144,6 +147,7 @@
     poll_waiters: list[tuple[float, Callable[[], None]]] = attrs.field(factory=list)
     next_hold_ms: float = 0.0
     silent_since_ms: float | None = None
+    last_failure: str = ""
     unlisted_since_ms: float | None = None
     fenced_ms: float | None = None
     paused_until_ms: float = 0.0
--- a/hibiscusstack/pool/tests/test_events.py
+++ b/hibiscusstack/pool/tests/test_events.py
@@ -122,6 +122,22 @@
     return [line for line in lines if line["message_type"] == name]
 
 
+def test_runs_lost_with_a_target_are_logged_with_their_ages(lines):
+    harness = ScriptedCoordinator()
+    harness.take_over_target()
+    harness.submit()
+    harness.reply_to_start(Started(harness.clock.now_ms()))
+    lost = ReplyLost("connection closed")
+    harness.coordinator.hold_replied("t1", 5, harness.holds[-1], lost)
+    harness.clock.advance(650)
+    harness.coordinator.tick()
+    (line,) = find_events(lines, "pool:runs_lost")
+    assert (line["target"], line["instance"], line["count"]) == ("t1", 5, 1)
+    assert line["runs"] == "j1.0.0.0/1@650"
+    assert (line["last_failure"], line["silent_ms"]) == ("connection closed", 650)
+    assert harness.events.counters.lost_runs == 1
+
+
 def test_a_failed_run_is_retried_until_the_job_fails(lines):
     harness = ScriptedCoordinator()
     harness.take_over_target()
@@ -134,6 +150,7 @@
             "message_type": "pool:run_again",
             "job": "j1",
             "task": "j1.0.0.0",
+            "target": "t1",
             "cause": "failed",
             "waited_ms": 50,
             "attempts": 1,
