--- a/hibiscusstack/pool/tests/fleet.py
+++ b/hibiscusstack/pool/tests/fleet.py
@@ -2,6 +2,7 @@
 
 __all__ = ["Caller", "Fleet"]
 
+import json
 import math
 from collections.abc import Collection, Mapping
 
@@ -26,7 +27,8 @@
 class Caller:
     """A caller that submits one job and retries until it gets a final answer.
 
-    A caller with a ``zone`` reaches only the hosts in it.
+    A caller with a ``zone`` reaches only the hosts in it. ``state`` is that of the job
+    in the final answer.
     """
 
     job: Job
@@ -35,6 +37,7 @@
     host: str = ""
     attempt: int = 0
     statuses: list[int | None] = attrs.field(factory=list)
+    state: str = ""
     completed_ms: float = math.inf
     cancelled_ms: float = math.inf
     request: object = None
@@ -110,10 +113,17 @@
             if caller.host == name and not caller.is_done:
                 self._after(1, caller, self._attempt_failed)
 
-    def submit(self, *steps: Step, host: str = "", zone: str = "") -> Caller:
+    def submit(
+        self, *steps: Step, host: str = "", zone: str = "", is_stored: bool = False
+    ) -> Caller:
         """Submit a job of a new caller, to a random host unless one is given."""
         number = len(self.callers)
-        job = Job(f"{number:016x}", spec=f"job {number}", steps=steps, best_effort=True)
+        job = Job(
+            f"{number:016x}",
+            spec=f"job {number}",
+            steps=steps,
+            best_effort=not is_stored,
+        )
         self.catalog.add(job)
         caller = Caller(job, zone, self.now_ms)
         self.callers.append(caller)
@@ -166,9 +176,9 @@
             return
         edge, attempt = self.edges[caller.host], caller.attempt
 
-        def answered(status: int, _: bytes) -> None:
+        def answered(status: int, body: bytes) -> None:
             self.network.after(
-                CALLERS, 1, lambda: self._answered(caller, attempt, status)
+                CALLERS, 1, lambda: self._answered(caller, attempt, status, body)
             )
 
         def arrive() -> None:
@@ -187,13 +197,14 @@
 
         self.network.after(CALLERS, delay_ms, run_if_current)
 
-    def _answered(self, caller: Caller, attempt: int, status: int) -> None:
+    def _answered(self, caller: Caller, attempt: int, status: int, body: bytes) -> None:
         if caller.attempt != attempt or caller.is_done:
             return
         caller.statuses.append(status)
         caller.request = None
         if status == 200:
             caller.completed_ms = self.network.now_ms
+            caller.state = json.loads(body).get("state", "")
         elif status not in FINAL_STATUSES:
             caller.attempt += 1
             self._after(RETRY_MS if status == 503 else RESEND_MS, caller, self._send)
--- a/hibiscusstack_standins/estate/auditor.py
+++ b/hibiscusstack_standins/estate/auditor.py
@@ -20,6 +20,8 @@
 
 _REJECTIONS = frozenset({404, 429, 503})
 _LEARN_MS = 1_000
+_MAX_CRASHES = 3
+_MAX_STARTS_AFTER_CRASHES = 2
 
 
 @attrs.frozen
@@ -233,6 +235,7 @@
         return ""
 
     def _budget(self, start: _Start) -> Findings:
+        yield from self._crash_budget(start)
         if start.job.long_running or start.job.best_effort:
             return
         failed = {
@@ -243,6 +246,19 @@
         if len(failed) >= start.job.max_attempts:
             yield "BUDGET", f"{len(failed)} runs had failed"
 
+    def _crash_budget(self, start: _Start) -> Findings:
+        """Find a third start after three workers have crashed under the task."""
+        if start.task.index not in start.step.crashing:
+            return
+        runs = self._runs[start.event.task]
+        crashed_ms = sorted(run.end_ms for run in runs if run.is_cut_short)
+        if len(crashed_ms) < _MAX_CRASHES:
+            return
+        limit_ms = crashed_ms[_MAX_CRASHES - 1]
+        later = [run for run in runs if limit_ms < run.start.at_ms <= start.at_ms]
+        if len(later) > _MAX_STARTS_AFTER_CRASHES:
+            yield "BUDGET", f"{len(later)} starts after {_MAX_CRASHES} crashes"
+
     def _route(self, start: _Start) -> Findings:
         event, step = start.event, start.step
         if event.service not in self._services.get(start.job.queue, (event.service,)):
--- a/hibiscusstack_standins/estate/history.py
+++ b/hibiscusstack_standins/estate/history.py
@@ -28,10 +28,14 @@
 
 @attrs.frozen
 class RunInterval:
-    """A start, and when its run was over (``inf``: it runs on)."""
+    """A start, and when its run was over (``inf``: it runs on).
+
+    ``is_cut_short`` says that the worker crashed or left while it ran.
+    """
 
     start: RunStarted
     end_ms: float
+    is_cut_short: bool = False
 
 
 @attrs.frozen
@@ -87,7 +91,11 @@
     def runs(self) -> list[RunInterval]:
         """Return all runs of this life."""
         return [
-            RunInterval(start, self._over_ms.get(key, self._died_ms))
+            RunInterval(
+                start,
+                self._over_ms.get(key, self._died_ms),
+                key not in self._over_ms and not math.isinf(self._died_ms),
+            )
             for key, start in self._starts.items()
         ]
 
--- a/hibiscusstack_standins/estate/jobs.py
+++ b/hibiscusstack_standins/estate/jobs.py
@@ -44,7 +44,8 @@
     """A step of a job; ``work_ms`` is the true duration on a sound worker.
 
     With ``uneven_work_ms`` each task has a duration of its own. The client states
-    ``estimate_ms``; 0 stands for the true duration.
+    ``estimate_ms``; 0 stands for the true duration. The tasks with an index in
+    ``crashing`` crash the worker ``crash_delay_ms`` after each of their starts.
     """
 
     count: int = 1
@@ -64,6 +65,8 @@
     fails: bool = False
     estimate_ms: int = 0
     uneven_work_ms: tuple[int, ...] = ()
+    crashing: tuple[int, ...] = ()
+    crash_delay_ms: int = 10
 
     def work_of(self, index: int) -> int:
         """Return the true duration of one task.
--- a/hibiscusstack_standins/estate/worker.py
+++ b/hibiscusstack_standins/estate/worker.py
@@ -203,6 +203,8 @@
     def advance(self, now_ms: int) -> list[tuple[int, Outcome]]:
         """Do what is due, and return what is to be sent now."""
         self._pass_time(now_ms)
+        if self._life is None:
+            return self._outbox.take_due(now_ms)
         waiting, self._waiting = self._waiting, []
         for hold in waiting:
             if self._life.ends or now_ms >= hold.until_ms:
@@ -436,6 +438,8 @@
         """Return what happens to a run if nothing else does, and when."""
         progress = run.progress
         dues = [(run.stops_ms, "stopped")]
+        if run.task.index in run.step.crashing:
+            dues.append((run.started_ms + run.step.crash_delay_ms, "crashed"))
         if progress.broken_ms is not None:
             dues.append((max(progress.broken_ms, run.started_ms), "broken"))
         if progress.started_ms is None:
@@ -447,6 +451,13 @@
         return [(due_ms, what) for due_ms, what in dues if due_ms is not None]
 
     def _occur(self, now_ms: int) -> None:
+        if any(
+            due_ms <= now_ms and what == "crashed"
+            for run in self._life.runs.values()
+            for due_ms, what in self._dues_of(run)
+        ):
+            self._die(now_ms)
+            return
         for run in list(self._life.runs.values()):
             due = [what for due_ms, what in self._dues_of(run) if due_ms <= now_ms]
             if due:
