--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -28,6 +28,8 @@
 from hibiscusstack.pool.host_settings import PoolHostSettings
 from hibiscusstack.pool.interfaces import KeyedRecord, SequencedLog
 from hibiscusstack.pool.log_availability import LogAvailability
+from hibiscusstack.pool.loss_recorder import LossRecorder
+from hibiscusstack.pool.loss_records import apply_loss_records
 from hibiscusstack.pool.messages import (
     AskStored,
     CancelSubmission,
@@ -45,6 +47,7 @@
 from hibiscusstack.pool.stored.manager import StoredJobTiming
 from hibiscusstack.pool.stored.service import StoredJobService, StoredMessage
 from hibiscusstack.pool.submission_forwarder import SubmissionForwarder
+from hibiscusstack.pool.target_losses import TargetLosses
 from hibiscusstack.pool.target_reclaim import is_reclaim_due
 from hibiscusstack.pool.target_recorder import TargetRecorder
 from hibiscusstack.pool.target_records import TargetRecords
@@ -102,11 +105,13 @@
         self._last_tick_ms = self._created_ms = clock.now_ms()
         self._targets = RecentTargets()
         self._target_records = TargetRecords()
+        self._losses = TargetLosses(clock, is_recorded=True)
         self._agreement = HostAgreement(self._timing.max_orphan_run_ms)
         self._election = Election(own, settings.patience_ms)
         self._target_recorder = TargetRecorder(
             log, clock, self._election, self._target_records, self._targets_recorded
         )
+        self._loss_recorder = LossRecorder(log, clock, self._election, self._losses)
         self._registry = HostRegistry(own)
         self._peer_states = PeerStates()
         self._log_availability = LogAvailability()
@@ -136,6 +141,7 @@
             ordering=ordering,
             targets=self._targets,
             records=self._target_records,
+            losses=self._losses,
             stored=self.stored,
         )
         self._coordinator_discovery = CoordinatorDiscovery(
@@ -291,6 +297,9 @@
     ) -> None:
         self._target_records.apply_records(records, is_snapshot)
         self._targets_recorded()
+        has_losses = apply_loss_records(self._losses, records, is_snapshot)
+        if has_losses and self.coordinator is not None:
+            self.coordinator.losses_changed()
         for term in self._registry.apply_records(records, is_snapshot):
             self._record_term(term)
         self._mesh.replace_listed(self._registry.peer_addresses())
@@ -391,6 +400,7 @@
         self._begin_deputy_if_due(now_ms)
         self._reclaim_targets_if_due(now_ms)
         self._record_targets(now_ms)
+        self._loss_recorder.update(may_delete=self._role.is_holding)
         if self.coordinator is not None:
             self.coordinator.set_unheard_owners(self._silent_peers())
             self.coordinator.tick()
--- a/hibiscusstack/http/client.py
+++ b/hibiscusstack/http/client.py
@@ -12,7 +12,7 @@
 
 import attrs
 from twisted.internet.defer import Deferred, succeed
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError
 from twisted.internet.interfaces import IAddress, IConnector, IReactorTCP
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 from twisted.python.failure import Failure
@@ -52,9 +52,13 @@
 
 @attrs.frozen
 class NotSent:
-    """Nothing of the request was written."""
+    """Nothing of the request was written.
+
+    With ``is_refused`` the address refused the connection.
+    """
 
     cause: str
+    is_refused: bool = False
 
 
 @attrs.frozen
@@ -220,7 +224,7 @@
         self.on_opened()
         self.release(connection)
 
-    def failed(self, attempt: "_Attempt", cause: str) -> None:
+    def failed(self, attempt: "_Attempt", outcome: NotSent) -> None:
         """Give the request that has waited longest the failure to connect."""
         if attempt not in self._attempts:
             return
@@ -228,7 +232,7 @@
         exchange = self._waiting.popleft() if self._waiting else None
         self._connect_if_needed()
         if exchange is not None:
-            exchange.settle(NotSent(cause))
+            exchange.settle(outcome)
         self._tell_if_empty()
 
     def release(self, connection: "_Connection") -> None:
@@ -293,7 +297,9 @@
         self, connector: IConnector, reason: Failure
     ) -> None:
         """Tell the pool."""
-        self.pool.failed(self, reason.getErrorMessage() or reason.type.__name__)
+        cause = reason.getErrorMessage() or reason.type.__name__
+        is_refused = reason.check(ConnectionRefusedError) is not None
+        self.pool.failed(self, NotSent(cause, is_refused))
 
     def abort(self) -> None:
         """Stop connecting."""
--- a/hibiscusstack/pool/active_jobs.py
+++ b/hibiscusstack/pool/active_jobs.py
@@ -34,6 +34,8 @@
     ``overdue_count`` is the number of its runs that were stopped as overdue, that is,
     after they exceeded their time limit.
     ``checkpoint`` is the newest checkpoint, made by the run ``checkpoint_run``.
+    ``is_suspect`` is set once a target was lost while the task ran there, and
+    ``isolation_wait_since_ms`` is since when it waits for a target of its own.
     """
 
     key: TaskKey
@@ -45,6 +47,8 @@
     avoided_targets: set[str] = attrs.field(factory=set)
     checkpoint: str = ""
     checkpoint_run: int = 0
+    is_suspect: bool = False
+    isolation_wait_since_ms: float | None = None
 
     def note_checkpoint(self, run: int, checkpoint: str) -> None:
         """Store a checkpoint, unless a later run has already made one."""
--- /dev/null
+++ b/hibiscusstack/pool/coordination/lost_targets.py
@@ -0,0 +1,77 @@
+"""Tasks that were lost with their targets, and may have crashed them."""
+
+__all__ = ["drop_lost_runs", "fail_if_given_up", "mark_suspects", "note_loss"]
+
+from hibiscusstack.pool.active_jobs import ActiveJob, parse_task_name, task_name
+from hibiscusstack.pool.coordination.closing import close_job
+from hibiscusstack.pool.coordination.requeuing import drop_all_runs
+from hibiscusstack.pool.coordination.state import CoordinatorState
+from hibiscusstack.pool.messages import JobEnd
+from hibiscusstack.pool.target_losses import LossEvidence, TargetLoss
+from hibiscusstack.pool.target_state import RunKey, TargetState
+
+
+def note_loss(
+    state: CoordinatorState,
+    target: TargetState,
+    evidence: LossEvidence,
+    alive: frozenset[RunKey] = frozenset(),
+) -> None:
+    """Note the loss of a target instance, except for its runs that are ``alive``.
+
+    Each of the tasks that ran there becomes a suspect.
+    """
+    tasks = frozenset(
+        name for name, number in target.runs if (name, number) not in alive
+    )
+    if not tasks:
+        return
+    listing = target.listing
+    state.losses.note(
+        TargetLoss(listing.name, listing.instance_started_ms, tasks, evidence)
+    )
+    for run in target.runs.values():
+        if run.task is not None and run.name in tasks:
+            run.task.is_suspect = True
+
+
+def drop_lost_runs(
+    state: CoordinatorState, target: TargetState, now_ms: float, cause: str
+) -> None:
+    """Treat the runs of a lost target as ended, and give up tasks that crash targets.
+
+    The loss must have been noted. The other tasks are requeued.
+    """
+    jobs = [run.job for run in target.runs.values() if run.job is not None]
+    drop_all_runs(state, target, now_ms, cause)
+    for job in jobs:
+        if state.jobs.get(job.job.job_id) is job:
+            fail_if_given_up(state, job)
+
+
+def fail_if_given_up(state: CoordinatorState, job: ActiveJob) -> bool:
+    """Fail a job if one of its tasks has crashed too many targets; return whether.
+
+    A job that was given up before is answered alike when it is submitted again.
+    """
+    job_id = job.job.job_id
+    cause = state.losses.given_up_cause(job_id)
+    for name in () if cause else sorted(state.losses.suspects_of(job_id)):
+        losses = state.losses.responsible_losses(name, job.is_stored)
+        if losses:
+            state.events.task_given_up(job, name, losses, state.clock.now_ms())
+            targets = ", ".join(sorted(loss.target for loss in losses))
+            cause = f"given up: task {name} crashed targets {targets}"
+            state.losses.give_up(job_id, cause)
+            break
+    if cause:
+        close_job(state, job, JobEnd.FAILED, cause)
+    return bool(cause)
+
+
+def mark_suspects(state: CoordinatorState, job: ActiveJob) -> None:
+    """Mark the tasks of a job that ran at lost targets as suspects."""
+    for name in state.losses.suspects_of(job.job.job_id):
+        task = job.tasks.get(parse_task_name(name)[1])
+        if task is not None and task_name(job.job.job_id, task.key) == name:
+            task.is_suspect = True
--- a/hibiscusstack/pool/coordination/periodic_checks.py
+++ b/hibiscusstack/pool/coordination/periodic_checks.py
@@ -5,13 +5,16 @@
 from eliot import log_message
 
 from hibiscusstack.pool.coordination.closing import close_job
-from hibiscusstack.pool.coordination.requeuing import drop_all_runs, drop_run
+from hibiscusstack.pool.coordination.lost_targets import drop_lost_runs, note_loss
+from hibiscusstack.pool.coordination.requeuing import drop_run
 from hibiscusstack.pool.coordination.sending import send_hold, send_stop
 from hibiscusstack.pool.coordination.state import CoordinatorState
 from hibiscusstack.pool.coordination.target_instances import remove_instance
 from hibiscusstack.pool.messages import JobEnd
+from hibiscusstack.pool.target_losses import LossEvidence
 from hibiscusstack.pool.target_state import Run, RunState, TakeoverPhase, TargetState
 
+LOSS_NOTICE_MS = 50
 TARGETS_PER_CHECK = 32
 MAX_CHECK_GROUPS = 5
 
@@ -36,8 +39,8 @@
     if target.phase is TakeoverPhase.FENCED:
         _drop_fenced_runs(state, target, now_ms)
         return
-    if target.lease_expiry_ms <= now_ms and target.silent_since_ms is not None:
-        drop_all_runs(state, target, now_ms, "the lease expired")
+    if target.silent_since_ms is not None and target.runs:
+        _check_lost_runs(state, target, now_ms)
     # Ends of stored jobs from before then must not count, so the target may drop them.
     if state.discards_earlier_ends and now_ms >= target.no_renewal_until_ms:
         target.unacknowledged_ends.clear()
@@ -52,6 +55,24 @@
         remove_instance(state, target, "no longer listed")
 
 
+def _check_lost_runs(
+    state: CoordinatorState, target: TargetState, now_ms: float
+) -> None:
+    """Drop the runs of a silent target once its lease has expired.
+
+    The loss is noted before that if its address refuses connections, so that it is
+    recorded in the log as early as possible.
+    """
+    evidence = LossEvidence.REFUSING if target.is_refusing else LossEvidence.SILENT
+    is_over = target.lease_expiry_ms <= now_ms
+    if is_over or (
+        target.is_refusing and now_ms - target.silent_since_ms >= LOSS_NOTICE_MS
+    ):
+        note_loss(state, target, evidence)
+    if is_over:
+        drop_lost_runs(state, target, now_ms, "the lease expired")
+
+
 def _drop_fenced_runs(
     state: CoordinatorState, target: TargetState, now_ms: float
 ) -> None:
--- a/hibiscusstack/pool/coordination/replies.py
+++ b/hibiscusstack/pool/coordination/replies.py
@@ -57,7 +57,7 @@
     elif run is None or run.state is not RunState.STARTING:
         return
     elif isinstance(reply, ReplyLost):
-        mark_silent(state, target, now_ms, reply.cause)
+        mark_silent(state, target, now_ms, reply)
         send_poll(state, target)
         send_stop(state, target, run)
     else:
@@ -121,8 +121,7 @@
     elif isinstance(reply, FencedOut):
         mark_fenced(state, target)
     else:
-        cause = reply.reason if isinstance(reply, Refused) else reply.cause
-        mark_silent(state, target, now_ms, cause)
+        mark_silent(state, target, now_ms, reply)
         target.next_hold_ms = now_ms + state.timing.order_retry_ms
     # A fenced target would refuse every further hold. To others, a hold is sent once
     # its delay is over, unless one is in flight.
@@ -166,13 +165,13 @@
     """
     target.remove(run)
     if isinstance(reply, NotReached):
-        mark_silent(state, target, now_ms, reply.cause)
+        mark_silent(state, target, now_ms, reply)
         send_poll(state, target)
     elif reply.reason == "room":
         target.paused_until_ms = now_ms + FULL_TARGET_START_PAUSE_MS
         send_poll(state, target)
     elif reply.reason == "instance":
-        mark_silent(state, target, now_ms, reply.reason)
+        mark_silent(state, target, now_ms, reply)
         send_poll(state, target)
     elif reply.reason == "late":
         # The clock offset gave a lease end in the past, so it must be measured again.
--- a/hibiscusstack/pool/coordination/reported_runs.py
+++ b/hibiscusstack/pool/coordination/reported_runs.py
@@ -33,6 +33,9 @@
         target = replace_instance(state, target, reply, sent_ms)
     target.note_clock(reply.clock_ms, now_ms)
     target.silent_since_ms = None
+    target.is_refusing = False
+    if reply.instance_started_ms is not None:
+        state.losses.refute((target.listing.name, reply.instance_started_ms))
     for end in reply.ended:
         if end.number > target.processed_through:
             target.processed_through = end.number
--- a/hibiscusstack/pool/coordination/run_ends.py
+++ b/hibiscusstack/pool/coordination/run_ends.py
@@ -157,6 +157,8 @@
 ) -> None:
     target.health.note_success()
     job, task = run.job, run.task
+    if task.is_suspect:
+        state.losses.clear(run.name)
     job.active_count -= 1
     job.note_run_time(task, now_ms - run.started_ms)
     job.note_done(task)
--- a/hibiscusstack/pool/coordination/sending.py
+++ b/hibiscusstack/pool/coordination/sending.py
@@ -11,7 +11,13 @@
 from eliot import log_message
 
 from hibiscusstack.pool.coordination.state import CoordinatorState
-from hibiscusstack.pool.orders import HoldOrder, StopOrder
+from hibiscusstack.pool.orders import (
+    HoldOrder,
+    NotReached,
+    Refused,
+    ReplyLost,
+    StopOrder,
+)
 from hibiscusstack.pool.target_state import Run, RunState, TakeoverPhase, TargetState
 
 
@@ -79,10 +85,15 @@
 
 
 def mark_silent(
-    state: CoordinatorState, target: TargetState, now_ms: float, cause: str
+    state: CoordinatorState,
+    target: TargetState,
+    now_ms: float,
+    failure: Refused | NotReached | ReplyLost,
 ) -> None:
     """Mark an unresponsive target; it gets no work until it reports its runs again."""
+    cause = failure.reason if isinstance(failure, Refused) else failure.cause
     target.last_failure = cause
+    target.is_refusing = isinstance(failure, NotReached) and failure.is_refused
     if target.silent_since_ms is None:
         target.silent_since_ms = now_ms
         state.events.counters.silent_targets += 1
--- a/hibiscusstack/pool/coordination/starting.py
+++ b/hibiscusstack/pool/coordination/starting.py
@@ -3,6 +3,7 @@
 __all__ = ["start_waiting_tasks"]
 
 from hibiscusstack.pool.active_jobs import ActiveJob, PoolTask, task_name
+from hibiscusstack.pool.coordination.isolation import choose_suspect_target
 from hibiscusstack.pool.coordination.job_tracking import (
     activate_task,
     has_only_unheard_owners,
@@ -66,12 +67,21 @@
 
 
 def _start_job_tasks(state: CoordinatorState, job: ActiveJob, now_ms: float) -> bool:
-    """Start ready tasks of a job; return whether all of them were started."""
+    """Start ready tasks of a job; return whether all of them were started.
+
+    Suspects that wait for a target of their own count as started, since they don't
+    show that capacity is short.
+    """
     is_first = job.first_start_ms is None
     for task in list(job.ready):
-        target = choose_target(job, task, state.free_capacity, now_ms)
-        if target is None:
-            break
+        if task.is_suspect:
+            target = choose_suspect_target(state, job, task, now_ms)
+            if target is None:
+                continue
+        else:
+            target = choose_target(job, task, state.free_capacity, now_ms)
+            if target is None:
+                break
         _start_task(state, target, job, task, now_ms)
     if not job.ready:
         state.queue.discard(job)
@@ -79,7 +89,7 @@
     if is_first and job.first_start_ms is not None:
         # Move the job in the queue: started jobs come first.
         state.queue.add(job, now_ms)
-    return False
+    return all(task.is_suspect for task in job.ready)
 
 
 def _start_task(
@@ -94,6 +104,8 @@
     name = task_name(job.job.job_id, task.key)
     number, task.next_run = task.next_run, task.next_run + 1
     run = Run(name, number, job, task, task.step.needs, RunState.STARTING, now_ms)
+    run.is_isolated = task.is_suspect and not target.runs
+    task.isolation_wait_since_ms = None
     target.add(run)
     state.events.run_started(run, target.listing.name, state.token, now_ms)
     if job.is_resubmitted:
--- a/hibiscusstack/pool/coordination/state.py
+++ b/hibiscusstack/pool/coordination/state.py
@@ -16,6 +16,7 @@
 from hibiscusstack.pool.ordering import JobQueue
 from hibiscusstack.pool.orders import RunEnd, TargetOrders
 from hibiscusstack.pool.stored.interfaces import TaskJournal
+from hibiscusstack.pool.target_losses import TargetLosses
 from hibiscusstack.pool.target_records import RecordedTargets
 from hibiscusstack.pool.target_state import TargetState
 from hibiscusstack.pool.targets import ListedTarget
@@ -33,6 +34,7 @@
     CPU, and ``takeover_count`` is the number of takeovers begun so far.
     With ``discards_earlier_ends`` the leases found at a takeover are not renewed
     until they have expired, because the ends of runs from before then must not count.
+    ``losses`` are the lost targets that this host knows of.
     ``records`` are the targets that are recorded in the log; if there are none, all
     count as recorded. ``unrecorded`` names the targets that aren't usable yet.
 
@@ -55,6 +57,7 @@
     discards_earlier_ends: bool
     term_started_ms: float
     queue: JobQueue
+    losses: TargetLosses
     records: RecordedTargets | None = None
     unrecorded: set[str] = attrs.field(factory=set)
     check_count: int = 0
--- a/hibiscusstack/pool/coordination/stored_jobs.py
+++ b/hibiscusstack/pool/coordination/stored_jobs.py
@@ -19,6 +19,10 @@
     complete_if_done,
 )
 from hibiscusstack.pool.coordination.job_tracking import enqueue_job
+from hibiscusstack.pool.coordination.lost_targets import (
+    fail_if_given_up,
+    mark_suspects,
+)
 from hibiscusstack.pool.coordination.run_ends import handle_deferred_ends
 from hibiscusstack.pool.coordination.sending import send_poll
 from hibiscusstack.pool.coordination.starting import start_waiting_tasks
@@ -36,7 +40,8 @@
     job.earlier_coordinator_last_seen_ms = (
         state.term_started_ms + state.timing.seclusion_ms
     )
-    if not complete_if_done(state, job):
+    mark_suspects(state, job)
+    if not (fail_if_given_up(state, job) or complete_if_done(state, job)):
         enqueue_job(state, job)
 
 
--- a/hibiscusstack/pool/coordination/submissions.py
+++ b/hibiscusstack/pool/coordination/submissions.py
@@ -7,6 +7,10 @@
 from hibiscusstack.pool.coordination.adoption import adopt_stray_runs
 from hibiscusstack.pool.coordination.closing import close_job, complete_if_done
 from hibiscusstack.pool.coordination.job_tracking import enqueue_job
+from hibiscusstack.pool.coordination.lost_targets import (
+    fail_if_given_up,
+    mark_suspects,
+)
 from hibiscusstack.pool.coordination.starting import start_waiting_tasks
 from hibiscusstack.pool.coordination.state import CoordinatorState
 from hibiscusstack.pool.messages import JobEnd, SubmitPoolJob
@@ -26,7 +30,7 @@
         _note_resubmission(job, state.clock.now_ms() - message.unheard_ms)
     job.submissions.append(submission)
     state.by_submission[submission] = job
-    if not complete_if_done(state, job):
+    if not (fail_if_given_up(state, job) or complete_if_done(state, job)):
         if job.job.job_id in state.stray_run_counts:
             adopt_stray_runs(state)
         enqueue_job(state, job)
@@ -70,4 +74,5 @@
         earlier_coordinator_last_seen_ms=now_ms - message.unheard_ms,
     )
     state.jobs[message.job.job_id] = job
+    mark_suspects(state, job)
     return job
--- a/hibiscusstack/pool/coordination/target_instances.py
+++ b/hibiscusstack/pool/coordination/target_instances.py
@@ -17,11 +17,13 @@
 
 from hibiscusstack.pool.coordination.closing import close_job
 from hibiscusstack.pool.coordination.job_tracking import uncount_stray_run
-from hibiscusstack.pool.coordination.requeuing import drop_all_runs, drop_run
+from hibiscusstack.pool.coordination.lost_targets import drop_lost_runs, note_loss
+from hibiscusstack.pool.coordination.requeuing import drop_run
 from hibiscusstack.pool.coordination.sending import send_hold, send_poll, send_stop
 from hibiscusstack.pool.coordination.state import CoordinatorState
 from hibiscusstack.pool.messages import JobEnd
 from hibiscusstack.pool.orders import HoldReply
+from hibiscusstack.pool.target_losses import LossEvidence
 from hibiscusstack.pool.target_state import TakeoverPhase, TargetState
 from hibiscusstack.pool.targets import ListedTarget
 
@@ -96,6 +98,7 @@
         listing = attrs.evolve(
             target.listing, instance_started_ms=reply.instance_started_ms
         )
+    note_loss(state, target, LossEvidence.REPLACED, alive=frozenset(reply.active))
     replacement = _add_instance(state, listing, now_ms)
     replacement.is_unlisted_instance = not is_listed
     # A start order for the earlier instance may have renewed the lease of the new one.
@@ -112,7 +115,7 @@
             # confirmation counted, the next reply without the run would prove its end.
             run.confirmed_ms = None
             send_stop(state, replacement, run)
-    drop_all_runs(state, target, now_ms, "a new instance answered")
+    drop_lost_runs(state, target, now_ms, "a new instance answered")
     return replacement
 
 
@@ -123,7 +126,8 @@
     log_message("pool:target_gone", target=name, cause=cause)
     state.drop_target(name)
     state.orders.close_connections(target.listing)
-    drop_all_runs(state, target, now_ms, cause)
+    note_loss(state, target, LossEvidence.REPLACED)
+    drop_lost_runs(state, target, now_ms, cause)
 
 
 def reclaim_fenced_targets(state: CoordinatorState) -> None:
--- /dev/null
+++ b/hibiscusstack/pool/coordination/tests/test_isolation.py
@@ -0,0 +1,124 @@
+"""Tasks that may crash their target run alone, and hold up nothing else."""
+
+import attrs
+
+from hibiscusstack.pool.messages import JobEnd
+from hibiscusstack.pool.orders import NotReached, ReplyLost
+from hibiscusstack.pool.target_losses import LossEvidence, TargetLoss, TargetLosses
+from hibiscusstack.pool.tests.coordinator_harness import (
+    CoordinatorHarness,
+    make_job,
+    make_target,
+)
+
+MAX_LEASE_MS = 650
+REFUSED = NotReached("refused", is_refused=True)
+
+
+def lose(harness, name):
+    """Let a target refuse connections until its lease has expired."""
+    harness.fail_hold(name, ReplyLost("reset"))
+    harness.fail_hold(name, REFUSED)
+    for _ in range(MAX_LEASE_MS // 50):
+        harness.pass_time(50)
+        harness.fail_hold(name, REFUSED)
+    harness.pass_time(10)
+
+
+def test_a_task_that_was_lost_with_its_target_runs_alone():
+    harness = CoordinatorHarness("t1", "t2")
+    harness.complete_takeover("t1", "t2")
+    harness.submit_and_start("t1", make_job("suspect"))
+    lose(harness, "t1")
+    assert harness.started_runs()[1:] == [("t2", "suspect.0.0.0", 2)]
+    harness.reply_to_start()
+    harness.submit(make_job("other"))
+    assert len(harness.starts) == 2
+    harness.report_run_end("t2", ("suspect.0.0.0", 2))
+    assert harness.started_runs()[2:] == [("t2", "other.0.0.0", 1)]
+
+
+def test_a_target_is_reserved_for_a_suspect_while_others_take_new_runs():
+    harness = CoordinatorHarness("t1", "t2", "t3")
+    harness.complete_takeover("t1", "t2", "t3")
+    harness.submit_and_start("t1", make_job("suspect"))
+    (step,) = make_job("long", 8).steps
+    long_step = attrs.evolve(step, estimate_ms=5_000)
+    harness.state("t1").paused_until_ms = 1e9
+    harness.submit(attrs.evolve(make_job("long", 8), steps=(long_step,)))
+    runs = {"t2": [], "t3": []}
+    for sent in harness.starts[1:]:
+        harness.reply_to_start(sent=sent)
+        runs[sent[0].name].append((sent[1].task, sent[1].run))
+    assert [len(found) for found in runs.values()] == [4, 4]
+    lose(harness, "t1")
+    harness.submit(make_job("other"))
+    now_ms = harness.clock.now_ms()
+    (reserved,) = [n for n in runs if harness.state(n).reserved_until_ms > now_ms]
+    (free,) = runs.keys() - {reserved}
+    assert len(harness.starts) == 9
+    for name in (reserved, free):
+        ended = runs[name].pop()
+        harness.report_run_end(name, ended, active=runs[name])
+    assert harness.started_runs()[9:] == [(free, "other.0.0.0", 1)]
+    for number, ended in enumerate(runs[reserved], start=2):
+        left = runs[reserved][number - 1 :]
+        harness.report_run_end(reserved, ended, number=number, active=left)
+    assert harness.started_runs()[10:] == [(reserved, "suspect.0.0.0", 2)]
+
+
+def test_a_second_crash_of_a_task_that_ran_alone_fails_its_job():
+    harness = CoordinatorHarness("t1", "t2", "t3")
+    harness.complete_takeover("t1", "t2", "t3")
+    harness.submit_and_start("t1", make_job("culprit"))
+    lose(harness, "t1")
+    second = harness.starts[-1][0].name
+    harness.reply_to_start()
+    lose(harness, second)
+    assert harness.ends() == [JobEnd.FAILED]
+    assert harness.answers[0].cause == (
+        f"given up: task culprit.0.0.0 crashed targets t1, {second}"
+    )
+    # The job is answered alike when it is submitted again.
+    harness.submit(make_job("culprit"))
+    assert harness.ends() == 2 * [JobEnd.FAILED]
+    assert len(harness.starts) == 2
+
+
+def test_a_target_that_is_only_silent_is_not_counted_as_a_crash():
+    harness = CoordinatorHarness("t1", "t2", "t3")
+    harness.complete_takeover("t1", "t2", "t3")
+    harness.submit_and_start("t1", make_job())
+    for _ in range(2):
+        name = harness.starts[-1][0].name
+        harness.reply_to_start()
+        harness.fail_hold(name, ReplyLost("timeout"))
+        harness.pass_time(MAX_LEASE_MS + 20)
+    assert harness.answers == [] and len(harness.starts) == 3
+
+
+def test_no_suspect_starts_before_its_loss_is_recorded():
+    harness = CoordinatorHarness("t1", "t2")
+    losses = TargetLosses(harness.clock, is_recorded=True)
+    harness = CoordinatorHarness(losses=losses)
+    harness.coordinator.replace_targets([make_target("t1")])
+    harness.complete_takeover("t1")
+    losses.note(TargetLoss("t0", 5, frozenset(["j.0.0.0"]), LossEvidence.REFUSING))
+    harness.submit()
+    assert harness.starts == []
+    losses.unsaved.clear()
+    harness.pass_time(10)
+    assert len(harness.starts) == 1
+
+
+def test_losses_read_from_the_log_make_suspects_of_known_jobs():
+    losses = TargetLosses(CoordinatorHarness().clock)
+    harness = CoordinatorHarness("t1", losses=losses)
+    harness.submit(make_job("j", 2))
+    losses.apply(TargetLoss("t0", 5, frozenset(["j.0.0.1"]), LossEvidence.REFUSING))
+    harness.coordinator.losses_changed()
+    harness.complete_takeover("t1")
+    assert [order.task for _, order in harness.starts] == ["j.0.0.0"]
+    harness.reply_to_start()
+    harness.report_run_end("t1", ("j.0.0.0", 1))
+    assert [order.task for _, order in harness.starts] == ["j.0.0.0", "j.0.0.1"]
--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -10,6 +10,7 @@
 from hibiscusstack.dispatch.messages import HostName
 from hibiscusstack.pool.active_jobs import ActiveJob
 from hibiscusstack.pool.coordination.adoption import adopt_stray_runs
+from hibiscusstack.pool.coordination.lost_targets import mark_suspects
 from hibiscusstack.pool.coordination.periodic_checks import run_periodic_checks
 from hibiscusstack.pool.coordination.replies import (
     handle_hold_reply,
@@ -52,6 +53,7 @@
     TargetOrders,
 )
 from hibiscusstack.pool.stored.interfaces import TaskJournal
+from hibiscusstack.pool.target_losses import TargetLosses
 from hibiscusstack.pool.target_records import RecordedTargets
 from hibiscusstack.pool.target_state import TargetState
 from hibiscusstack.pool.targets import ListedTarget
@@ -69,6 +71,8 @@
     ``records`` are the targets that are recorded in the log, where a later coordinator
     reads them. Tasks are started only at these, and an earlier coordinator may have
     work only at these. Without ``records``, all listed targets count as recorded.
+    ``losses`` are the targets that were lost with their runs, also during earlier
+    terms; tasks that crash their targets are given up.
 
     A deputy controls only some of the targets, and the coordinator that it replaces may
     still be running elsewhere. The deputy therefore adopts no runs. Before it starts
@@ -95,6 +99,7 @@
         timing: CoordinatorTiming | None = None,
         events: PoolEvents | None = None,
         records: RecordedTargets | None = None,
+        losses: TargetLosses | None = None,
         is_deputy: bool = False,
         discards_earlier_ends: bool = False,
         ordering: OrderingPolicy | None = None,
@@ -107,6 +112,7 @@
             timing=timing or CoordinatorTiming(),
             events=events or PoolEvents(),
             records=records,
+            losses=losses or TargetLosses(clock),
             is_deputy=is_deputy,
             discards_earlier_ends=discards_earlier_ends,
             term_started_ms=clock.now_ms(),
@@ -185,6 +191,11 @@
         adopt_stray_runs(self._state)
         start_waiting_tasks(self._state)
 
+    def losses_changed(self) -> None:
+        """Use what has been read about lost targets."""
+        for job in self._state.jobs.values():
+            mark_suspects(self._state, job)
+
     def missing_targets(self) -> list[str]:
         """Return the names of the recorded targets that are not under control here."""
         return list(self._state.missing_names())
--- a/hibiscusstack/pool/coordinator_role.py
+++ b/hibiscusstack/pool/coordinator_role.py
@@ -13,6 +13,7 @@
 from hibiscusstack.pool.orders import TargetOrders
 from hibiscusstack.pool.recent_targets import RecentTargets
 from hibiscusstack.pool.stored.service import StoredJobService
+from hibiscusstack.pool.target_losses import TargetLosses
 from hibiscusstack.pool.target_records import TargetRecords
 from hibiscusstack.pool.target_state import TakeoverPhase
 from hibiscusstack.pool.timing import CoordinatorTiming
@@ -26,7 +27,7 @@
     the targets there, and the general deputy those of all data centres.
 
     ``records`` are the targets that are recorded in the log. Coordinators of all kinds
-    start tasks only at these.
+    start tasks only at these. ``losses`` are the lost targets that the host knows of.
     """
 
     def __init__(
@@ -40,6 +41,7 @@
         events: PoolEvents,
         targets: RecentTargets,
         records: TargetRecords,
+        losses: TargetLosses,
         stored: StoredJobService,
         ordering: OrderingPolicy | None = None,
     ) -> None:
@@ -53,6 +55,7 @@
         self._events = events
         self._targets = targets
         self._records = records
+        self._losses = losses
         self._stored = stored
         self._ordering = ordering
 
@@ -153,5 +156,6 @@
             events=self._events,
             ordering=self._ordering,
             records=self._records,
+            losses=self._losses,
             **terms,
         )
--- a/hibiscusstack/pool/counters.py
+++ b/hibiscusstack/pool/counters.py
@@ -30,7 +30,8 @@
     requests that failed, by reason; besides refusals by the target these are requests
     that were fenced or not sent, and lost replies. ``runs_again`` counts the tasks
     queued again after a run without a result, and ``lost_runs`` the runs that ended
-    with the instance or lease of their target. ``delayed_jobs`` counts the jobs that
+    with the instance or lease of their target. ``given_up_tasks`` counts the tasks
+    given up because they crashed their targets. ``delayed_jobs`` counts the jobs that
     had to wait because an earlier run may still be active, by cause, each job once.
     ``resubmitted_starts`` counts the starts for resubmitted jobs, by the reason for
     which they were allowed, and ``adopted_runs`` the runs of earlier coordinators that
@@ -46,6 +47,7 @@
     refused_starts: Counter[str] = attrs.field(factory=Counter)
     runs_again: int = 0
     lost_runs: int = 0
+    given_up_tasks: int = 0
     delayed_jobs: Counter[str] = attrs.field(factory=Counter)
     resubmitted_starts: Counter[str] = attrs.field(factory=Counter)
     adopted_runs: int = 0
--- a/hibiscusstack/pool/events.py
+++ b/hibiscusstack/pool/events.py
@@ -13,6 +13,7 @@
 from hibiscusstack.pool.counters import PoolCounters
 from hibiscusstack.pool.messages import JobEnd
 from hibiscusstack.pool.orders import FencedOut, NotReached, Refused, ReplyLost, Started
+from hibiscusstack.pool.target_losses import TargetLoss
 from hibiscusstack.pool.target_state import Run, TargetState
 
 _EVENT_NAMES = {
@@ -274,6 +275,31 @@
             ),
         )
 
+    def task_given_up(
+        self,
+        job: ActiveJob,
+        task: str,
+        losses: Collection[TargetLoss],
+        now_ms: float,
+    ) -> None:
+        """Count and log that a task is given up since it crashed its targets.
+
+        Each target is logged with its instance and the evidence of its loss.
+        """
+        self.counters.given_up_tasks += 1
+        log_message(
+            "pool:task_given_up",
+            level="warning",
+            job=job.job.job_id,
+            task=task,
+            waited_ms=int(now_ms - job.received_ms),
+            count=len(losses),
+            targets=_join(
+                f"{loss.target}/{loss.instance_started_ms}:{loss.evidence.name.lower()}"
+                for loss in losses
+            ),
+        )
+
     def task_requeued(
         self, run: Run, target: TargetState, cause: str, now_ms: float
     ) -> None:
--- a/hibiscusstack/pool/exposition.py
+++ b/hibiscusstack/pool/exposition.py
@@ -17,6 +17,7 @@
     "refused_starts": ("reason", "Starts that brought no run, by reason."),
     "runs_again": ("", "Tasks that wait again after a run without a result."),
     "lost_runs": ("", "Runs that ended with the instance or lease of their target."),
+    "given_up_tasks": ("", "Tasks given up because they crashed their targets."),
     "delayed_jobs": ("cause", "Jobs that waited for an earlier run, by cause."),
     "resubmitted_starts": ("reason", "Starts for resubmitted jobs, by reason."),
     "adopted_runs": ("", "Runs of an earlier coordinator that were adopted."),
--- a/hibiscusstack/pool/orders.py
+++ b/hibiscusstack/pool/orders.py
@@ -136,9 +136,13 @@
 
 @attrs.frozen
 class NotReached:
-    """Nothing was sent, so the order was not carried out."""
+    """Nothing was sent, so the order was not carried out.
+
+    With ``is_refused`` the address refused the connection.
+    """
 
     cause: str
+    is_refused: bool = False
 
 
 @attrs.frozen
--- a/hibiscusstack/pool/placement.py
+++ b/hibiscusstack/pool/placement.py
@@ -1,6 +1,6 @@
 """Choice of a target for a task."""
 
-__all__ = ["choose_target"]
+__all__ = ["choose_target", "may_run"]
 
 from hibiscusstack.pool.active_jobs import ActiveJob, PoolTask
 from hibiscusstack.pool.capacity_index import FreeCapacityIndex
@@ -20,7 +20,7 @@
     best, lowest_penalties = None, None
     step = task.step
     for target in index.with_free_cpu(job.job.pool, step.needs.cpu_milli):
-        if not _can_run(target, job, task, now_ms):
+        if not (target.may_start(now_ms) and may_run(target, job, task)):
             continue
         listing = target.listing
         penalties = (
@@ -35,11 +35,10 @@
     return best
 
 
-def _can_run(
-    target: TargetState, job: ActiveJob, task: PoolTask, now_ms: float
-) -> bool:
+def may_run(target: TargetState, job: ActiveJob, task: PoolTask) -> bool:
+    """Return whether a target that takes runs has what ``task`` needs."""
     step, listing = task.step, target.listing
-    if target.clock_offset_ms is None or not target.may_start(now_ms):
+    if target.clock_offset_ms is None:
         return False
     if target.health.is_on_trial and target.runs:
         return False
--- /dev/null
+++ b/hibiscusstack/pool/target_losses.py
@@ -0,0 +1,253 @@
+"""Targets that were lost while tasks ran there, and what that says of the tasks."""
+
+__all__ = [
+    "MAX_LOSSES",
+    "LossEvidence",
+    "TargetLoss",
+    "TargetLosses",
+    "has_crashed_targets",
+    "job_id_of",
+]
+
+from collections.abc import Collection, Iterable
+from enum import IntEnum
+
+import attrs
+
+from hibiscusstack.clock import Clock
+from hibiscusstack.pool.active_jobs import parse_task_name
+
+MAX_LOSSES = 5
+_CRASHES_TO_GIVE_UP = 2
+_CRASHES_WHERE_TARGETS_FAIL = 3
+_UNRELATED_LOSS_MS = 60_000
+
+
+class LossEvidence(IntEnum):
+    """What shows that a target was lost, from weak to strong.
+
+    ``SILENT``: it did not answer until its lease had expired, so it may have been cut
+    off. ``REFUSING``: its address refused connections all that time. ``REPLACED``: a
+    new instance of it answered or was listed.
+    """
+
+    SILENT = 0
+    REFUSING = 1
+    REPLACED = 2
+
+
+@attrs.frozen
+class TargetLoss:
+    """The loss of one target instance, with the names of the tasks that ran there."""
+
+    target: str
+    instance_started_ms: int
+    tasks: frozenset[str]
+    evidence: LossEvidence
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """The target's name and instance; each instance is lost at most once."""
+        return self.target, self.instance_started_ms
+
+    @property
+    def is_crash(self) -> bool:
+        """Whether the target has probably crashed, and was not just cut off."""
+        return self.evidence > LossEvidence.SILENT
+
+
+def job_id_of(task: str) -> str:
+    """Return the id of the job of a task, empty if it is no name of a task.
+
+    >>> job_id_of("5c0e.0.1.17")
+    '5c0e'
+    """
+    parsed = parse_task_name(task)
+    return parsed[0] if parsed else ""
+
+
+def has_crashed_targets(
+    losses: Collection[TargetLoss], *, is_careful: bool = False
+) -> bool:
+    """Return whether a task that was at all these losses has to be given up.
+
+    Targets crash for other reasons as well, and all tasks that run there are lost with
+    them. So a task is held responsible only if it was alone at one of the crashes.
+    After ``MAX_LOSSES`` it is given up in any case, as its starts must be bounded. With
+    ``is_careful`` one more crash is required.
+
+    >>> def lost(target, *tasks):
+    ...     return TargetLoss(target, 1, frozenset(tasks), LossEvidence.REFUSING)
+    >>> has_crashed_targets([lost("t1", "a", "b"), lost("t2", "a", "c")])
+    False
+    >>> has_crashed_targets([lost("t1", "a", "b"), lost("t2", "a")])
+    True
+    """
+    if len(losses) >= MAX_LOSSES:
+        return True
+    crashes = [loss for loss in losses if loss.is_crash]
+    limit = _CRASHES_WHERE_TARGETS_FAIL if is_careful else _CRASHES_TO_GIVE_UP
+    return len(crashes) >= limit and any(len(loss.tasks) == 1 for loss in crashes)
+
+
+class TargetLosses:
+    """The losses of targets that all coordinators know of, and jobs given up for them.
+
+    A host keeps them beyond its terms as coordinator. If they are recorded in the log,
+    from which other hosts learn them, ``unsaved`` maps each loss and job id that is to
+    be appended there to the time of its last change.
+    """
+
+    def __init__(self, clock: Clock, is_recorded: bool = False) -> None:
+        self.unsaved: dict[tuple[str, int] | str, float] = {}
+        self._is_recorded = is_recorded
+        self._clock = clock
+        self._losses: dict[tuple[str, int], TargetLoss] = {}
+        self._by_job: dict[str, set[tuple[str, int]]] = {}
+        self._given_up: dict[str, str] = {}
+        self._noted_ms: dict[tuple[str, int] | str, float] = {}
+        self._cleared: set[str] = set()
+        self._last_unrelated_ms: float | None = None
+
+    def loss(self, key: tuple[str, int]) -> TargetLoss | None:
+        """Return the loss of a target instance, if it is known."""
+        return self._losses.get(key)
+
+    def losses_of(self, task: str) -> list[TargetLoss]:
+        """Return the losses of targets at which a task ran that has not ended since."""
+        if task in self._cleared:
+            return []
+        losses = (self._losses[key] for key in self._by_job.get(job_id_of(task), ()))
+        return [loss for loss in losses if task in loss.tasks]
+
+    def suspects_of(self, job_id: str) -> set[str]:
+        """Return the names of the tasks of a job that ran at lost targets."""
+        losses = (self._losses[key] for key in self._by_job.get(job_id, ()))
+        tasks = {task for loss in losses for task in loss.tasks - self._cleared}
+        return {task for task in tasks if job_id_of(task) == job_id}
+
+    def responsible_losses(self, task: str, is_stored: bool) -> list[TargetLoss]:
+        """Return the losses for which a task is given up, none if it isn't.
+
+        More crashes are required if the job is stored, or while targets are lost for
+        other reasons.
+        """
+        losses = self.losses_of(task)
+        is_careful = is_stored or self._targets_fail_otherwise()
+        return losses if has_crashed_targets(losses, is_careful=is_careful) else []
+
+    def may_restart(self, task: str, max_wait_ms: float) -> bool:
+        """Return whether other hosts can know of all losses at which a task ran.
+
+        Beyond ``max_wait_ms`` after a loss, its task may be started again without.
+        """
+        now_ms = self._clock.now_ms()
+        return all(
+            now_ms >= self.unsaved.get(loss.key, 0.0) + max_wait_ms
+            for loss in self.losses_of(task)
+        )
+
+    def note(self, loss: TargetLoss) -> None:
+        """Add a loss; one that is known only gets stronger evidence."""
+        known = self._losses.get(loss.key)
+        if known is None:
+            self.mark_unsaved(loss.key)
+        else:
+            evidence = max(known.evidence, loss.evidence)
+            loss = attrs.evolve(known, evidence=evidence)
+        self.apply(loss)
+
+    def apply(self, loss: TargetLoss) -> None:
+        """Add or replace a loss as read from the log."""
+        self._losses[loss.key] = loss
+        self._noted_ms.setdefault(loss.key, self._clock.now_ms())
+        for task in loss.tasks:
+            self._by_job.setdefault(job_id_of(task), set()).add(loss.key)
+
+    def refute(self, key: tuple[str, int]) -> None:
+        """Drop a loss, because the target instance has answered again."""
+        if key in self._losses:
+            self.discard(key)
+            self.mark_unsaved(key)
+
+    def discard(self, key: tuple[str, int]) -> None:
+        """Drop a loss, if it is known."""
+        loss = self._losses.pop(key, None)
+        self._noted_ms.pop(key, None)
+        if loss is None:
+            return
+        for job_id in {job_id_of(task) for task in loss.tasks}:
+            keys = self._by_job[job_id]
+            keys.discard(key)
+            if not keys:
+                del self._by_job[job_id]
+        self._cleared = {
+            task for task in self._cleared if job_id_of(task) in self._by_job
+        }
+
+    def clear(self, task: str) -> None:
+        """Note that a run of a task ended at its target, which survived it.
+
+        A loss all of whose tasks are cleared had another reason.
+        """
+        losses = self.losses_of(task)
+        self._cleared.add(task)
+        if any(loss.tasks <= self._cleared for loss in losses):
+            self._last_unrelated_ms = self._clock.now_ms()
+
+    def given_up_cause(self, job_id: str) -> str | None:
+        """Return why a job was given up, ``None`` if it was not."""
+        return self._given_up.get(job_id)
+
+    def give_up(self, job_id: str, cause: str) -> None:
+        """Note that a job was given up."""
+        self.mark_unsaved(job_id)
+        self.apply_given_up(job_id, cause)
+
+    def apply_given_up(self, job_id: str, cause: str) -> None:
+        """Add a job that was given up, as read from the log."""
+        self._given_up[job_id] = cause
+        self._noted_ms.setdefault(job_id, self._clock.now_ms())
+
+    def discard_given_up(self, job_id: str) -> None:
+        """Forget that a job was given up."""
+        self._given_up.pop(job_id, None)
+        self._noted_ms.pop(job_id, None)
+
+    def replace_saved(
+        self, losses: Iterable[TargetLoss], given_up: Iterable[tuple[str, str]]
+    ) -> None:
+        """Replace all that was read from the log; keep what is not saved yet."""
+        for key in [key for key in self._losses if key not in self.unsaved]:
+            self.discard(key)
+        for job_id in [
+            job_id for job_id in self._given_up if job_id not in self.unsaved
+        ]:
+            self.discard_given_up(job_id)
+        for loss in losses:
+            self.apply(loss)
+        for job_id, cause in given_up:
+            self.apply_given_up(job_id, cause)
+
+    def mark_unsaved(self, entry: tuple[str, int] | str) -> None:
+        """Let the record of a loss or a given-up job be appended or deleted."""
+        if self._is_recorded:
+            self.unsaved[entry] = self._clock.now_ms()
+
+    def expired(self, age_ms: float, max_count: int) -> list[tuple[str, int] | str]:
+        """Return the entries noted longer ago than ``age_ms``, and those too many."""
+        limit_ms = self._clock.now_ms() - age_ms
+        keys = list(self._noted_ms)
+        excess = max(0, len(keys) - max_count)
+        return [
+            key
+            for index, key in enumerate(keys)
+            if index < excess or self._noted_ms[key] < limit_ms
+        ]
+
+    def _targets_fail_otherwise(self) -> bool:
+        """Return whether a target was lost recently for none of its tasks."""
+        last_ms = self._last_unrelated_ms
+        return (
+            last_ms is not None and self._clock.now_ms() < last_ms + _UNRELATED_LOSS_MS
+        )
--- a/hibiscusstack/pool/target_state.py
+++ b/hibiscusstack/pool/target_state.py
@@ -1,6 +1,6 @@
 """State that a coordinator keeps about one target instance and its runs."""
 
-__all__ = ["Run", "RunState", "TakeoverPhase", "TargetState"]
+__all__ = ["Run", "RunKey", "RunState", "TakeoverPhase", "TargetState"]
 
 from collections.abc import Callable
 from enum import Enum
@@ -51,7 +51,8 @@
 
     ``job`` and ``task`` are ``None`` for a run that belongs to no known job.
     ``started_ms`` is when the start was sent, or when a run of an earlier coordinator
-    was first reported, which ``is_reported`` tells. ``confirmed_ms`` is when the target
+    was first reported, which ``is_reported`` tells. While a run ``is_isolated``, its
+    target gets no other. ``confirmed_ms`` is when the target
     last reported the run, and ``stop_confirmed_ms`` when it confirmed the stop. Times
     are on the clock of this host.
     """
@@ -68,6 +69,7 @@
     stop_sent_ms: float | None = None
     stop_confirmed_ms: float | None = None
     is_reported: bool = False
+    is_isolated: bool = False
 
     def was_confirmed_before(self, sent_ms: float) -> bool:
         """Return whether the run or its stop was confirmed before ``sent_ms``."""
@@ -117,6 +119,10 @@
     ``is_recorded`` tells whether the target is recorded in the log, where a later
     coordinator will read of it. No runs are started before.
 
+    ``is_refusing`` tells whether the address refused the connection for the last
+    order. ``isolated_run`` is a run that must be the only one. Until
+    ``reserved_until_ms`` only isolated runs are started.
+
     ``last_failure`` tells how the last failed order failed, empty if none did. It is
     only logged.
 
@@ -148,6 +154,9 @@
     next_hold_ms: float = 0.0
     silent_since_ms: float | None = None
     last_failure: str = ""
+    is_refusing: bool = False
+    isolated_run: Run | None = None
+    reserved_until_ms: float = 0.0
     unlisted_since_ms: float | None = None
     fenced_ms: float | None = None
     paused_until_ms: float = 0.0
@@ -199,10 +208,15 @@
         """Return whether new runs may be started on this target.
 
         Its free capacity is not considered. Starts pause while too many ends are
-        unacknowledged.
+        unacknowledged, and while the target is kept for isolated runs.
         """
+        return now_ms >= self.reserved_until_ms and self.may_start_suspect(now_ms)
+
+    def may_start_suspect(self, now_ms: float) -> bool:
+        """Return whether a run that is to be isolated may be started on this target."""
         return (
-            self.phase is TakeoverPhase.HELD
+            self.isolated_run is None
+            and self.phase is TakeoverPhase.HELD
             and self.is_recorded
             and not self.listing.is_leaving
             and not self.is_unlisted_instance
@@ -217,11 +231,16 @@
     def add(self, run: Run) -> None:
         """Add a run and count the resources that it uses."""
         self.runs[run.name, run.number] = run
+        if run.is_isolated:
+            self.isolated_run = run
+            self.reserved_until_ms = 0.0
         self._set_used(self.used.plus(run.needs))
 
     def remove(self, run: Run) -> None:
         """Remove a run and free its resources."""
         del self.runs[run.name, run.number]
+        if self.isolated_run is run:
+            self.isolated_run = None
         self._set_used(self.used.minus(run.needs))
 
     def replace_listing(self, listing: ListedTarget) -> None:
--- a/hibiscusstack/pool/tests/fleet.py
+++ b/hibiscusstack/pool/tests/fleet.py
@@ -203,7 +203,8 @@
         caller.statuses.append(status)
         caller.request = None
         if status == 200:
-            caller.completed_ms = self.network.now_ms
+            if caller.job.best_effort:
+                caller.completed_ms = self.network.now_ms
             caller.state = json.loads(body).get("state", "")
         elif status not in FINAL_STATUSES:
             caller.attempt += 1
--- a/hibiscusstack/pool/tests/test_coordinator_role.py
+++ b/hibiscusstack/pool/tests/test_coordinator_role.py
@@ -10,6 +10,7 @@
 from hibiscusstack.pool.jobs import PoolJob, Resources, Step
 from hibiscusstack.pool.messages import CancelSubmission, SubmitPoolJob
 from hibiscusstack.pool.recent_targets import RecentTargets
+from hibiscusstack.pool.target_losses import TargetLosses
 from hibiscusstack.pool.target_records import (
     TargetRecords,
     encode_target_record,
@@ -64,6 +65,7 @@
             events=PoolEvents(),
             targets=self.targets,
             records=self.records,
+            losses=TargetLosses(ManualClock(100)),
             stored=self.stored,
         )
         self.stored.role = self.role
--- /dev/null
+++ b/hibiscusstack/pool/tests/test_target_losses.py
@@ -0,0 +1,135 @@
+"""Losses of targets, and the tasks that are held responsible for them."""
+
+import pytest
+
+from hibiscusstack.clock import ManualClock
+from hibiscusstack.pool.target_losses import (
+    MAX_LOSSES,
+    LossEvidence,
+    TargetLoss,
+    TargetLosses,
+    has_crashed_targets,
+)
+
+SILENT, REFUSING, REPLACED = LossEvidence
+
+
+def loss(target, *tasks, evidence=REFUSING, instance=5):
+    return TargetLoss(target, instance, frozenset(tasks), evidence)
+
+
+def names(losses):
+    return {each.target for each in losses}
+
+
+@pytest.mark.parametrize("evidence", [REFUSING, REPLACED])
+def test_a_task_is_given_up_after_two_crashes_if_it_was_alone_at_one(evidence):
+    shared = loss("t1", "j.0.0.0", "k.0.0.0", evidence=evidence)
+    alone = loss("t2", "j.0.0.0", evidence=evidence)
+    assert not has_crashed_targets([alone])
+    assert not has_crashed_targets([shared, loss("t3", "j.0.0.0", "l.0.0.0")])
+    assert has_crashed_targets([shared, alone])
+
+
+def test_a_careful_decision_requires_three_crashes():
+    losses = [loss(f"t{number}", "j.0.0.0") for number in range(3)]
+    assert not has_crashed_targets(losses[:2], is_careful=True)
+    assert has_crashed_targets(losses, is_careful=True)
+
+
+def test_silence_is_no_crash_but_bounds_the_starts():
+    losses = [loss(f"t{n}", "j.0.0.0", evidence=SILENT) for n in range(MAX_LOSSES)]
+    assert not has_crashed_targets(losses[:-1])
+    assert has_crashed_targets(losses)
+
+
+def test_each_instance_counts_once_with_its_strongest_evidence():
+    losses = TargetLosses(ManualClock(0))
+    losses.note(loss("t1", "j.0.0.0", evidence=REFUSING))
+    losses.note(loss("t1", "j.0.0.0", evidence=SILENT))
+    (known,) = losses.losses_of("j.0.0.0")
+    assert known.evidence is REFUSING
+    losses.note(loss("t1", "j.0.0.0", instance=6))
+    assert len(losses.losses_of("j.0.0.0")) == 2
+
+
+def test_a_loss_is_refuted_when_the_instance_answers_again():
+    losses = TargetLosses(ManualClock(0), is_recorded=True)
+    losses.note(loss("t1", "j.0.0.0"))
+    losses.unsaved.clear()
+    losses.refute(("t1", 6))
+    assert losses.losses_of("j.0.0.0") and not losses.unsaved
+    losses.refute(("t1", 5))
+    assert losses.losses_of("j.0.0.0") == [] and list(losses.unsaved) == [("t1", 5)]
+
+
+def test_losses_count_for_the_task_and_not_for_others_of_its_job():
+    losses = TargetLosses(ManualClock(0))
+    losses.note(loss("t1", "j.0.0.0", "k.0.0.3"))
+    losses.note(loss("t2", "j.0.0.0"))
+    assert losses.suspects_of("j") == {"j.0.0.0"}
+    assert losses.losses_of("j.0.0.1") == []
+    assert names(losses.responsible_losses("j.0.0.0", is_stored=False)) == {"t1", "t2"}
+    assert losses.responsible_losses("k.0.0.3", is_stored=False) == []
+    assert losses.responsible_losses("j.0.0.0", is_stored=True) == []
+
+
+def test_a_task_that_has_ended_at_a_target_is_no_suspect_any_more():
+    losses = TargetLosses(ManualClock(0))
+    losses.note(loss("t1", "j.0.0.0", "k.0.0.0"))
+    losses.clear("k.0.0.0")
+    assert losses.losses_of("k.0.0.0") == [] and losses.suspects_of("k") == set()
+    assert losses.suspects_of("j") == {"j.0.0.0"}
+
+
+def test_more_crashes_are_required_while_targets_are_lost_for_other_reasons():
+    clock = ManualClock(0)
+    losses = TargetLosses(clock)
+    for target in ("t1", "t2"):
+        losses.note(loss(target, "j.0.0.0"))
+    losses.note(loss("t3", "k.0.0.0", "k.0.0.1"))
+    losses.clear("k.0.0.0")
+    assert losses.responsible_losses("j.0.0.0", is_stored=False)
+    losses.clear("k.0.0.1")
+    assert not losses.responsible_losses("j.0.0.0", is_stored=False)
+    clock.advance(60_000)
+    assert losses.responsible_losses("j.0.0.0", is_stored=False)
+
+
+def test_a_task_waits_until_its_losses_are_recorded_but_not_for_long():
+    clock = ManualClock(0)
+    losses = TargetLosses(clock, is_recorded=True)
+    losses.note(loss("t1", "j.0.0.0"))
+    assert not losses.may_restart("j.0.0.0", 200)
+    assert losses.may_restart("k.0.0.0", 200)
+    clock.advance(200)
+    assert losses.may_restart("j.0.0.0", 200)
+    losses.note(loss("t2", "j.0.0.0"))
+    assert not losses.may_restart("j.0.0.0", 200)
+    losses.unsaved.clear()
+    assert losses.may_restart("j.0.0.0", 200)
+
+
+def test_a_snapshot_replaces_what_was_read_and_keeps_what_is_unsaved():
+    losses = TargetLosses(ManualClock(0), is_recorded=True)
+    losses.apply(loss("read", "j.0.0.0"))
+    losses.apply_given_up("old", "crashes")
+    losses.note(loss("noted", "j.0.0.0"))
+    losses.give_up("new", "crashes")
+    losses.replace_saved([loss("later", "j.0.0.0")], [("j", "cause")])
+    assert names(losses.losses_of("j.0.0.0")) == {"noted", "later"}
+    assert losses.given_up_cause("old") is None
+    assert losses.given_up_cause("new") == "crashes"
+    assert losses.given_up_cause("j") == "cause"
+
+
+def test_entries_expire_by_age_and_by_number():
+    clock = ManualClock(0)
+    losses = TargetLosses(clock)
+    losses.note(loss("t1", "j.0.0.0"))
+    clock.advance(100)
+    losses.note(loss("t2", "j.0.0.0"))
+    losses.give_up("j", "cause")
+    assert losses.expired(100, 10) == []
+    assert losses.expired(99, 10) == [("t1", 5)]
+    assert losses.expired(1_000, 1) == [("t1", 5), ("t2", 5)]
--- a/hibiscusstack_standins/estate/edges.py
+++ b/hibiscusstack_standins/estate/edges.py
@@ -71,7 +71,7 @@
 def _as_product(answer: Outcome) -> HttpAnswer | NotSent | AnswerLost:
     if isinstance(answer, Unanswered):
         is_sent = answer.cause != "refused"
-        return AnswerLost(answer.cause) if is_sent else NotSent(answer.cause)
+        return AnswerLost(answer.cause) if is_sent else NotSent(answer.cause, True)
     body = answer.body
     if not isinstance(body, bytes):
         body = json.dumps(body).encode()
--- a/hibiscusstack_standins/estate/queues.py
+++ b/hibiscusstack_standins/estate/queues.py
@@ -59,7 +59,7 @@
 def encode_job(job: Job) -> bytes:
     """Return the body by which a client submits a job."""
     steps = [_encode_step(step) for step in job.steps]
-    body = {"spec": job.spec, "best_effort": True, "steps": steps}
+    body = {"spec": job.spec, "best_effort": job.best_effort, "steps": steps}
     return json.dumps(body).encode()
 
 
