Reject jobs at once that only silent targets could serve in time

Targets that have been silent for a whole lease don't count any more. The new test fails without this.

--- a/hibiscusstack/pool/coordination/periodic_checks.py
+++ b/hibiscusstack/pool/coordination/periodic_checks.py
@@ -167,8 +167,8 @@
 def _expected_capacity_milli(state: CoordinatorState, now_ms: float) -> int:
     """Return the CPU capacity that is expected soon, 0 while no target may start runs.
 
-    A target that is being taken over, does not answer or has just left the list counts:
-    it will be usable in a moment, or be removed from the targets.
+    A target that is being taken over or has just fallen silent counts, since it will
+    probably be usable in a moment. One that stays silent for a whole lease does not.
     """
     targets = state.targets.values()
     if not any(target.may_start(now_ms) for target in targets):
@@ -179,4 +179,14 @@
         if target.phase is not TakeoverPhase.FENCED
         and not target.listing.is_leaving
         and now_ms >= target.paused_until_ms
+        and not _is_away(state, target, now_ms)
+    )
+
+
+def _is_away(state: CoordinatorState, target: TargetState, now_ms: float) -> bool:
+    """Return whether a target has been silent for as long as a lease lasts."""
+    silent_since_ms = target.silent_since_ms
+    return (
+        silent_since_ms is not None
+        and now_ms >= silent_since_ms + state.timing.max_lease_ms
     )
--- a/hibiscusstack/pool/coordination/tests/test_periodic_checks.py
+++ b/hibiscusstack/pool/coordination/tests/test_periodic_checks.py
@@ -64,6 +64,20 @@
     assert harness.answers == []
 
 
+# Guards against jobs that wait until their cutoff for targets that have crashed.
+def test_jobs_are_rejected_early_for_want_of_targets_that_stay_silent():
+    harness = CoordinatorHarness("t1", "t2", "t3", "t4")
+    harness.complete_takeover("t1", "t2", "t3", "t4")
+    for name in ("t2", "t3", "t4"):
+        harness.fail_hold(name, ReplyLost("reset"))
+    harness.pass_time(math.ceil(TIMING.max_lease_ms))
+    for number in range(20):
+        harness.submit(make_job(f"j{number}", target_latency_ms=50))
+    harness.pass_time(30)
+    assert harness.ends() and set(harness.ends()) == {JobEnd.REFUSED}
+    assert all(answer.retry_ms > 0 for answer in harness.answers)
+
+
 def test_a_resubmitted_job_that_is_too_late_ends_as_unknown():
     harness = CoordinatorHarness("t1")
     harness.submit(make_job("j", target_latency_ms=100), unheard_ms=0)
