Tell crashes of targets from their other losses

A crash now counts fully only if no other target was lost at the same time; otherwise three are required. A target that leaves shows no crash.

Suspects wait up to 500 ms for a target of their own before they share one.

--- a/hibiscusstack/pool/coordination/isolation.py
+++ b/hibiscusstack/pool/coordination/isolation.py
@@ -18,7 +18,7 @@
 _MIN_RESERVATION_MS = 50
 _MAX_RESERVATION_MS = 500
 # How long a suspect waits for a target of its own before it may share one.
-_MAX_ISOLATION_WAIT_MS = 150
+_MAX_ISOLATION_WAIT_MS = 500
 _MAX_RECORD_WAIT_MS = 200
 
 
--- a/hibiscusstack/pool/coordination/lost_targets.py
+++ b/hibiscusstack/pool/coordination/lost_targets.py
@@ -2,7 +2,7 @@
 
 __all__ = ["drop_lost_runs", "fail_if_given_up", "mark_suspects", "note_loss"]
 
-from hibiscusstack.pool.active_jobs import ActiveJob, parse_task_name, task_name
+from hibiscusstack.pool.active_jobs import ActiveJob, parse_task_name
 from hibiscusstack.pool.coordination.closing import close_job
 from hibiscusstack.pool.coordination.requeuing import drop_all_runs
 from hibiscusstack.pool.coordination.state import CoordinatorState
@@ -10,6 +10,9 @@
 from hibiscusstack.pool.target_losses import LossEvidence, TargetLoss
 from hibiscusstack.pool.target_state import RunKey, TargetState
 
+# Targets that fall silent within this time are lost for a common reason.
+SAME_TIME_MS = 50
+
 
 def note_loss(
     state: CoordinatorState,
@@ -19,7 +22,7 @@
 ) -> None:
     """Note the loss of a target instance, except for its runs that are ``alive``.
 
-    Each of the tasks that ran there becomes a suspect.
+    A target that is leaving ends its runs when it goes, so its loss shows no crash.
     """
     tasks = frozenset(
         name for name, number in target.runs if (name, number) not in alive
@@ -27,12 +30,34 @@
     if not tasks:
         return
     listing = target.listing
+    if listing.is_leaving:
+        evidence = LossEvidence.SILENT
+    known = state.losses.loss((listing.name, listing.instance_started_ms))
+    if known is not None and known.evidence >= evidence:
+        return
     state.losses.note(
-        TargetLoss(listing.name, listing.instance_started_ms, tasks, evidence)
+        TargetLoss(
+            listing.name,
+            listing.instance_started_ms,
+            tasks,
+            evidence,
+            _is_single(state, target),
+        )
     )
     for run in target.runs.values():
         if run.task is not None and run.name in tasks:
-            run.task.is_suspect = True
+            run.task.is_suspect = state.losses.must_isolate(run.name)
+
+
+def _is_single(state: CoordinatorState, target: TargetState) -> bool:
+    """Return whether no other target fell silent at about the same time."""
+    silent_ms = target.silent_since_ms
+    return silent_ms is None or not any(
+        other is not target
+        and other.silent_since_ms is not None
+        and abs(other.silent_since_ms - silent_ms) <= SAME_TIME_MS
+        for other in state.targets.values()
+    )
 
 
 def drop_lost_runs(
@@ -70,8 +95,8 @@
 
 
 def mark_suspects(state: CoordinatorState, job: ActiveJob) -> None:
-    """Mark the tasks of a job that ran at lost targets as suspects."""
+    """Mark the tasks of a job that may have crashed targets as suspects."""
     for name in state.losses.suspects_of(job.job.job_id):
         task = job.tasks.get(parse_task_name(name)[1])
-        if task is not None and task_name(job.job.job_id, task.key) == name:
-            task.is_suspect = True
+        if task is not None:
+            task.is_suspect = state.losses.must_isolate(name)
--- a/hibiscusstack/pool/coordination/tests/test_isolation.py
+++ b/hibiscusstack/pool/coordination/tests/test_isolation.py
@@ -85,6 +85,21 @@
     assert len(harness.starts) == 2
 
 
+def test_targets_that_leave_are_not_counted_as_crashes():
+    names = ("t1", "t2", "t3")
+    harness = CoordinatorHarness(*names)
+    harness.complete_takeover(*names)
+    harness.submit_and_start("t1", make_job())
+    for number in range(2):
+        name = harness.starts[-1][0].name
+        harness.reply_to_start()
+        harness.coordinator.replace_targets(
+            make_target(each, is_leaving=each in names[: number + 1]) for each in names
+        )
+        lose(harness, name)
+    assert harness.answers == [] and len(harness.starts) == 3
+
+
 def test_a_target_that_is_only_silent_is_not_counted_as_a_crash():
     harness = CoordinatorHarness("t1", "t2", "t3")
     harness.complete_takeover("t1", "t2", "t3")
--- a/hibiscusstack/pool/loss_records.py
+++ b/hibiscusstack/pool/loss_records.py
@@ -43,7 +43,8 @@
 
 def encode_loss(loss: TargetLoss) -> bytes:
     """Return the value of the record of a loss."""
-    return json.dumps([int(loss.evidence), sorted(loss.tasks)]).encode()
+    fields = [int(loss.evidence), loss.is_single, sorted(loss.tasks)]
+    return json.dumps(fields).encode()
 
 
 def encode_given_up(cause: str) -> bytes:
@@ -58,15 +59,16 @@
     """
     target, instance_started_ms = _decode_loss_key(record.key)
     try:
-        evidence, tasks = json.loads(record.value or b"")
+        evidence, is_single, tasks = json.loads(record.value or b"")
         return TargetLoss(
             target,
             instance_started_ms,
             frozenset(map(_require_text, tasks)),
             LossEvidence(evidence),
+            is_single is True,
         )
     except (ValueError, TypeError, RecursionError):
-        raise DecodeError(record.key, "evidence and tasks", record.value) from None
+        raise DecodeError(record.key, "fields of a loss", record.value) from None
 
 
 def apply_loss_records(
--- a/hibiscusstack/pool/target_losses.py
+++ b/hibiscusstack/pool/target_losses.py
@@ -18,8 +18,8 @@
 from hibiscusstack.pool.active_jobs import parse_task_name
 
 MAX_LOSSES = 5
-_CRASHES_TO_GIVE_UP = 2
-_CRASHES_WHERE_TARGETS_FAIL = 3
+_MAX_SINGLE_CRASHES = 2
+_MAX_CRASHES = 3
 _UNRELATED_LOSS_MS = 60_000
 
 
@@ -38,12 +38,16 @@
 
 @attrs.frozen
 class TargetLoss:
-    """The loss of one target instance, with the names of the tasks that ran there."""
+    """The loss of one target instance, with the names of the tasks that ran there.
+
+    ``is_single`` tells whether no other target was lost at the same time.
+    """
 
     target: str
     instance_started_ms: int
     tasks: frozenset[str]
     evidence: LossEvidence
+    is_single: bool = True
 
     @property
     def key(self) -> tuple[str, int]:
@@ -72,9 +76,10 @@
     """Return whether a task that was at all these losses has to be given up.
 
     Targets crash for other reasons as well, and all tasks that run there are lost with
-    them. So a task is held responsible only if it was alone at one of the crashes.
-    After ``MAX_LOSSES`` it is given up in any case, as its starts must be bounded. With
-    ``is_careful`` one more crash is required.
+    them. So a task is held responsible only if it was alone at one of the crashes. Two
+    crashes are enough if each was that of a single target, and three otherwise or with
+    ``is_careful``. After ``MAX_LOSSES`` a task is given up in any case, as its starts
+    must be bounded.
 
     >>> def lost(target, *tasks):
     ...     return TargetLoss(target, 1, frozenset(tasks), LossEvidence.REFUSING)
@@ -86,8 +91,10 @@
     if len(losses) >= MAX_LOSSES:
         return True
     crashes = [loss for loss in losses if loss.is_crash]
-    limit = _CRASHES_WHERE_TARGETS_FAIL if is_careful else _CRASHES_TO_GIVE_UP
-    return len(crashes) >= limit and any(len(loss.tasks) == 1 for loss in crashes)
+    if not any(len(loss.tasks) == 1 for loss in crashes):
+        return False
+    single_count = 0 if is_careful else sum(loss.is_single for loss in crashes)
+    return single_count >= _MAX_SINGLE_CRASHES or len(crashes) >= _MAX_CRASHES
 
 
 class TargetLosses:
@@ -126,6 +133,15 @@
         tasks = {task for loss in losses for task in loss.tasks - self._cleared}
         return {task for task in tasks if job_id_of(task) == job_id}
 
+    def must_isolate(self, task: str) -> bool:
+        """Return whether a task has to run alone, as it may crash its target.
+
+        One loss of a target that was only silent is no reason, since targets that are
+        cut off are lost in that way.
+        """
+        losses = self.losses_of(task)
+        return len(losses) > 1 or any(loss.is_crash for loss in losses)
+
     def responsible_losses(self, task: str, is_stored: bool) -> list[TargetLoss]:
         """Return the losses for which a task is given up, none if it isn't.
 
--- a/hibiscusstack/pool/tests/test_target_losses.py
+++ b/hibiscusstack/pool/tests/test_target_losses.py
@@ -1,5 +1,6 @@
 """Losses of targets, and the tasks that are held responsible for them."""
 
+import attrs
 import pytest
 
 from hibiscusstack.clock import ManualClock
@@ -31,6 +32,23 @@
     assert has_crashed_targets([shared, alone])
 
 
+def test_three_crashes_are_required_if_targets_were_lost_together():
+    alone = loss("t1", "j.0.0.0")
+    together = [attrs.evolve(loss(t, "j.0.0.0"), is_single=False) for t in ("t2", "t3")]
+    assert not has_crashed_targets([alone, together[0]])
+    assert has_crashed_targets([alone, *together])
+
+
+def test_a_task_is_isolated_after_a_crash_or_a_second_loss():
+    losses = TargetLosses(ManualClock(0))
+    losses.note(loss("t1", "j.0.0.0", evidence=SILENT))
+    assert not losses.must_isolate("j.0.0.0")
+    losses.note(loss("t2", "j.0.0.0", evidence=SILENT))
+    assert losses.must_isolate("j.0.0.0")
+    losses.note(loss("t3", "k.0.0.0", evidence=REFUSING))
+    assert losses.must_isolate("k.0.0.0")
+
+
 def test_a_careful_decision_requires_three_crashes():
     losses = [loss(f"t{number}", "j.0.0.0") for number in range(3)]
     assert not has_crashed_targets(losses[:2], is_careful=True)
