Start nothing beside a run whose needs are not known

The target now takes no starts until that run has ended (test_nothing_starts_beside_a_run_whose_needs_are_not_known failed before). Further cases of capacities that shrink and grow passed unchanged: with stops pending, with the log away, and over a change of the coordinator.

--- a/hibiscusstack/pool/coordination/adoption.py
+++ b/hibiscusstack/pool/coordination/adoption.py
@@ -22,7 +22,7 @@
     """Add a run that was not started here, and adopt it if its task is ready."""
     name, number = key
     run = Run(name, number, None, None, NO_RESOURCES, RunState.RUNNING, now_ms)
-    run.is_reported = True
+    run.is_reported = run.has_unknown_needs = True
     run.confirmed_ms = now_ms
     target.add(run)
     count_stray_run(state, name)
@@ -54,6 +54,7 @@
     uncount_stray_run(state, run.name)
     target.remove(run)
     run.job, run.task, run.needs = job, task, task.step.needs
+    run.has_unknown_needs = False
     target.add(run)
     activate_task(state, job, task, run.started_ms)
     task.next_run = max(task.next_run, run.number + 1)
--- a/hibiscusstack/pool/target_state.py
+++ b/hibiscusstack/pool/target_state.py
@@ -51,10 +51,10 @@
 
     ``job`` and ``task`` are ``None`` for a run that belongs to no known job.
     ``started_ms`` is when the start was sent, or when a run of an earlier coordinator
-    was first reported, which ``is_reported`` tells. While a run ``is_isolated``, its
-    target gets no other. ``confirmed_ms`` is when the target
+    was first reported, which ``is_reported`` tells. ``confirmed_ms`` is when the target
     last reported the run, and ``stop_confirmed_ms`` when it confirmed the stop. Times
-    are on the clock of this host.
+    are on the clock of this host. While a run ``is_isolated``, its target gets no
+    other. A run ``has_unknown_needs`` if its job isn't known.
     """
 
     name: str
@@ -70,6 +70,7 @@
     stop_confirmed_ms: float | None = None
     is_reported: bool = False
     is_isolated: bool = False
+    has_unknown_needs: bool = False
 
     def was_confirmed_before(self, sent_ms: float) -> bool:
         """Return whether the run or its stop was confirmed before ``sent_ms``."""
@@ -121,7 +122,8 @@
 
     ``is_refusing`` tells whether the address refused the connection for the last
     order. ``isolated_run`` is a run that must be the only one. Until
-    ``reserved_until_ms`` only isolated runs are started.
+    ``reserved_until_ms`` only isolated runs are started. ``unknown_needs_count`` is the
+    number of runs whose needs aren't known, beside which nothing is started.
 
     ``last_failure`` tells how the last failed order failed, empty if none did. It is
     only logged.
@@ -156,6 +158,7 @@
     last_failure: str = ""
     is_refusing: bool = False
     isolated_run: Run | None = None
+    unknown_needs_count: int = 0
     reserved_until_ms: float = 0.0
     unlisted_since_ms: float | None = None
     fenced_ms: float | None = None
@@ -216,6 +219,7 @@
         """Return whether a run that is to be isolated may be started on this target."""
         return (
             self.isolated_run is None
+            and not self.unknown_needs_count
             and self.phase is TakeoverPhase.HELD
             and self.is_recorded
             and not self.listing.is_leaving
@@ -231,6 +235,7 @@
     def add(self, run: Run) -> None:
         """Add a run and count the resources that it uses."""
         self.runs[run.name, run.number] = run
+        self.unknown_needs_count += run.has_unknown_needs
         if run.is_isolated:
             self.isolated_run = run
             self.reserved_until_ms = 0.0
@@ -239,6 +244,7 @@
     def remove(self, run: Run) -> None:
         """Remove a run and free its resources."""
         del self.runs[run.name, run.number]
+        self.unknown_needs_count -= run.has_unknown_needs
         if self.isolated_run is run:
             self.isolated_run = None
         self._set_used(self.used.minus(run.needs))
--- a/hibiscusstack_standins/estate/worker.py
+++ b/hibiscusstack_standins/estate/worker.py
@@ -234,6 +234,11 @@
             for run in self._life.runs.values():
                 self._set_speed(now_ms, run)
 
+    def resize(self, now_ms: int, capacity: Capacity) -> None:
+        """Change the capacity; what runs goes on, even if it doesn't fit any more."""
+        self._pass_time(now_ms)
+        self.plan = attrs.evolve(self.plan, capacity=capacity)
+
     def drain(self, now_ms: int, remaining_ms: int) -> None:
         """Report ``draining`` from now on, and leave after that time."""
         self._pass_time(now_ms)
