Play tasks that crash their targets in the state machine of the pool

The machine gets steps that crash the worker; its coordinators share the losses as they do by the log.

--- a/hibiscusstack/pool/tests/model_cluster.py
+++ b/hibiscusstack/pool/tests/model_cluster.py
@@ -1,6 +1,6 @@
 """A simulated cluster of hosts, workers and callers, for arbitrary fault sequences."""
 
-__all__ = ["HOSTS", "SHAPES", "WORKERS", "ModelCluster"]
+__all__ = ["CRASHING_SHAPES", "HOSTS", "SHAPES", "WORKERS", "ModelCluster"]
 
 import math
 from collections import defaultdict
@@ -16,6 +16,7 @@
 from hibiscusstack.pool.jobs import Step as PoolStep
 from hibiscusstack.pool.messages import JobEnd, PoolMessage, SubmissionAnswer
 from hibiscusstack.pool.submission_forwarder import ReceivedJob
+from hibiscusstack.pool.target_losses import TargetLosses
 from hibiscusstack.pool.targets import ListedTarget
 from hibiscusstack.pool.tests.model_host import Link, ModelHost
 from hibiscusstack_standins.estate.auditor import Auditor, ClientRecord, Violation
@@ -35,6 +36,10 @@
     "labelled": (Step(2, 120, 400, requires="ssd", anti_affinity=1),),
     "failing": (Step(1, 60, 400, fails=True),),
 }
+CRASHING_SHAPES = {
+    "crashing": (Step(1, 120, 400, crashing=(0,)),),
+    "crashing late": (Step(2, 120, 400, crashing=(1,), crash_delay_ms=110),),
+}
 
 _LABELS = {"w0": ("ssd",), "w2": ("ssd",)}
 _CLOCK_RATES = {"w1": 0.98}
@@ -101,7 +106,8 @@
     ``holders`` maps worker and token to the hosts whose orders the worker accepted.
     ``without_log`` names the hosts that cannot reach the log. ``unread`` maps each host
     to the workers whose list entries it has not read. ``recorded`` are the records of
-    the workers in the log, with their first addresses.
+    the workers in the log, with their first addresses. ``losses`` are the lost workers
+    that all coordinators know of, as if each read the log at once.
     """
 
     def __init__(
@@ -117,6 +123,7 @@
         self.places = {(place, name) for name, place in HOSTS.items()}
         self.callers: list[Caller] = []
         self.hosts: dict[str, ModelHost] = {}
+        self.losses = TargetLosses(self.clock)
         self.frozen: set[str] = set()
         self.cuts: set[frozenset[str]] = set()
         self.holders: defaultdict[tuple, set[HostName]] = defaultdict(set)
@@ -145,7 +152,7 @@
     def make_coordinator(self, **options) -> Coordinator:
         """Return a new coordinator or deputy."""
         self._coordinator_count += 1
-        return self._coordinator_class(**options)
+        return self._coordinator_class(losses=self.losses, **options)
 
     def start_host(self, name: str) -> None:
         """Start or restart a host."""
@@ -334,7 +341,7 @@
         job = Job(
             f"{number:016x}",
             spec=f"job {number}",
-            steps=SHAPES[shape],
+            steps=(SHAPES | CRASHING_SHAPES)[shape],
             max_attempts=_MAX_ATTEMPTS,
             best_effort=True,
         )
