--- a/hibiscusstack/http/client.py
+++ b/hibiscusstack/http/client.py
@@ -77,6 +77,8 @@
     request: bytes
     due_s: float
     outcome: Deferred[Outcome]
+    timeout_s: float
+    latest_s: float
     waiting: Deadline | None = None
 
     def settle(self, outcome: Outcome) -> None:
@@ -123,10 +125,13 @@
         body: bytes = b"",
         headers: Sequence[tuple[str, str]] = (),
         timeout_ms: float = 1000,
+        max_time_ms: float = 0,
     ) -> Deferred[Outcome]:
         """Send a request to ``address``, ``IP:PORT``; the Deferred never fails.
 
-        The time for a connection to become free counts into ``timeout_ms``.
+        The time for a connection to become free counts into ``timeout_ms``. An answer
+        whose parts arrive within ``timeout_ms`` of each other may take longer, up to
+        ``max_time_ms`` in all.
         """
         if self._is_closed:
             return succeed(NotSent("the client is closed"))
@@ -136,8 +141,9 @@
         except ValueError as fault:
             return succeed(NotSent(str(fault)))
         timeout_ms = max(timeout_ms, 0)
-        due_s = self._reactor.seconds() + timeout_ms / 1000
-        exchange = _Exchange(method, request, due_s, Deferred())
+        now_s, timeout_s = self._reactor.seconds(), timeout_ms / 1000
+        due_s, latest_s = now_s + timeout_s, now_s + max_time_ms / 1000
+        exchange = _Exchange(method, request, due_s, Deferred(), timeout_s, latest_s)
         pool.start(exchange, timeout_ms)
         return exchange.outcome
 
@@ -368,6 +374,8 @@
             return
         if body is not None:
             self._answered(body)
+        else:
+            self._extend_deadline()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Report the loss, or the answer that ends with its connection."""
@@ -378,6 +386,14 @@
         else:
             self._end(AnswerLost(reason.getErrorMessage()))
 
+    def _extend_deadline(self) -> None:
+        """Give the rest of an answer that is arriving more time, within its limit."""
+        exchange, now_s = self._exchange, self._reactor.seconds()
+        due_s = min(now_s + exchange.timeout_s, exchange.latest_s)
+        if due_s > exchange.due_s:
+            exchange.due_s = due_s
+            self._deadline.set((due_s - now_s) * 1000)
+
     def _expired(self) -> None:
         self.abort("no whole answer in time")
 
--- a/hibiscusstack/http/tests/test_client.py
+++ b/hibiscusstack/http/tests/test_client.py
@@ -103,6 +103,39 @@
     assert not transport.disconnecting
 
 
+# Guards against a long answer over a slow link that is given up, and asked for again,
+# each time before it has arrived.
+def test_an_answer_whose_parts_keep_arriving_gets_more_time():
+    caller = _Caller()
+    outcome = caller.client.request(
+        ADDRESS, "GET", "/", timeout_ms=100, max_time_ms=1_000
+    )
+    transport = caller.reactor.accept()
+    transport.receive(b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n")
+    for _ in range(8):
+        caller.reactor.advance(0.09)
+        assert not outcome.called
+        transport.receive(b"x")
+    assert outcome.result.body == 8 * b"x"
+
+
+@pytest.mark.parametrize(("pause_s", "parts"), [(0.11, 1), (0.09, 11)])
+def test_an_answer_that_stalls_or_takes_too_long_is_lost(pause_s, parts):
+    caller = _Caller()
+    outcome = caller.client.request(
+        ADDRESS, "GET", "/", timeout_ms=100, max_time_ms=1_000
+    )
+    transport = caller.reactor.accept()
+    transport.receive(b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n")
+    for _ in range(parts):
+        assert not outcome.called
+        caller.reactor.advance(pause_s)
+        if not outcome.called:
+            transport.receive(b"x")
+    caller.reactor.advance(0.02)
+    assert outcome.result == AnswerLost("no whole answer in time")
+
+
 def test_answer_that_ends_with_its_connection():
     caller = _Caller()
     transport = caller.get_over_new_connection()
--- a/hibiscusstack_standins/estate/edges.py
+++ b/hibiscusstack_standins/estate/edges.py
@@ -38,7 +38,14 @@
         self._busy: defaultdict[str, set[int]] = defaultdict(set)
 
     def request(  # noqa: PLR0917
-        self, address, method, target, body=b"", headers=(), timeout_ms=1_000
+        self,
+        address,
+        method,
+        target,
+        body=b"",
+        headers=(),
+        timeout_ms=1_000,
+        max_time_ms=0,
     ) -> Deferred:
         """Call a party on a connection that is free."""
         callee, outcome = address.rpartition(":")[0], Deferred()
