--- a/hibiscusstack/pool/coordination/target_instances.py
+++ b/hibiscusstack/pool/coordination/target_instances.py
@@ -125,7 +125,10 @@
     name = target.listing.name
     log_message("pool:target_gone", target=name, cause=cause)
     state.drop_target(name)
-    state.orders.close_connections(target.listing)
+    # A target that was started in its place may have its address.
+    address = target.listing.address
+    if all(other.listing.address != address for other in state.targets.values()):
+        state.orders.close_connections(target.listing)
     note_loss(state, target, LossEvidence.REPLACED)
     drop_lost_runs(state, target, now_ms, cause)
 
--- a/hibiscusstack/pool/coordination/tests/test_target_instances.py
+++ b/hibiscusstack/pool/coordination/tests/test_target_instances.py
@@ -2,6 +2,8 @@
 
 import math
 
+import pytest
+
 from hibiscusstack.pool.messages import JobEnd
 from hibiscusstack.pool.orders import FencedOut, ReplyLost, RunEnd
 from hibiscusstack.pool.target_state import TakeoverPhase
@@ -105,6 +107,20 @@
     assert harness.started_runs()[1:] == [("t1", run[0], 2)]
 
 
+# Guards against the loss of all orders to a target that was started in the place of one
+# that crashed, when the latter is removed.
+@pytest.mark.parametrize("is_taken", [False, True])
+def test_connections_to_an_address_that_another_target_has_are_kept(is_taken):
+    harness = CoordinatorHarness("t1")
+    harness.complete_takeover("t1")
+    harness.fail_hold("t1", ReplyLost("reset"))
+    address = make_target("t1").address if is_taken else "t2:1"
+    harness.coordinator.replace_targets([make_target("t2", address=address)])
+    harness.pass_time(TIMING.unlisted_ms + 20)
+    assert [state.listing.name for state in harness.coordinator.targets()] == ["t2"]
+    assert harness.closed == ([] if is_taken else ["t1:1"])
+
+
 def test_earlier_ends_of_a_new_instance_are_acknowledged_after_lease_expiry():
     harness = CoordinatorHarness("t1", is_deputy=True, discards_earlier_ends=True)
     harness.complete_takeover("t1")
--- a/hibiscusstack/pool/tests/coordinator_harness.py
+++ b/hibiscusstack/pool/tests/coordinator_harness.py
@@ -61,14 +61,15 @@
     """Records the orders and answers of a coordinator.
 
     ``starts``, ``stops`` and ``holds`` contain pairs of target and order, and
-    ``open_holds`` the holds without a reply. ``answers`` contains the answers to
+    ``open_holds`` the holds without a reply. ``closed`` contains the addresses whose
+    connections were closed. ``answers`` contains the answers to
     submissions in the order in which they were sent.
     """
 
     def __init__(self, *names, **options):
         self.clock = ManualClock(10_000)
         self.starts, self.stops, self.holds, self.answers = [], [], [], []
-        self.open_holds = []
+        self.open_holds, self.closed = [], []
         self.submissions = 0
         self.coordinator = Coordinator(
             token=3,
@@ -94,7 +95,8 @@
         self.open_holds.append((target, order))
 
     def close_connections(self, target):
-        """Do nothing; there are no connections."""
+        """Keep the address."""
+        self.closed.append(target.address)
 
     def state(self, name):
         """Return the coordinator's state of a target."""
