Repeat a refused claim of a term only after the log was read

test_next_claim_is_allowed_after_a_refused_or_failed_one expected the next claim at once, at the same end that had been refused; it now reads the log first, and a new test checks that no claim is made before (it fails without this).

--- a/hibiscusstack/pool/claiming.py
+++ b/hibiscusstack/pool/claiming.py
@@ -57,7 +57,8 @@
     """Claims terms for one host, one claim at a time.
 
     ``on_term_won`` is called with each term that was won. After an append that failed,
-    no claim is made for ``CLAIM_RETRY_MS``.
+    no claim is made for ``CLAIM_RETRY_MS``, and after one that was refused none until
+    this host has read the log up to its end, since it would be refused as well.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         self._log = log
         self._clock = clock
         self._next_claim_ms = 0.0
+        self._min_end = 0
         self._own = own
         self._election = election
         self._on_term_won = on_term_won
@@ -84,11 +86,11 @@
         """
         if self._is_claiming:
             return
-        if self._clock.now_ms() < self._next_claim_ms:
+        end = self._election.log_end_offset
+        if self._clock.now_ms() < self._next_claim_ms or end < self._min_end:
             self._election.claim_failed()
             return
         self._is_claiming = True
-        end = self._election.log_end_offset
         log_message("pool:claiming", at=end)
         value = encode_term(self._own)
         claimed = self._log.append(HOSTS_TOPIC, TERM_KEY, value, at=end)
@@ -105,6 +107,7 @@
             self._election.record_log_end(result.offset + 1)
             self._on_term_won(Term(result.offset, self._own))
         else:
+            self._min_end = result.end
             self._election.claim_failed()
 
     def _claim_failed(self, failure: Failure) -> None:
--- a/hibiscusstack/pool/tests/test_claiming.py
+++ b/hibiscusstack/pool/tests/test_claiming.py
@@ -83,6 +83,7 @@
     claimer.claim()
     if is_refused:
         log.answered.callback(AppendRefused(6))
+        election.record_log_end(6)
     else:
         log.answered.errback(OUTAGE)
         clock.advance(CLAIM_RETRY_MS)
@@ -91,6 +92,25 @@
     assert len(log.calls) == 2
 
 
+# Guards against a claim in each tick until the record that refuses it has been read.
+def test_a_refused_claim_is_repeated_only_after_the_log_was_read_to_its_end():
+    clock = ManualClock(10_000)
+    log, election, claimer, taken = make_claimer(clock)
+    claimer.claim()
+    log.answered.callback(AppendRefused(7))
+    for end in (5, 6):
+        election.record_log_end(end)
+        assert election.should_claim(clock.now_ms(), False, {})
+        claimer.claim()
+        clock.advance(10)
+    assert len(log.calls) == 1
+    election.record_log_end(7)
+    assert election.should_claim(clock.now_ms(), False, {})
+    claimer.claim()
+    log.answered.callback(Appended(7))
+    assert [at for *_, at in log.calls] == [5, 7] and taken == [Term(7, A)]
+
+
 # Guards against a claim in each tick while every call of the log fails at once.
 def test_claims_that_fail_are_retried_after_a_pause():
     clock = ManualClock(10_000)
