Check the counting of crashes with the model checker

Two culprits and an innocent task, coordinators that are lost between any two steps: each lost coordinator costs one more start at most, and the innocent task is never given up. Each of the four rules is needed: without it the search finds a counterexample.

--- a/specs/__main__.py
+++ b/specs/__main__.py
@@ -9,6 +9,7 @@
 from specs import (
     configuration_order,
     coordinator_tokens,
+    crash_counting,
     issued_ids,
     keyed_ownership,
     leased_targets,
@@ -30,6 +31,7 @@
     coordinator_tokens.SPECIFICATION,
     leased_targets.SPECIFICATION,
     target_records.SPECIFICATION,
+    crash_counting.SPECIFICATION,
 )
 
 
--- a/specs/tests/test_specifications.py
+++ b/specs/tests/test_specifications.py
@@ -4,6 +4,7 @@
 
 from specs.__main__ import SPECIFICATIONS
 from specs.coordinator_tokens import SPECIFICATION as COORDINATOR_TOKENS
+from specs.crash_counting import SPECIFICATION as CRASH_COUNTING
 from specs.issued_ids import SPECIFICATION as ISSUED_IDS
 from specs.keyed_ownership import SPECIFICATION as KEYED_OWNERSHIP
 from specs.leased_targets import SPECIFICATION as LEASED_TARGETS
@@ -35,6 +36,7 @@
         (TARGET_RECORDS, "a deputy"),
         (TARGET_RECORDS, "a successor"),
         (TARGET_RECORDS, "a host joins"),
+        (CRASH_COUNTING, "a successor"),
     ],
 )
 def test_with_every_rule_the_properties_hold(specification, scenario):
