--- a/hibiscusstack/daemon/pool_main.py
+++ b/hibiscusstack/daemon/pool_main.py
@@ -71,6 +71,8 @@
     _on_signal(signal.SIGTERM, daemon.stop_requested)
     _on_signal(signal.SIGINT, daemon.stop_requested)
     _on_signal(signal.SIGHUP, file.reload)
+    # An entry point may block it until here.
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     reactor.callWhenRunning(daemon.start)
     reactor.run(installSignalHandlers=False)
 
