Let jobs of the soak crash their workers

One job in 80 has a task that crashes each worker that starts it, and has to fail; all others still have to complete. Crashed workers of the stand-in refuse connections, as a crashed process does, and are back a second after a task crashed them.

--- a/hibiscusstack_standins/estate/site.py
+++ b/hibiscusstack_standins/estate/site.py
@@ -4,6 +4,8 @@
 
 import attrs
 from klein import Klein
+from twisted.internet.interfaces import IListeningPort
+from twisted.internet.task import LoopingCall
 from twisted.web.http import Request
 
 from hibiscusstack.exceptions import InvalidInputError
@@ -27,6 +29,9 @@
 
 ZONE = "z"
 _CAPACITY = Capacity(cpu=2_000, mem_mb=8_192)
+# How long a worker is down that a task has crashed.
+_RETURN_MS = 1_000
+_PORT_CHECK_S = 0.01
 _TERMS = {"max_attempts": 3, "target_latency_ms": 8_000}
 
 
@@ -34,7 +39,8 @@
     """A store with one queue, workers that are registered there, and a balancer.
 
     The balancer runs once the nodes are known. Workers run the tasks of jobs that are
-    in the catalog for as long as it says. With ``expires_in_outage``, entries of
+    in the catalog for as long as it says; one that a task crashes is back after
+    ``_RETURN_MS``. With ``expires_in_outage``, entries of
     workers also expire while the store is down.
     """
 
@@ -58,6 +64,10 @@
         self._worker_drivers: dict[str, ServiceDriver] = {}
         self._registry = Registry(store, heartbeat_ms, expires_in_outage)
         self._registry_driver = ServiceDriver(reactor, self._registry)
+        self._ports: dict[str, IListeningPort] = {}
+        self._down_by_fault: set[str] = set()
+        self._crashed_ms: dict[str, int] = {}
+        LoopingCall(self._update_ports).start(_PORT_CHECK_S, now=False)
         for _ in range(workers):
             self._join()
 
@@ -94,11 +104,36 @@
         plan = WorkerPlan(name, zone=ZONE, machine=name, capacity=_CAPACITY)
         worker = Worker(plan, self.catalog, born_ms=self._store.now_ms)
         driver = ServiceDriver(self._reactor, worker)
-        port = serve(self._reactor, driver, self._address).getHost().port
-        worker.plan = attrs.evolve(plan, address=f"{self._address}:{port}")
+        port = serve(self._reactor, driver, self._address)
+        number = port.getHost().port
+        worker.plan = attrs.evolve(plan, address=f"{self._address}:{number}")
+        # The worker returns with the same number.
+        port.port = number
+        self._ports[name] = port
         self._worker_drivers[name] = driver
         return worker
 
+    def _update_ports(self) -> None:
+        """Let workers listen while they live, and return after a task crashed them."""
+        self._restart_crashed()
+        for worker in self.workers:
+            port = self._ports[worker.plan.id]
+            if worker.is_up and not port.connected:
+                port.startListening()
+            elif port.connected and not worker.is_up:
+                port.stopListening()
+
+    def _restart_crashed(self) -> None:
+        """Restart the workers that a task has crashed, and that no fault keeps down."""
+        now_ms = self._store.now_ms
+        for worker in self.workers:
+            name = worker.plan.id
+            if worker.is_up or worker.has_left or name in self._down_by_fault:
+                self._crashed_ms.pop(name, None)
+            elif now_ms >= self._crashed_ms.setdefault(name, now_ms) + _RETURN_MS:
+                worker.restart(now_ms)
+                self._worker_drivers[name].pump()
+
     def _answer(self, request: Request, act) -> int:
         try:
             return answer_json(request, 200, act(read_json(request)))
@@ -133,8 +168,10 @@
             case "leave":
                 self._registry.drain(now_ms, name, body["drain_ms"])
             case "crash":
+                self._down_by_fault.add(name)
                 self._worker_drivers[name].service.crash(now_ms)
             case "restart":
+                self._down_by_fault.discard(name)
                 self._worker_drivers[name].service.restart(now_ms)
             case "cut_off":
                 self._registry.cut_off.add(name)
--- a/scripts/soak/auditing.py
+++ b/scripts/soak/auditing.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from hibiscusstack_standins.estate.jobs import Job
 from scripts.platform_site import PoolHostProcess
 from scripts.soak.clients import GONE, Attempt, SoakSubmission
 
@@ -49,12 +50,13 @@
     """Return each request, job and process that did not end as it should.
 
     LOST is a request whose connection ended without an answer; UNDONE is a job that was
-    not completed, or that nobody knew any more; EXIT is a process that failed.
+    not completed, or that nobody knew any more; EXIT is a process that failed. A job
+    with a task that crashes workers has to fail.
     """
     found = []
     for submission in submissions:
         job_id = submission.job.id
-        if submission.state != "completed":
+        if submission.state != _expected_state(submission.job):
             statuses = [each.status for each in submission.attempts[-5:]]
             found.append(Finding("UNDONE", f"{job_id}: ends with {statuses}"))
         for each in submission.attempts:
@@ -70,6 +72,10 @@
     return found
 
 
+def _expected_state(job: Job) -> str:
+    return "failed" if any(step.crashing for step in job.steps) else "completed"
+
+
 def _is_lost(attempt: Attempt, host: HostHistory) -> bool:
     waited_ms = attempt.ended_ms - attempt.sent_ms
     is_cut = attempt.is_closed and waited_ms > LOSS_SLACK_MS
--- a/scripts/soak/running.py
+++ b/scripts/soak/running.py
@@ -27,6 +27,8 @@
 HEARTBEAT_MS = 500
 JOBS_PER_CLIENT_AND_SECOND = 8
 DRAIN_MS = 1_500
+# The part of the jobs with a task that crashes the workers that start it.
+CRASHING_PART = 1 / 80
 
 
 @attrs.frozen
@@ -80,7 +82,8 @@
 
 def _make_job(rng: random.Random) -> Job:
     work_ms = rng.choice((rng.randint(20, 200), rng.randint(200, 900)))
-    steps = [Step(rng.randint(1, 4), work_ms, cpu=500, mem_mb=64)]
+    crashing = (0,) if rng.random() < CRASHING_PART else ()
+    steps = [Step(rng.randint(1, 4), work_ms, cpu=500, mem_mb=64, crashing=crashing)]
     if rng.random() < 1 / 3:
         steps.append(Step(1, rng.randint(20, 200), cpu=500, mem_mb=64, after=(0,)))
     job_id = f"{rng.getrandbits(64):016x}"
--- a/scripts/tests/test_soak.py
+++ b/scripts/tests/test_soak.py
@@ -6,7 +6,7 @@
 import attrs
 import pytest
 
-from hibiscusstack_standins.estate.jobs import Job
+from hibiscusstack_standins.estate.jobs import Job, Step
 from scripts.platform_site import PoolHostProcess
 from scripts.soak.auditing import HostHistory, find_faults
 from scripts.soak.clients import Attempt, SoakSubmission
@@ -66,6 +66,14 @@
     assert find(CUT, state=state, killed_ms=0) == ["UNDONE"]
 
 
+# Guards against an audit that passes over a task that crashes workers without an end.
+def test_a_job_that_crashes_workers_has_to_fail():
+    job = Job("5c0e7a21d94b36f8", steps=(Step(2, crashing=(0,)),))
+    for state, rules in (("failed", []), ("completed", ["UNDONE"]), ("", ["UNDONE"])):
+        found = find_faults([SoakSubmission(job, state=state)], {})
+        assert [each.rule for each in found] == rules
+
+
 # Guards against an audit that passes over stored jobs that are forgotten.
 def test_a_stored_job_that_no_host_knows_is_found():
     assert find(attrs.evolve(DONE, status=410), DONE) == ["UNDONE"]
