Record the start of a suspect before it is made

Coordinators that were lost before they noted a crash forgot it, most of all while the log was away. A start on an idle target is now recorded beforehand as if the target had been lost, and refuted when the target reports after it; while the log is away only a task that was lost once starts without a record. A start that was recorded and not made is dropped by the coordinator that recorded it.

--- a/hibiscusstack/pool/active_jobs.py
+++ b/hibiscusstack/pool/active_jobs.py
@@ -35,7 +35,8 @@
     after they exceeded their time limit.
     ``checkpoint`` is the newest checkpoint, made by the run ``checkpoint_run``.
     ``is_suspect`` is set once a target was lost while the task ran there, and
-    ``isolation_wait_since_ms`` is since when it waits for a target of its own.
+    ``isolation_wait_since_ms`` is since when it waits for a target of its own. Its next
+    start is recorded for the target instance ``recorded_start``, by name and time.
     """
 
     key: TaskKey
@@ -49,6 +50,7 @@
     checkpoint_run: int = 0
     is_suspect: bool = False
     isolation_wait_since_ms: float | None = None
+    recorded_start: tuple[str, int] | None = None
 
     def note_checkpoint(self, run: int, checkpoint: str) -> None:
         """Store a checkpoint, unless a later run has already made one."""
--- a/hibiscusstack/pool/coordination/isolation.py
+++ b/hibiscusstack/pool/coordination/isolation.py
@@ -11,6 +11,7 @@
 from hibiscusstack.pool.active_jobs import ActiveJob, PoolTask, task_name
 from hibiscusstack.pool.coordination.state import CoordinatorState
 from hibiscusstack.pool.placement import may_run
+from hibiscusstack.pool.target_losses import LossEvidence, TargetLoss
 from hibiscusstack.pool.target_state import TargetState
 
 # The part of the targets of a pool that may be kept for suspects at a time.
@@ -29,31 +30,70 @@
 
     It is an idle target, if there is one, and otherwise one is reserved until it is
     idle. A task that was lost only once shares a target without other suspects if that
-    takes too long. No suspect starts before its losses are recorded in the log, unless
-    the log doesn't answer.
+    takes too long. No suspect starts before its losses are recorded in the log. While
+    the log doesn't answer, a task that was lost only once starts without, others wait.
+
+    A start on an idle target is recorded beforehand as if the target had been lost.
+    So it counts even if this coordinator is lost before it notices a crash.
     """
     name = task_name(job.job.job_id, task.key)
-    if not state.losses.may_restart(name, _MAX_RECORD_WAIT_MS):
+    losses = state.losses.losses_of(name)
+    loss_count = sum(loss.key != task.recorded_start for loss in losses)
+    is_lost_once = loss_count == 1
+    max_unsaved = 1 + (task.recorded_start is not None) if is_lost_once else 0
+    if not state.losses.may_restart(name, _MAX_RECORD_WAIT_MS, max_unsaved):
         return None
     usable = [
         target
         for target in _targets_of(state, job)
         if target.may_start_suspect(now_ms) and may_run(target, job, task)
     ]
-    idle = [target for target in usable if not target.runs]
+    idle = [t for t in usable if not t.runs and _is_free_for(state, t, name)]
     if idle:
-        return min(idle, key=lambda target: _preference(target, task))
+        target = min(idle, key=lambda each: _preference(each, task))
+        _record_start(state, target, task, name, now_ms)
+        # While the log is away, neither the loss nor this start need be recorded.
+        max_unsaved = 2 if is_lost_once else 0
+        is_recorded = state.losses.may_restart(name, _MAX_RECORD_WAIT_MS, max_unsaved)
+        return target if is_recorded else None
     if task.isolation_wait_since_ms is None:
         task.isolation_wait_since_ms = now_ms
-    is_shareable = len(state.losses.losses_of(name)) == 1
     waited_ms = now_ms - task.isolation_wait_since_ms
-    if is_shareable and waited_ms >= _MAX_ISOLATION_WAIT_MS:
+    if is_lost_once and waited_ms >= _MAX_ISOLATION_WAIT_MS:
         shared = (target for target in usable if _can_share(target, now_ms))
         return min(shared, key=lambda t: _preference(t, task), default=None)
     _reserve_target(state, job, task, now_ms)
     return None
 
 
+def _is_free_for(state: CoordinatorState, target: TargetState, name: str) -> bool:
+    """Return whether no start of another suspect is recorded for the target."""
+    loss = state.losses.loss(target.instance_key)
+    return loss is None or name in loss.tasks
+
+
+def _record_start(
+    state: CoordinatorState,
+    target: TargetState,
+    task: PoolTask,
+    name: str,
+    now_ms: float,
+) -> None:
+    """Record the start of a suspect beforehand.
+
+    The next report of the target after the run refutes the record.
+    """
+    key = target.instance_key
+    if task.recorded_start not in (None, key):
+        # That start was not made.
+        state.losses.refute(task.recorded_start)
+    task.recorded_start = key
+    if state.losses.loss(key) is None:
+        tasks = frozenset([name])
+        state.losses.note(TargetLoss(*key, tasks, LossEvidence.STARTED))
+        target.reserved_until_ms = now_ms + _MIN_RESERVATION_MS
+
+
 def _targets_of(state: CoordinatorState, job: ActiveJob) -> Iterator[TargetState]:
     return state.free_capacity.with_free_cpu(job.job.pool, 0)
 
--- a/hibiscusstack/pool/coordination/lost_targets.py
+++ b/hibiscusstack/pool/coordination/lost_targets.py
@@ -24,6 +24,7 @@
 
     A target that is leaving ends its runs when it goes, so its loss shows no crash.
     """
+    known = state.losses.loss(target.instance_key)
     tasks = frozenset(
         name for name, number in target.runs if (name, number) not in alive
     )
@@ -32,13 +33,11 @@
     listing = target.listing
     if listing.is_leaving:
         evidence = LossEvidence.SILENT
-    known = state.losses.loss((listing.name, listing.instance_started_ms))
     if known is not None and known.evidence >= evidence:
         return
     state.losses.note(
         TargetLoss(
-            listing.name,
-            listing.instance_started_ms,
+            *target.instance_key,
             tasks,
             evidence,
             _is_single(state, target),
--- a/hibiscusstack/pool/coordination/reported_runs.py
+++ b/hibiscusstack/pool/coordination/reported_runs.py
@@ -34,8 +34,6 @@
     target.note_clock(reply.clock_ms, now_ms)
     target.silent_since_ms = None
     target.is_refusing = False
-    if reply.instance_started_ms is not None:
-        state.losses.refute((target.listing.name, reply.instance_started_ms))
     for end in reply.ended:
         if end.number > target.processed_through:
             target.processed_through = end.number
@@ -50,6 +48,9 @@
             run.mark_confirmed(now_ms)
         elif not reply.has_more and run.was_confirmed_before(sent_ms):
             drop_run(state, target, run, now_ms)
+    # The target may still crash under an isolated run.
+    if reply.instance_started_ms is not None and target.isolated_run is None:
+        state.losses.refute(target.instance_key)
     _advance_takeover(state, target, now_ms)
     return target
 
--- a/hibiscusstack/pool/coordination/run_ends.py
+++ b/hibiscusstack/pool/coordination/run_ends.py
@@ -158,6 +158,7 @@
     target.health.note_success()
     job, task = run.job, run.task
     if task.is_suspect:
+        state.losses.refute(target.instance_key)
         state.losses.clear(run.name)
     job.active_count -= 1
     job.note_run_time(task, now_ms - run.started_ms)
--- a/hibiscusstack/pool/coordination/starting.py
+++ b/hibiscusstack/pool/coordination/starting.py
@@ -105,7 +105,7 @@
     number, task.next_run = task.next_run, task.next_run + 1
     run = Run(name, number, job, task, task.step.needs, RunState.STARTING, now_ms)
     run.is_isolated = task.is_suspect and not target.runs
-    task.isolation_wait_since_ms = None
+    task.isolation_wait_since_ms = task.recorded_start = None
     target.add(run)
     state.events.run_started(run, target.listing.name, state.token, now_ms)
     if job.is_resubmitted:
--- a/hibiscusstack/pool/coordination/tests/test_isolation.py
+++ b/hibiscusstack/pool/coordination/tests/test_isolation.py
@@ -1,7 +1,9 @@
 """Tasks that may crash their target run alone, and hold up nothing else."""
 
 import attrs
+import pytest
 
+from hibiscusstack.clock import ManualClock
 from hibiscusstack.pool.messages import JobEnd
 from hibiscusstack.pool.orders import NotReached, ReplyLost
 from hibiscusstack.pool.target_losses import LossEvidence, TargetLoss, TargetLosses
@@ -123,7 +125,16 @@
     assert harness.starts == []
     losses.unsaved.clear()
     harness.pass_time(10)
+    # The start is recorded as well before it is made.
+    assert harness.starts == [] and list(losses.unsaved) == [("t1", 5)]
+    losses.unsaved.clear()
+    harness.pass_time(10)
     assert len(harness.starts) == 1
+    harness.reply_to_start()
+    harness.reply_to_hold("t1", [("j.0.0.0", 1)])
+    assert losses.loss(("t1", 5)) is not None
+    harness.report_run_end("t1", ("j.0.0.0", 1))
+    assert losses.loss(("t1", 5)) is None
 
 
 def test_losses_read_from_the_log_make_suspects_of_known_jobs():
@@ -137,3 +148,73 @@
     harness.reply_to_start()
     harness.report_run_end("t1", ("j.0.0.0", 1))
     assert [order.task for _, order in harness.starts] == ["j.0.0.0", "j.0.0.1"]
+
+
+# Guards against an innocent task that is held responsible for a target at which its
+# start was recorded, but not made.
+def test_a_start_that_was_recorded_and_not_made_counts_for_nothing():
+    losses = TargetLosses(ManualClock(10_000), is_recorded=True)
+    harness = CoordinatorHarness("t1", "t2", losses=losses)
+    harness.complete_takeover("t1")
+    losses.apply(TargetLoss("t0", 5, frozenset(["j.0.0.0"]), LossEvidence.REFUSING))
+    harness.submit()
+    assert harness.starts == [] and losses.loss(("t1", 5)) is not None
+    harness.fail_hold("t1", ReplyLost("reset"))
+    harness.complete_takeover("t2")
+    losses.unsaved.clear()
+    harness.pass_time(10)
+    assert losses.loss(("t1", 5)) is None and losses.loss(("t2", 5)) is not None
+    losses.unsaved.clear()
+    harness.pass_time(10)
+    assert [name for name, *_ in harness.started_runs()] == ["t2"]
+
+
+def test_a_loss_stays_when_the_lost_target_is_replaced_later():
+    losses = TargetLosses(ManualClock(10_000))
+    harness = CoordinatorHarness("t1", losses=losses)
+    harness.complete_takeover("t1")
+    harness.submit_and_start("t1")
+    lose(harness, "t1")
+    assert losses.losses_of("j.0.0.0")
+    moved = make_target("t1", instance_started_ms=6, address="t1:2")
+    harness.coordinator.replace_targets([moved])
+    assert [each.key for each in losses.losses_of("j.0.0.0")] == [("t1", 5)]
+
+
+# Guards against starts that nobody counts, because the log is away when the coordinator
+# is lost.
+@pytest.mark.parametrize("losses_count", [1, 2])
+def test_only_a_task_that_was_lost_once_starts_while_the_log_is_away(losses_count):
+    clock = ManualClock(10_000)
+    losses = TargetLosses(clock, is_recorded=True)
+    harness = CoordinatorHarness("t1", losses=losses)
+    harness.complete_takeover("t1")
+    for number in range(losses_count):
+        tasks = frozenset(["j.0.0.0", "k.0.0.0"])
+        losses.note(TargetLoss(f"t{number + 5}", 5, tasks, LossEvidence.REFUSING))
+    harness.submit()
+    for _ in range(60):
+        clock.advance(10)
+        harness.pass_time(10)
+    assert len(harness.starts) == (1 if losses_count == 1 else 0)
+    losses.unsaved.clear()
+    harness.pass_time(20)
+    losses.unsaved.clear()
+    harness.pass_time(20)
+    assert len(harness.starts) == 1
+
+
+# Guards against a successor that drops the start of its predecessor, after which the
+# target crashed.
+def test_a_start_recorded_by_an_earlier_coordinator_counts():
+    losses = TargetLosses(ManualClock(10_000))
+    harness = CoordinatorHarness("t1", "t2", losses=losses)
+    losses.apply(TargetLoss("t0", 5, frozenset(["j.0.0.0"]), LossEvidence.REFUSING))
+    losses.apply(TargetLoss("t1", 5, frozenset(["j.0.0.0"]), LossEvidence.STARTED))
+    harness.complete_takeover("t2")
+    harness.fail_hold("t1", ReplyLost("reset"))
+    harness.submit()
+    assert [name for name, *_ in harness.started_runs()] == ["t2"]
+    harness.coordinator.replace_targets([make_target("t2")])
+    harness.pass_time(3_000)
+    assert {each.target for each in losses.losses_of("j.0.0.0")} == {"t0", "t1", "t2"}
--- a/hibiscusstack/pool/target_losses.py
+++ b/hibiscusstack/pool/target_losses.py
@@ -26,14 +26,17 @@
 class LossEvidence(IntEnum):
     """What shows that a target was lost, from weak to strong.
 
-    ``SILENT``: it did not answer until its lease had expired, so it may have been cut
-    off. ``REFUSING``: its address refused connections all that time. ``REPLACED``: a
-    new instance of it answered or was listed.
+    ``STARTED``: nothing yet; the start of a suspect was recorded beforehand, and counts
+    as a loss until the target has survived it. ``SILENT``: the target did not answer
+    until its lease had expired, so it may have been cut off. ``REFUSING``: its address
+    refused connections all that time. ``REPLACED``: a new instance answered or was
+    listed.
     """
 
-    SILENT = 0
-    REFUSING = 1
-    REPLACED = 2
+    STARTED = 0
+    SILENT = 1
+    REFUSING = 2
+    REPLACED = 3
 
 
 @attrs.frozen
@@ -152,29 +155,37 @@
         is_careful = is_stored or self._targets_fail_otherwise()
         return losses if has_crashed_targets(losses, is_careful=is_careful) else []
 
-    def may_restart(self, task: str, max_wait_ms: float) -> bool:
+    def may_restart(self, task: str, max_wait_ms: float, max_unsaved: int) -> bool:
         """Return whether other hosts can know of all losses at which a task ran.
 
-        Beyond ``max_wait_ms`` after a loss, its task may be started again without.
+        If the log does not answer, up to ``max_unsaved`` losses need not be recorded
+        once ``max_wait_ms`` have passed since each of them.
         """
         now_ms = self._clock.now_ms()
-        return all(
-            now_ms >= self.unsaved.get(loss.key, 0.0) + max_wait_ms
+        noted_ms = [
+            self.unsaved[loss.key]
             for loss in self.losses_of(task)
+            if loss.key in self.unsaved
+        ]
+        return len(noted_ms) <= max_unsaved and all(
+            now_ms >= each + max_wait_ms for each in noted_ms
         )
 
     def note(self, loss: TargetLoss) -> None:
-        """Add a loss; one that is known only gets stronger evidence."""
+        """Add a loss, unless one of the same instance is known with such evidence.
+
+        A recorded start is replaced, since other tasks may have run at the target.
+        """
         known = self._losses.get(loss.key)
-        if known is None:
+        if known is not None and known.evidence >= loss.evidence:
+            return
+        if known is None or known.evidence is LossEvidence.STARTED:
             self.mark_unsaved(loss.key)
-        else:
-            evidence = max(known.evidence, loss.evidence)
-            loss = attrs.evolve(known, evidence=evidence)
         self.apply(loss)
 
     def apply(self, loss: TargetLoss) -> None:
         """Add or replace a loss as read from the log."""
+        self._drop_from_index(loss.key)
         self._losses[loss.key] = loss
         self._noted_ms.setdefault(loss.key, self._clock.now_ms())
         for task in loss.tasks:
@@ -188,15 +199,9 @@
 
     def discard(self, key: tuple[str, int]) -> None:
         """Drop a loss, if it is known."""
-        loss = self._losses.pop(key, None)
+        self._drop_from_index(key)
+        self._losses.pop(key, None)
         self._noted_ms.pop(key, None)
-        if loss is None:
-            return
-        for job_id in {job_id_of(task) for task in loss.tasks}:
-            keys = self._by_job[job_id]
-            keys.discard(key)
-            if not keys:
-                del self._by_job[job_id]
         self._cleared = {
             task for task in self._cleared if job_id_of(task) in self._by_job
         }
@@ -267,3 +272,11 @@
         return (
             last_ms is not None and self._clock.now_ms() < last_ms + _UNRELATED_LOSS_MS
         )
+
+    def _drop_from_index(self, key: tuple[str, int]) -> None:
+        loss = self._losses.get(key)
+        for job_id in {job_id_of(task) for task in loss.tasks} if loss else ():
+            keys = self._by_job[job_id]
+            keys.discard(key)
+            if not keys:
+                del self._by_job[job_id]
--- a/hibiscusstack/pool/target_state.py
+++ b/hibiscusstack/pool/target_state.py
@@ -166,6 +166,11 @@
     health: TargetHealth = attrs.field(factory=TargetHealth)
     on_free_capacity_changed: "Callable[[TargetState], None] | None" = None
 
+    @property
+    def instance_key(self) -> tuple[str, int]:
+        """The name and the start time of the instance."""
+        return self.listing.name, self.listing.instance_started_ms
+
     @property
     def free_cpu_milli(self) -> int:
         """Return the CPU that no run uses, in thousandths of a core."""
--- a/hibiscusstack/pool/tests/test_crashing_tasks.py
+++ b/hibiscusstack/pool/tests/test_crashing_tasks.py
@@ -179,6 +179,30 @@
     assert max(max_starts(fleet, caller) for caller in callers) <= MAX_CRASHES
 
 
+# Guards against starts that are forgotten, because each coordinator is lost before it
+# has noticed the crash.
+@every_seed
+def test_starts_of_suspects_count_if_the_coordinator_is_lost_at_once(seed):
+    fleet = CrashFleet(seed, hosts=4, workers=12)
+    fleet.wait_ms = 60_000
+    caller = fleet.submit(CRASHING)
+    seen_crashes, restarts_ms = 1, {}
+    while not caller.is_done and fleet.now_ms < 60_000:
+        fleet.run(10)
+        for name, restart_ms in list(restarts_ms.items()):
+            if fleet.now_ms >= restart_ms:
+                fleet.start(name)
+                del restarts_ms[name]
+        first = fleet.coordinator()
+        if fleet.crash_count() > seen_crashes and first:
+            seen_crashes = fleet.crash_count()
+            fleet.kill(first)
+            restarts_ms[first] = fleet.now_ms + 1_500
+    assert caller.state == "failed"
+    assert max_starts(fleet, caller) <= MAX_CRASHES
+    assert fleet.violations() == []
+
+
 @every_seed
 def test_crashes_count_for_stored_jobs_read_again_from_the_log(seed):
     fleet = CrashFleet(seed)
--- a/hibiscusstack/pool/tests/test_target_losses.py
+++ b/hibiscusstack/pool/tests/test_target_losses.py
@@ -12,7 +12,7 @@
     has_crashed_targets,
 )
 
-SILENT, REFUSING, REPLACED = LossEvidence
+STARTED, SILENT, REFUSING, REPLACED = LossEvidence
 
 
 def loss(target, *tasks, evidence=REFUSING, instance=5):
@@ -71,6 +71,16 @@
     assert len(losses.losses_of("j.0.0.0")) == 2
 
 
+def test_a_recorded_start_is_replaced_by_the_tasks_that_were_lost():
+    losses = TargetLosses(ManualClock(0), is_recorded=True)
+    losses.note(loss("t1", "j.0.0.0", evidence=STARTED))
+    assert [each.key for each in losses.losses_of("j.0.0.0")] == [("t1", 5)]
+    losses.unsaved.clear()
+    losses.note(loss("t1", "k.0.0.0", evidence=REFUSING))
+    assert losses.losses_of("j.0.0.0") == [] and list(losses.unsaved) == [("t1", 5)]
+    assert [each.evidence for each in losses.losses_of("k.0.0.0")] == [REFUSING]
+
+
 def test_a_loss_is_refuted_when_the_instance_answers_again():
     losses = TargetLosses(ManualClock(0), is_recorded=True)
     losses.note(loss("t1", "j.0.0.0"))
@@ -118,14 +128,17 @@
     clock = ManualClock(0)
     losses = TargetLosses(clock, is_recorded=True)
     losses.note(loss("t1", "j.0.0.0"))
-    assert not losses.may_restart("j.0.0.0", 200)
-    assert losses.may_restart("k.0.0.0", 200)
+    assert not losses.may_restart("j.0.0.0", 200, 1)
+    assert losses.may_restart("k.0.0.0", 200, 1)
     clock.advance(200)
-    assert losses.may_restart("j.0.0.0", 200)
+    assert losses.may_restart("j.0.0.0", 200, 1)
     losses.note(loss("t2", "j.0.0.0"))
-    assert not losses.may_restart("j.0.0.0", 200)
+    assert not losses.may_restart("j.0.0.0", 200, 2)
+    clock.advance(200)
+    assert losses.may_restart("j.0.0.0", 200, 2)
+    assert not losses.may_restart("j.0.0.0", 200, 1)
     losses.unsaved.clear()
-    assert losses.may_restart("j.0.0.0", 200)
+    assert losses.may_restart("j.0.0.0", 200, 1)
 
 
 def test_a_snapshot_replaces_what_was_read_and_keeps_what_is_unsaved():
@@ -141,6 +154,15 @@
     assert losses.given_up_cause("j") == "cause"
 
 
+def test_a_loss_that_is_read_again_with_other_tasks_replaces_the_first():
+    losses = TargetLosses(ManualClock(0))
+    losses.apply(loss("t1", "j.0.0.0"))
+    losses.apply(loss("t1", "k.0.0.0"))
+    assert losses.losses_of("j.0.0.0") == [] and losses.suspects_of("j") == set()
+    losses.discard(("t1", 5))
+    assert losses.losses_of("k.0.0.0") == [] and losses.suspects_of("k") == set()
+
+
 def test_entries_expire_by_age_and_by_number():
     clock = ManualClock(0)
     losses = TargetLosses(clock)
