Free the slots of stored jobs by the clock of the host

While the wall clock stands still or is set back a little, jobs that can't start keep their slots.

Change: slots end by the steady clock of the host. Wall-clock time only tells how late a job is.

--- a/hibiscusstack/pool/stored/backlog.py
+++ b/hibiscusstack/pool/stored/backlog.py
@@ -34,8 +34,8 @@
     ones, then those past the cutoff. Within a tier, jobs are ordered by priority and
     then by latest start time. Since few jobs are in the coordinator's queue at once, a
     long backlog does not slow down the placement of tasks. A job counts as admitted
-    until it has started or ended, and no longer than ``SLOT_MS``. So jobs for which no
-    target has room don't keep out those that could start.
+    until it has started or ended or no target has room for it, and no longer than
+    ``SLOT_MS``. So jobs that can't start don't keep out those that could.
     """
 
     def __init__(self, max_admitted: int = MAX_ADMITTED_PER_KIND) -> None:
@@ -74,16 +74,17 @@
         """Remove and return a waiting job, or None if it does not wait."""
         return self._waiting.pop(job_id, None)
 
-    def admit_next(self, now_ms: float) -> list[StoredJob]:
+    def admit_next(self, now_ms: float, wall_ms: float) -> list[StoredJob]:
         """Admit and return the next jobs of each kind, up to its limit.
 
-        ``now_ms`` is wall-clock time since the epoch.
+        ``now_ms`` is on the clock of this host, and ``wall_ms`` is wall-clock time
+        since the epoch.
         """
         self._free_old_slots(now_ms)
         admitted: list[StoredJob] = []
         for kind in list(self._heaps):
             while self._admitted_counts[kind] < self._max_admitted:
-                job = self._pop_first(kind, now_ms)
+                job = self._pop_first(kind, wall_ms)
                 if job is None:
                     del self._heaps[kind]
                     break
@@ -93,7 +94,7 @@
         return admitted
 
     def release_slot(self, job_id: str) -> None:
-        """Free the admission slot of a job that has started or ended."""
+        """Free the admission slot of a job, if it has one."""
         kind, _ = self._admitted.pop(job_id, (None, 0.0))
         if kind is None:
             return
@@ -104,14 +105,13 @@
     def _free_old_slots(self, now_ms: float) -> None:
         old = []
         for job_id, (_, free_ms) in self._admitted.items():
-            # The wall clock may have been set back.
-            if now_ms < free_ms <= now_ms + SLOT_MS:
+            if now_ms < free_ms:
                 break
             old.append(job_id)
         for job_id in old:
             self.release_slot(job_id)
 
-    def _pop_first(self, kind: RoomKind, now_ms: float) -> StoredJob | None:
+    def _pop_first(self, kind: RoomKind, wall_ms: float) -> StoredJob | None:
         """Remove and return the first waiting job of a kind, or None.
 
         An entry is checked only when it is popped: it is dropped if its job no longer
@@ -124,7 +124,7 @@
                 job = entry[3]
                 if job.job_id not in self._waiting:
                     continue
-                current_tier = _lateness_tier(job, now_ms)
+                current_tier = _lateness_tier(job, wall_ms)
                 # It is lower than the heap's tier only if the wall clock was set back.
                 if current_tier <= tier:
                     return self.pop(job.job_id)
@@ -132,9 +132,11 @@
         return None
 
 
-def _lateness_tier(job: StoredJob, now_ms: float) -> _LatenessTier:
+def _lateness_tier(job: StoredJob, wall_ms: float) -> _LatenessTier:
     pool_job = job.record.job
-    expected_latency_ms = now_ms + pool_job.critical_path_ms() - job.record.submitted_ms
+    expected_latency_ms = (
+        wall_ms + pool_job.critical_path_ms() - job.record.submitted_ms
+    )
     if expected_latency_ms <= pool_job.objective_ms():
         return _LatenessTier.IN_TIME
     is_late = expected_latency_ms <= LATE_FACTOR * pool_job.objective_ms()
--- a/hibiscusstack/pool/stored/manager.py
+++ b/hibiscusstack/pool/stored/manager.py
@@ -396,7 +396,7 @@
             request()
 
     def _admit_next(self) -> None:
-        jobs = self._backlog.admit_next(self._wall_ms())
+        jobs = self._backlog.admit_next(self._clock.now_ms(), self._wall_ms())
         for job in jobs:
             self._admit(job)
         if jobs:
--- a/hibiscusstack/pool/stored/tests/test_backlog.py
+++ b/hibiscusstack/pool/stored/tests/test_backlog.py
@@ -19,7 +19,7 @@
     backlog = Backlog(max_admitted)
     for job in jobs:
         backlog.add(job)
-    return [job.job_id for job in backlog.admit_next(now_ms)]
+    return [job.job_id for job in backlog.admit_next(now_ms, now_ms)]
 
 
 def test_jobs_are_ordered_by_priority_then_latest_start():
@@ -55,10 +55,10 @@
         backlog.add(job)
     found = []
     for now_ms in (0, 620, 640, 660):
-        found += [job.job_id for job in backlog.admit_next(now_ms)]
+        found += [job.job_id for job in backlog.admit_next(now_ms, now_ms)]
         backlog.release_slot(found[-1])
     assert found == ["a", "c", "b"]
-    assert backlog.admit_next(9_999) == []
+    assert backlog.admit_next(9_999, 9_999) == []
 
 
 def test_a_popped_job_is_not_admitted_again():
@@ -66,7 +66,7 @@
     backlog.add(make_stored_job("a"))
     assert backlog.pop("a").job_id == "a"
     assert backlog.pop("a") is None
-    assert backlog.admit_next(5_000) == []
+    assert backlog.admit_next(5_000, 5_000) == []
 
 
 def test_each_pool_has_its_own_admission_limit():
@@ -91,5 +91,5 @@
     backlog = Backlog(1)
     for name in ("a", "b"):
         backlog.add(make_stored_job(name))
-    found = [backlog.admit_next(now_ms) for now_ms in (0, SLOT_MS - 1, SLOT_MS)]
+    found = [backlog.admit_next(ms, 0) for ms in (0, SLOT_MS - 1, SLOT_MS)]
     assert [[job.job_id for job in jobs] for jobs in found] == [["a"], [], ["b"]]
--- a/hibiscusstack/pool/stored/tests/test_job_table.py
+++ b/hibiscusstack/pool/stored/tests/test_job_table.py
@@ -110,12 +110,12 @@
     ]
     for job in table.load_jobs([*records, job_record("first", priority=0)]):
         backlog.add(job)
-    assert [job.job_id for job in backlog.admit_next(now_ms=0)] == ["first", "j4"]
-    assert backlog.admit_next(now_ms=0) == []
+    assert [job.job_id for job in backlog.admit_next(0, 0)] == ["first", "j4"]
+    assert backlog.admit_next(0, 0) == []
     assert backlog.pop("j3").job_id == "j3"
     backlog.release_slot("first")
     backlog.release_slot("first")
-    assert [job.job_id for job in backlog.admit_next(now_ms=0)] == ["j2"]
+    assert [job.job_id for job in backlog.admit_next(0, 0)] == ["j2"]
 
 
 def make_active_job(job_id, is_stored, priority=1, received_ms=0):
