Let stored jobs without room give back their slots at once

Jobs are kept by approximate size, so jobs of 2,040 thousandths of a core share a kind with those of 1,950; where targets have 2,000 the former fit nowhere, and the kind never becomes dormant. And the backlog takes the kind of a job's first step, also once that step is done, so after a takeover started jobs that wait for a lost label filled the slots of jobs without a label. In both cases 32 jobs a kind were admitted every 2 s.

Change: a job that is larger than every target is kept by its exact needs, as a kind of its own that becomes dormant. A stored job of a dormant kind gives its slot in the backlog back at once.

--- a/hibiscusstack/pool/active_jobs.py
+++ b/hibiscusstack/pool/active_jobs.py
@@ -73,7 +73,8 @@
 
     ``tasks`` holds every task, and ``ready`` those that may start now, in order. No
     submission waits for a job with ``is_stored``. ``is_delay_noted`` tells whether it
-    was logged that the job waits for an earlier run.
+    was logged that the job waits for an earlier run. ``needs_exact_room`` is set once
+    the job did not fit on any target of the approximate size that it needs.
     """
 
     job: PoolJob
@@ -92,6 +93,7 @@
     critical_path_ms: float = 0.0
     is_stored: bool = False
     is_delay_noted: bool = False
+    needs_exact_room: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Create all tasks; those of steps without predecessors become ready."""
--- a/hibiscusstack/pool/coordination/starting.py
+++ b/hibiscusstack/pool/coordination/starting.py
@@ -61,6 +61,14 @@
         if not has_room:
             for other in queue.take_turns(key, MAX_UNPLACED_IN_TURN):
                 placement_pass.try_job(other, queue)
+    _report_jobs_without_room(state)
+
+
+def _report_jobs_without_room(state: CoordinatorState) -> None:
+    """Tell the journal which stored jobs wait for a target that has room for them."""
+    for job in state.queue.pop_newly_dormant():
+        if job.is_stored and state.journal is not None:
+            state.journal.job_lacks_room(job.job.job_id)
 
 
 def _update_room_limits(state: CoordinatorState) -> None:
@@ -96,13 +104,19 @@
     def try_job(self, job: ActiveJob, queue: KindQueue) -> bool:
         """Start ready tasks of a job; return whether to go on with others of its kind.
 
-        A job that must wait for another reason doesn't count.
+        A job that must wait for another reason doesn't count, nor does one that is
+        larger than every target.
         """
         state, now_ms = self._state, self._now_ms
         if _must_delay_start(state, job, now_ms, self._all_targets_held):
             note_delay(state, job, now_ms)
             return True
         if not _start_job_tasks(state, job, now_ms):
+            if not job.needs_exact_room and not state.room_limits.may_run_ready_task(
+                job
+            ):
+                state.queue.require_exact_room(job)
+                return True
             self._unplaced[queue.kind] += 1
         return self._unplaced[queue.kind] < MAX_UNPLACED_FIRST
 
--- a/hibiscusstack/pool/ordering.py
+++ b/hibiscusstack/pool/ordering.py
@@ -69,6 +69,7 @@
     Jobs are also kept by the kind of room that their ready tasks need, so that jobs
     which find none don't hide the others. Kinds for which no target has room, idle or
     not, are **dormant** until :meth:`wake_kinds` is called.
+    :meth:`pop_newly_dormant` tells which jobs have become dormant.
     """
 
     def __init__(self, policy: OrderingPolicy | None = None) -> None:
@@ -81,6 +82,7 @@
         self._kinds_by_job: dict[ActiveJob, tuple[RoomKind, ...]] = {}
         self._active: dict[RoomKind, KindQueue] = {}
         self._dormant: dict[RoomKind, KindQueue] = {}
+        self._newly_dormant: list[ActiveJob] = []
 
     def __len__(self) -> int:
         return len(self._by_job)
@@ -122,6 +124,17 @@
         queue = self._active.pop(kind, None)
         if queue is not None:
             self._dormant[kind] = queue
+            self._newly_dormant += queue.jobs()
+
+    def require_exact_room(self, job: ActiveJob) -> None:
+        """Keep a queued job by its exact needs, as it is larger than its kind."""
+        job.needs_exact_room = True
+        self.update_kinds(job)
+
+    def pop_newly_dormant(self) -> list[ActiveJob]:
+        """Return the jobs of which a kind was put to sleep since the last call."""
+        found, self._newly_dormant = self._newly_dormant, []
+        return found
 
     def wake_kinds(self) -> None:
         """End the dormancy of all kinds, since the targets have changed."""
@@ -217,7 +230,9 @@
     def _add_to_kinds(self, entry: _Entry) -> None:
         self._kinds_by_job[entry[4]] = kinds = kinds_of_job(entry[4])
         for kind in kinds:
-            queue = self._active.get(kind) or self._dormant.get(kind)
+            queue = self._active.get(kind)
+            if queue is None and (queue := self._dormant.get(kind)) is not None:
+                self._newly_dormant.append(entry[4])
             if queue is None:
                 queue = self._active[kind] = KindQueue(kind)
             queue.add(entry)
--- a/hibiscusstack/pool/room_kinds.py
+++ b/hibiscusstack/pool/room_kinds.py
@@ -18,8 +18,10 @@
     """The pool, the label and the approximate size that a task needs.
 
     ``least`` is the smallest need of the kind; all needs of the kind are at least that,
-    and their CPU less than an eighth above it. Suspects need a target of their own,
-    which can be reserved while it is busy, so theirs is a kind without a least need.
+    and their CPU less than an eighth above it. For a job that is larger than every
+    target, though its kind isn't, ``least`` is the exact need. Suspects need a target
+    of their own, which can be reserved while it is busy, so theirs is a kind without a
+    least need.
     """
 
     pool: str
@@ -28,13 +30,15 @@
     is_for_suspects: bool = False
 
 
-def kind_of_step(pool: str, step: Step) -> RoomKind:
+def kind_of_step(pool: str, step: Step, is_exact: bool = False) -> RoomKind:
     """Return the kind of room that the tasks of a step need.
 
     >>> kind_of_step("p", Step(2, Resources(4_700, 64))).least
     Resources(cpu_milli=4608, memory_mb=64, accelerators=0)
     """
     needs = step.needs
+    if is_exact:
+        return RoomKind(pool, step.requires, needs)
     least = Resources(
         _round_down(needs.cpu_milli), _round_down(needs.memory_mb), needs.accelerators
     )
@@ -43,19 +47,20 @@
 
 def kinds_of_job(job: ActiveJob) -> tuple[RoomKind, ...]:
     """Return the kinds of room that the ready tasks of a job need."""
-    pool, steps = job.job.pool, job.job.steps
+    pool, steps, is_exact = job.job.pool, job.job.steps, job.needs_exact_room
     if any(task.is_suspect for task in job.ready):
         kinds = (
             RoomKind(pool, task.step.requires, NO_RESOURCES, True)
             if task.is_suspect
-            else kind_of_step(pool, task.step)
+            else kind_of_step(pool, task.step, is_exact)
             for task in job.ready
         )
         return tuple(dict.fromkeys(kinds))
     if len(steps) == 1:
-        return (kind_of_step(pool, steps[0]),)
+        return (kind_of_step(pool, steps[0], is_exact),)
     numbers = sorted({task.key[0] for task in job.ready})
-    return tuple(dict.fromkeys(kind_of_step(pool, steps[number]) for number in numbers))
+    kinds = (kind_of_step(pool, steps[number], is_exact) for number in numbers)
+    return tuple(dict.fromkeys(kinds))
 
 
 class RoomLimits:
@@ -78,8 +83,18 @@
         >>> [RoomLimits([target]).may_fit(kind) for kind in kinds]
         [True, False]
         """
-        most = self._most.get((kind.pool, kind.requires))
-        return most is not None and kind.least.fits(most)
+        return self._has_room(kind.pool, kind.requires, kind.least)
+
+    def may_run_ready_task(self, job: ActiveJob) -> bool:
+        """Return whether an idle target may have room for a ready task of a job."""
+        return any(
+            self._has_room(job.job.pool, task.step.requires, task.step.needs)
+            for task in job.ready
+        )
+
+    def _has_room(self, pool: str, label: str, needs: Resources) -> bool:
+        most = self._most.get((pool, label))
+        return most is not None and needs.fits(most)
 
 
 def _largest(one: Resources, other: Resources) -> Resources:
--- a/hibiscusstack/pool/stored/interfaces.py
+++ b/hibiscusstack/pool/stored/interfaces.py
@@ -36,6 +36,9 @@
     def task_started(self, job_id: str) -> None:
         """Mark the job as running, since one of its tasks has started."""
 
+    def job_lacks_room(self, job_id: str) -> None:
+        """Admit other jobs, since no target has room for a task of this one."""
+
     def task_done(self, job_id: str, key: TaskKey) -> None:
         """Record that a task is done."""
 
--- a/hibiscusstack/pool/stored/manager.py
+++ b/hibiscusstack/pool/stored/manager.py
@@ -253,6 +253,10 @@
             self._jobs.mark_started(job)
         self._release_slot(job_id)
 
+    def job_lacks_room(self, job_id: str) -> None:
+        """Admit other jobs, since no target has room for a task of this one."""
+        self._release_slot(job_id)
+
     def task_done(self, job_id: str, key: TaskKey) -> None:
         """Record that a task is done."""
         self._journal.task_done(job_id, key)
@@ -408,7 +412,7 @@
         self._runner.add_stored_job(restore_active_job(job, received_ms))
 
     def _release_slot(self, job_id: str) -> None:
-        """Free the slot of a job that has started or ended, and admit another job."""
+        """Free the slot of a job, and admit another job."""
         self._backlog.release_slot(job_id)
         if not self._is_admission_scheduled:
             self._is_admission_scheduled = True
