Give up tasks of stored jobs after any loss and two crashes alone

Cause: the known crashes were counted up to four, or three at which the task was alone, and a coordinator that is lost with the log away, or within the 50 ms before it notes a crash, takes one with it.

Change: the task of a stored job is given up after two crashes at which it was alone and any third loss, also where other targets were lost at the same time. While targets are lost for none of their tasks, three crashes alone or four losses are required as before.

--- a/hibiscusstack/pool/target_losses.py
+++ b/hibiscusstack/pool/target_losses.py
@@ -20,7 +20,7 @@
 
 MAX_LOSSES = 5
 MAX_STORED_LOSSES = 4
-_MAX_SINGLE_CRASHES = 2
+_FEWEST_CRASHES = 2
 _MAX_CRASHES = 3
 _UNRELATED_LOSS_MS = 60_000
 
@@ -78,15 +78,18 @@
 def has_crashed_targets(
     losses: Collection[TargetLoss],
     *,
+    is_stored: bool = False,
     is_careful: bool = False,
-    max_losses: int = MAX_LOSSES,
 ) -> bool:
     """Return whether a task that was at all these losses has to be given up.
 
     Targets crash for other reasons as well, and all tasks that run there are lost with
     them. So only crashes at which a task was alone are held against it. Two are enough
-    if each was that of a single target, and three otherwise or with ``is_careful``.
-    After ``max_losses`` a task is given up in any case, as its starts must be bounded.
+    if each was that of a single target, and three otherwise. For the task of a stored
+    job, two are enough with any third loss. With ``is_careful`` it is always three.
+    After a number of losses a task is given up in any case, as its starts must be
+    bounded. For stored jobs the number is lower, since each coordinator that is lost
+    may have known of a further loss.
 
     >>> def lost(target, *tasks):
     ...     return TargetLoss(target, 1, frozenset(tasks), LossEvidence.REFUSING)
@@ -95,11 +98,14 @@
     >>> has_crashed_targets([lost("t1", "a", "b"), lost("t2", "a"), lost("t3", "a")])
     True
     """
-    if len(losses) >= max_losses:
+    if len(losses) >= (MAX_STORED_LOSSES if is_stored else MAX_LOSSES):
         return True
     crashes = [loss for loss in losses if loss.is_crash and len(loss.tasks) == 1]
-    single_count = 0 if is_careful else sum(loss.is_single for loss in crashes)
-    return single_count >= _MAX_SINGLE_CRASHES or len(crashes) >= _MAX_CRASHES
+    if len(crashes) >= _MAX_CRASHES or is_careful:
+        return len(crashes) >= _MAX_CRASHES
+    if is_stored:
+        return len(crashes) >= _FEWEST_CRASHES and len(losses) >= _MAX_CRASHES
+    return sum(loss.is_single for loss in crashes) >= _FEWEST_CRASHES
 
 
 class TargetLosses:
@@ -150,15 +156,12 @@
     def responsible_losses(self, task: str, is_stored: bool) -> list[TargetLoss]:
         """Return the losses for which a task is given up, none if it isn't.
 
-        More crashes are required if the job is stored, or while targets are lost for
-        other reasons.
+        More is required if the job is stored, or while targets are lost for other
+        reasons.
         """
         losses = self.losses_of(task)
         is_responsible = has_crashed_targets(
-            losses,
-            is_careful=is_stored or self._targets_fail_otherwise(),
-            # A coordinator that is lost may have known of one more.
-            max_losses=MAX_STORED_LOSSES if is_stored else MAX_LOSSES,
+            losses, is_stored=is_stored, is_careful=self._targets_fail_otherwise()
         )
         return losses if is_responsible else []
 
--- a/hibiscusstack/pool/tests/test_crashing_tasks.py
+++ b/hibiscusstack/pool/tests/test_crashing_tasks.py
@@ -260,3 +260,24 @@
     fleet.run(3_000)
     assert {caller.state for caller in callers} == {"completed"}
     assert host.build_heartbeat().log_end == log_end
+
+
+# Guards against a sixth start of a task of a stored job: crashes that only lost
+# coordinators knew of are forgotten, and crashes at the same time show less.
+@every_seed
+@pytest.mark.parametrize("culprits", [1, 3])
+def test_crashes_of_stored_jobs_count_while_two_coordinators_forget_one(seed, culprits):
+    fleet = CrashFleet(seed, hosts=5, workers=12, max_attempts=2)
+    step = Step(work_ms=900, crashing=(0,), crash_delay_ms=300, **NEEDS)
+    callers = [fleet.submit(step, is_stored=True) for _ in range(culprits)]
+    for _ in range(2):
+        seen_crashes = fleet.crash_count()
+        while fleet.crash_count() == seen_crashes:
+            fleet.run(10)
+        lost = fleet.coordinator()
+        fleet.kill(lost)
+        fleet.run(3_000)
+        fleet.start(lost)
+    fleet.recover_and_verify(20_000)
+    assert {fleet.state_of(caller) for caller in callers} == {"failed"}
+    assert max(max_starts(fleet, caller) for caller in callers) <= MAX_CRASHES
--- a/hibiscusstack/pool/tests/test_target_losses.py
+++ b/hibiscusstack/pool/tests/test_target_losses.py
@@ -59,6 +59,23 @@
     assert has_crashed_targets(losses, is_careful=True)
 
 
+# Guards against a sixth start of a task of a stored job, of whose crashes a lost
+# coordinator knew one.
+def test_a_task_of_a_stored_job_is_given_up_after_any_loss_and_two_crashes_alone():
+    others = loss("t1", "j.0.0.0", "k.0.0.0"), loss("t1", "j.0.0.0", evidence=STARTED)
+    crashes = [
+        attrs.evolve(loss(target, "j.0.0.0"), is_single=False)
+        for target in ("t2", "t3")
+    ]
+    assert not has_crashed_targets(crashes, is_stored=True)
+    for other in others:
+        assert not has_crashed_targets([other, crashes[0]], is_stored=True)
+        assert has_crashed_targets([other, *crashes], is_stored=True)
+        assert not has_crashed_targets(
+            [other, *crashes], is_stored=True, is_careful=True
+        )
+
+
 def test_silence_is_no_crash_but_bounds_the_starts():
     losses = [loss(f"t{n}", "j.0.0.0", evidence=SILENT) for n in range(MAX_LOSSES)]
     assert not has_crashed_targets(losses[:-1])
