Look at each target at most once for what a full coordinator can't start

Jobs were held until their end or ended as *no coordinator*, although a coordinator ran.

Since jobs wait by kind of room, each pass tried up to six jobs of each kind that a target may have room for, where 12 in all were tried before. The jobs of this site vary in size, so there are a dozen kinds and more. And targets that may start nothing, since they are silent or paused after an overdue run, keep their room in the index, so no kind was left out and each try looked at all of them. The log of the coordinator shows no line for 1.3 s, from second 2.1 to 3.4, in which all other hosts lost contact with it.

Change: a pass remembers the needs for which it has found no room, and tries nothing that needs as much, and it remembers the targets that may start nothing. A confirmed start, which frees no room, no longer causes a pass.

Of the new tests, which count what is looked at, both failed before: 3,880 targets were looked at for 40 targets, 80 at most now.

--- a/benches/coordinator.py
+++ b/benches/coordinator.py
@@ -4,6 +4,7 @@
 
 import argparse
 import heapq
+import math
 import time
 from collections.abc import Callable, Iterator
 from itertools import count
@@ -34,6 +35,7 @@
 TAKEOVER_MS = 500
 TARGET_CPU_MILLI = 16_000
 TASK_CPU_MILLI = 6_800
+MIN_TASK_CPU_MILLI = 1_000
 RUN_MS = 150
 WIDTH = 4
 FILLED_PART = 0.7
@@ -49,9 +51,12 @@
 
 
 class InstantSite:
-    """Targets that reply after ``REPLY_MS`` and run each task for ``RUN_MS``."""
+    """Targets that reply after ``REPLY_MS`` and run each task for ``RUN_MS``.
 
-    def __init__(self, targets: int) -> None:
+    On the ``unusable`` first of them nothing may start, although they have room.
+    """
+
+    def __init__(self, targets: int, unusable: int = 0) -> None:
         self.clock = ManualClock(1_000)
         self.starts = 0
         self._events: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
@@ -67,6 +72,8 @@
         )
         self._tick()
         self.run(TAKEOVER_MS)
+        for target in self.coordinator.targets()[:unusable]:
+            target.paused_until_ms = math.inf
 
     def run(self, duration_ms: int) -> None:
         """Let virtual time pass."""
@@ -77,9 +84,15 @@
             act(*arguments)
         self.clock.advance(end_ms - self.clock.now_ms())
 
-    def submit_at_rate(self, starts_per_s: float, seed: int) -> None:
-        """Let jobs of ``WIDTH`` tasks come at random from now on."""
-        self._submit(starts_per_s / WIDTH, Random(seed), count(1))
+    def submit_at_rate(
+        self, starts_per_s: float, seed: int, size_spread: float = 0.0
+    ) -> None:
+        """Let jobs of ``WIDTH`` tasks come at random from now on.
+
+        The size of the tasks varies from job to job with the standard deviation
+        ``size_spread``, as a part of its mean.
+        """
+        self._submit(starts_per_s / WIDTH, Random(seed), count(1), size_spread)
 
     def start(self, target: ListedTarget, order: StartOrder) -> None:
         """Begin a run."""
@@ -118,13 +131,17 @@
         self.coordinator.tick()
         self._after(TICK_MS, self._tick)
 
-    def _submit(self, jobs_per_s: float, random: Random, ids: Iterator[int]) -> None:
+    def _submit(
+        self, jobs_per_s: float, random: Random, ids: Iterator[int], size_spread: float
+    ) -> None:
         number = next(ids)
-        step = Step(WIDTH, Resources(TASK_CPU_MILLI, 64), RUN_MS)
+        cpu_milli = random.gauss(TASK_CPU_MILLI, size_spread * TASK_CPU_MILLI)
+        cpu_milli = min(max(cpu_milli, MIN_TASK_CPU_MILLI), TARGET_CPU_MILLI)
+        step = Step(WIDTH, Resources(int(cpu_milli), 64), RUN_MS)
         job = PoolJob(f"{number:016x}", "p", "", (step,), 0, 2, 1.6, 60)
         self.coordinator.submit(_HOST, SubmitPoolJob(number, job, 0, False))
         gap_ms = 1000 * random.expovariate(jobs_per_s)
-        self._after(gap_ms, self._submit, jobs_per_s, random, ids)
+        self._after(gap_ms, self._submit, jobs_per_s, random, ids, size_spread)
 
     def _end(self, name: str, order: StartOrder) -> None:
         state = self._targets[name]
@@ -155,15 +172,21 @@
 
 
 def measure_time_per_start_us(
-    targets: int, duration_ms: int, filled_part: float = FILLED_PART, seed: int = 1
+    targets: int,
+    duration_ms: int,
+    filled_part: float = FILLED_PART,
+    seed: int = 1,
+    *,
+    size_spread: float = 0.0,
+    unusable: int = 0,
 ) -> float:
     """Return the mean processor time for each start, that of the model included.
 
     The load keeps ``filled_part`` of the targets' room busy.
     """
-    site = InstantSite(targets)
+    site = InstantSite(targets, unusable)
     room = targets * (TARGET_CPU_MILLI // TASK_CPU_MILLI)
-    site.submit_at_rate(filled_part * room * 1000 / RUN_MS, seed)
+    site.submit_at_rate(filled_part * room * 1000 / RUN_MS, seed, size_spread)
     started_s = time.process_time()
     site.run(duration_ms)
     return (time.process_time() - started_s) * 1e6 / site.starts
@@ -175,10 +198,16 @@
     parser.add_argument("--targets", type=int, nargs="+", default=[24, 176, 1_000])
     parser.add_argument("--duration-ms", type=int, default=3_000)
     parser.add_argument("--filled", type=float, default=FILLED_PART)
+    parser.add_argument("--size-spread", type=float, default=0.0)
+    parser.add_argument("--unusable", type=int, default=0)
     options = parser.parse_args()
     for targets in options.targets:
         spent_us = measure_time_per_start_us(
-            targets, options.duration_ms, options.filled
+            targets,
+            options.duration_ms,
+            options.filled,
+            size_spread=options.size_spread,
+            unusable=options.unusable,
         )
         print(f"coordinator_time_per_start[targets={targets}]={spent_us:.0f} us")
 
--- a/hibiscusstack/pool/coordination/replies.py
+++ b/hibiscusstack/pool/coordination/replies.py
@@ -51,9 +51,13 @@
     if isinstance(reply, FencedOut):
         mark_fenced(state, target)
     elif isinstance(reply, Started):
+        had_clock = target.clock_offset_ms is not None
         target.note_clock(reply.clock_ms, now_ms)
         if run is not None:
             run.mark_confirmed(now_ms)
+        if had_clock:
+            # A run that was confirmed leaves no more room than before.
+            return
     elif run is None or run.state is not RunState.STARTING:
         return
     elif isinstance(reply, ReplyLost):
--- a/hibiscusstack/pool/coordination/starting.py
+++ b/hibiscusstack/pool/coordination/starting.py
@@ -20,7 +20,7 @@
 from hibiscusstack.pool.ordering import KindQueue
 from hibiscusstack.pool.orders import StartOrder
 from hibiscusstack.pool.placement import choose_target
-from hibiscusstack.pool.room_kinds import RoomKind, RoomLimits
+from hibiscusstack.pool.room_kinds import RoomLimits, UnmetNeeds
 from hibiscusstack.pool.target_state import Run, RunState, TakeoverPhase, TargetState
 
 # Jobs of one kind of room that are tried in a pass although they don't fit: the first
@@ -32,9 +32,11 @@
 def start_waiting_tasks(state: CoordinatorState) -> None:
     """Start waiting tasks in queue order, on targets with free capacity.
 
-    Each task that is tried costs a search for capacity. To bound the cost, only a few
-    jobs of each kind of room are tried once the first of them did not fit. Behind
-    these, each call goes on where the last one ended, so that no job is passed over.
+    Each task that is tried costs a search for capacity, also among targets that have
+    capacity and may not start anything. To bound the cost, nothing is tried that needs
+    as much as a task for which there was no room in this call, and only a few jobs of
+    each kind of room are tried once the first of them did not fit. Behind these, each
+    call goes on where the last one ended, so that no job is passed over.
     """
     if state.is_superseded or not len(state.queue):
         return
@@ -83,7 +85,9 @@
     def __init__(self, state: CoordinatorState) -> None:
         self._state = state
         self._now_ms = state.clock.now_ms()
-        self._unplaced: Counter[RoomKind] = Counter()
+        self._unplaced: Counter[KindQueue] = Counter()
+        self._unmet = UnmetNeeds()
+        self._barred: set[TargetState] = set()
         self._are_targets_held: bool | None = None
 
     def may_fit(self, queue: KindQueue) -> bool:
@@ -99,7 +103,9 @@
             if not state.room_limits.may_fit(kind):
                 state.queue.put_to_sleep(kind)
                 return False
-        return kind.least.cpu_milli <= state.free_capacity.most_free_cpu(kind.pool)
+        if kind.least.cpu_milli > state.free_capacity.most_free_cpu(kind.pool):
+            return False
+        return not self._unmet.cover(kind.pool, kind.requires, kind.least)
 
     def try_job(self, job: ActiveJob, queue: KindQueue) -> bool:
         """Start ready tasks of a job; return whether to go on with others of its kind.
@@ -111,14 +117,69 @@
         if _must_delay_start(state, job, now_ms, self._all_targets_held):
             note_delay(state, job, now_ms)
             return True
-        if not _start_job_tasks(state, job, now_ms):
+        if not self._start_job_tasks(job):
             if not job.needs_exact_room and not state.room_limits.may_run_ready_task(
                 job
             ):
                 state.queue.require_exact_room(job)
                 return True
-            self._unplaced[queue.kind] += 1
-        return self._unplaced[queue.kind] < MAX_UNPLACED_FIRST
+            self._unplaced[queue] += 1
+        return self._unplaced[queue] < MAX_UNPLACED_FIRST
+
+    def _start_job_tasks(self, job: ActiveJob) -> bool:
+        """Start ready tasks of a job; return whether all of them were started.
+
+        Suspects that wait for a target of their own count as started, since they don't
+        show that capacity is short. Once a task of a step did not fit, the others of
+        the step aren't tried.
+        """
+        state, now_ms = self._state, self._now_ms
+        if self._is_unmet(job):
+            return False
+        is_first, ready_before = job.first_start_ms is None, len(job.ready)
+        unplaced_steps: set[int] = set()
+        for task in list(job.ready):
+            if task.key[0] in unplaced_steps:
+                continue
+            if task.is_suspect:
+                target = choose_suspect_target(state, job, task, now_ms)
+                if target is None:
+                    continue
+            else:
+                target = self._choose_target(job, task)
+                if target is None:
+                    unplaced_steps.add(task.key[0])
+                    continue
+            _start_task(state, target, job, task, now_ms)
+        if not job.ready:
+            state.queue.discard(job)
+            return True
+        if len(job.ready) < ready_before:
+            state.queue.update_kinds(job)
+        if is_first and job.first_start_ms is not None:
+            # Move the job in the queue: started jobs come first.
+            state.queue.add(job, now_ms)
+        return all(task.is_suspect for task in job.ready)
+
+    def _is_unmet(self, job: ActiveJob) -> bool:
+        """Return whether no task of a job of one step can have room in this pass."""
+        steps = job.job.steps
+        if len(steps) > 1 or any(task.is_suspect for task in job.ready):
+            return False
+        step = steps[0]
+        return self._unmet.cover(job.job.pool, step.requires, step.needs)
+
+    def _choose_target(self, job: ActiveJob, task: PoolTask) -> TargetState | None:
+        """Return a target for a task; without one, note that its needs are unmet."""
+        pool, step = job.job.pool, task.step
+        if self._unmet.cover(pool, step.requires, step.needs):
+            return None
+        index = self._state.free_capacity
+        target = choose_target(job, task, index, self._now_ms, self._barred)
+        # With anti-affinity, room that is left may be barred for this job alone.
+        if target is None and not step.anti_affinity:
+            self._unmet.add(pool, step.requires, step.needs)
+        return target
 
     def _all_targets_held(self) -> bool:
         if self._are_targets_held is None:
@@ -154,38 +215,6 @@
     return state.is_deputy or not are_all_targets_held()
 
 
-def _start_job_tasks(state: CoordinatorState, job: ActiveJob, now_ms: float) -> bool:
-    """Start ready tasks of a job; return whether all of them were started.
-
-    Suspects that wait for a target of their own count as started, since they don't
-    show that capacity is short. Once a task of a step did not fit, the others of the
-    step aren't tried.
-    """
-    is_first = job.first_start_ms is None
-    unplaced_steps: set[int] = set()
-    for task in list(job.ready):
-        if task.key[0] in unplaced_steps:
-            continue
-        if task.is_suspect:
-            target = choose_suspect_target(state, job, task, now_ms)
-            if target is None:
-                continue
-        else:
-            target = choose_target(job, task, state.free_capacity, now_ms)
-            if target is None:
-                unplaced_steps.add(task.key[0])
-                continue
-        _start_task(state, target, job, task, now_ms)
-    if not job.ready:
-        state.queue.discard(job)
-        return True
-    state.queue.update_kinds(job)
-    if is_first and job.first_start_ms is not None:
-        # Move the job in the queue: started jobs come first.
-        state.queue.add(job, now_ms)
-    return all(task.is_suspect for task in job.ready)
-
-
 def _start_task(
     state: CoordinatorState,
     target: TargetState,
--- a/hibiscusstack/pool/coordination/tests/test_starting.py
+++ b/hibiscusstack/pool/coordination/tests/test_starting.py
@@ -5,6 +5,8 @@
 import attrs
 import pytest
 
+from hibiscusstack.pool.capacity_index import FreeCapacityIndex
+from hibiscusstack.pool.coordination.starting import start_waiting_tasks
 from hibiscusstack.pool.jobs import Resources, Step
 from hibiscusstack.pool.orders import FencedOut, ReplyLost, RunEnd
 from hibiscusstack.pool.tests.coordinator_harness import (
@@ -193,6 +195,59 @@
     assert harness.started_runs() == [("t1", "small.0.0.0", 1)]
 
 
+class CountingIndex(FreeCapacityIndex):
+    """An index that counts the targets that are looked at, and the queries."""
+
+    looked_at = 0
+    queries = 0
+
+    def most_free_cpu(self, pool):
+        """Return the most free CPU, and count the query."""
+        self.queries += 1
+        return super().most_free_cpu(pool)
+
+    def with_free_cpu(self, pool, cpu_milli):
+        """Yield the targets, and count them."""
+        for target in super().with_free_cpu(pool, cpu_milli):
+            self.looked_at += 1
+            yield target
+
+
+# Guards against a full coordinator that has no time left for its callers: targets that
+# are paused keep their room, so each kind of job was tried on all of them.
+def test_jobs_of_many_sizes_look_at_few_targets_while_those_with_room_are_paused():
+    names = [f"t{number}" for number in range(40)]
+    harness = CoordinatorHarness(*names)
+    harness.complete_takeover(*names)
+    for name in names:
+        harness.state(name).paused_until_ms = math.inf
+    for number in range(300):
+        harness.submit(make_needy_job(f"j{number}", cpu_milli=500 + 5 * number))
+    state = harness.coordinator._state
+    index = CountingIndex()
+    for target in harness.coordinator.targets():
+        index.add(target)
+    state.free_capacity = index
+    start_waiting_tasks(state)
+    assert harness.starts == []
+    assert 0 < index.looked_at <= 2 * len(names)
+
+
+# Guards against passes over all waiting jobs for replies that free no room.
+def test_a_confirmed_start_is_no_reason_to_try_waiting_jobs():
+    harness = CoordinatorHarness("t1")
+    harness.complete_takeover("t1")
+    for number in range(8):
+        harness.submit(make_job(f"j{number}"))
+    index = harness.coordinator._state.free_capacity = CountingIndex()
+    index.add(harness.state("t1"))
+    for sent in list(harness.starts):
+        harness.reply_to_start(sent=sent)
+    assert index.queries == 0
+    harness.reply_to_hold("t1", [("j0.0.0.0", 1)])
+    assert index.queries > 0
+
+
 def test_a_step_without_room_stops_no_other_step_of_its_job():
     harness = CoordinatorHarness("t1")
     harness.complete_takeover("t1")
--- a/hibiscusstack/pool/placement.py
+++ b/hibiscusstack/pool/placement.py
@@ -8,7 +8,11 @@
 
 
 def choose_target(
-    job: ActiveJob, task: PoolTask, index: FreeCapacityIndex, now_ms: float
+    job: ActiveJob,
+    task: PoolTask,
+    index: FreeCapacityIndex,
+    now_ms: float,
+    barred: set[TargetState] | None = None,
 ) -> TargetState | None:
     """Return the target with the least free CPU that fits ``task``, or ``None``.
 
@@ -17,11 +21,19 @@
     in the rack of the task's data are preferred, and then targets without recent
     failures. Targets with enough free CPU
     are checked in turn, up to the first one that none of these preferences excludes.
+
+    Targets in ``barred`` are passed over, and those that may start nothing are added.
     """
+    barred = set() if barred is None else barred
     best, lowest_penalties = None, None
     step = task.step
     for target in index.with_free_cpu(job.job.pool, step.needs.cpu_milli):
-        if not (target.may_start(now_ms) and may_run(target, job, task)):
+        if target in barred:
+            continue
+        if not target.may_start(now_ms):
+            barred.add(target)
+            continue
+        if not may_run(target, job, task):
             continue
         listing = target.listing
         penalties = (
--- a/hibiscusstack/pool/room_kinds.py
+++ b/hibiscusstack/pool/room_kinds.py
@@ -1,6 +1,6 @@
 """Kinds of room that tasks need: jobs of one kind fit at about the same targets."""
 
-__all__ = ["RoomKind", "RoomLimits", "kind_of_step", "kinds_of_job"]
+__all__ = ["RoomKind", "RoomLimits", "UnmetNeeds", "kind_of_step", "kinds_of_job"]
 
 from collections.abc import Iterable
 
@@ -97,6 +97,37 @@
         return most is not None and needs.fits(most)
 
 
+class UnmetNeeds:
+    """Needs for which no target has room now, while no room becomes free.
+
+    What needs as much or more finds no room either, so it need not be tried.
+    """
+
+    def __init__(self) -> None:
+        self._unmet: dict[tuple[str, str], list[Resources]] = {}
+
+    def add(self, pool: str, label: str, needs: Resources) -> None:
+        """Note that no target of a pool with a label has room for ``needs``."""
+        known = self._unmet.get((pool, label), ())
+        larger = [each for each in known if not needs.fits(each)]
+        self._unmet[pool, label] = [*larger, needs]
+
+    def cover(self, pool: str, label: str, needs: Resources) -> bool:
+        """Return whether what was noted shows that there is no room for ``needs``.
+
+        >>> unmet = UnmetNeeds()
+        >>> unmet.add("p", "", Resources(500))
+        >>> [unmet.cover("p", "fast", Resources(cpu)) for cpu in (499, 500)]
+        [False, True]
+        """
+        for each in self._unmet.get((pool, ""), ()):
+            if each.fits(needs):
+                return True
+        return bool(label) and any(
+            each.fits(needs) for each in self._unmet.get((pool, label), ())
+        )
+
+
 def _largest(one: Resources, other: Resources) -> Resources:
     return Resources(
         max(one.cpu_milli, other.cpu_milli),
