Try only a few of the suspects that wait in each pass

Callers would see: after many targets are lost at once, the coordinator has no time for them.

Cause: suspects that wait for a target of their own count as started, so that they hold up no other task. So each pass tried all of them, and each try looks at all targets twice, to start there and to reserve one.

Change: waiting suspects count against the jobs of their own kind of room, of which a few first ones and others in turn are tried, and of a step of a job only the first one that waits.

The new test, which counts what is looked at, failed before (12,800 looks, 480 allowed).

--- a/hibiscusstack/pool/coordination/starting.py
+++ b/hibiscusstack/pool/coordination/starting.py
@@ -124,32 +124,33 @@
                 state.queue.require_exact_room(job)
                 return True
             self._unplaced[queue] += 1
+        elif queue.kind.is_for_suspects and job.ready:
+            self._unplaced[queue] += 1
         return self._unplaced[queue] < MAX_UNPLACED_FIRST
 
     def _start_job_tasks(self, job: ActiveJob) -> bool:
         """Start ready tasks of a job; return whether all of them were started.
 
         Suspects that wait for a target of their own count as started, since they don't
-        show that capacity is short. Once a task of a step did not fit, the others of
-        the step aren't tried.
+        show that capacity is short. Once a task of a step did not fit or has to wait,
+        the others of the step aren't tried.
         """
         state, now_ms = self._state, self._now_ms
         if self._is_unmet(job):
             return False
         is_first, ready_before = job.first_start_ms is None, len(job.ready)
-        unplaced_steps: set[int] = set()
+        unplaced_steps: set[tuple[int, bool]] = set()
         for task in list(job.ready):
-            if task.key[0] in unplaced_steps:
+            kind = task.key[0], task.is_suspect
+            if kind in unplaced_steps:
                 continue
             if task.is_suspect:
                 target = choose_suspect_target(state, job, task, now_ms)
-                if target is None:
-                    continue
             else:
                 target = self._choose_target(job, task)
-                if target is None:
-                    unplaced_steps.add(task.key[0])
-                    continue
+            if target is None:
+                unplaced_steps.add(kind)
+                continue
             _start_task(state, target, job, task, now_ms)
         if not job.ready:
             state.queue.discard(job)
--- a/hibiscusstack/pool/coordination/tests/test_starting.py
+++ b/hibiscusstack/pool/coordination/tests/test_starting.py
@@ -5,10 +5,12 @@
 import attrs
 import pytest
 
+from hibiscusstack.clock import ManualClock
 from hibiscusstack.pool.capacity_index import FreeCapacityIndex
 from hibiscusstack.pool.coordination.starting import start_waiting_tasks
 from hibiscusstack.pool.jobs import Resources, Step
 from hibiscusstack.pool.orders import FencedOut, ReplyLost, RunEnd
+from hibiscusstack.pool.target_losses import LossEvidence, TargetLoss, TargetLosses
 from hibiscusstack.pool.tests.coordinator_harness import (
     OWNER,
     PEER,
@@ -213,6 +215,14 @@
             yield target
 
 
+def use_counting_index(harness):
+    """Let a coordinator use a new index that counts, and return it."""
+    index = harness.coordinator._state.free_capacity = CountingIndex()
+    for target in harness.coordinator.targets():
+        index.add(target)
+    return index
+
+
 # Guards against a full coordinator that has no time left for its callers: targets that
 # are paused keep their room, so each kind of job was tried on all of them.
 def test_jobs_of_many_sizes_look_at_few_targets_while_those_with_room_are_paused():
@@ -223,24 +233,40 @@
         harness.state(name).paused_until_ms = math.inf
     for number in range(300):
         harness.submit(make_needy_job(f"j{number}", cpu_milli=500 + 5 * number))
-    state = harness.coordinator._state
-    index = CountingIndex()
-    for target in harness.coordinator.targets():
-        index.add(target)
-    state.free_capacity = index
-    start_waiting_tasks(state)
+    index = use_counting_index(harness)
+    start_waiting_tasks(harness.coordinator._state)
     assert harness.starts == []
     assert 0 < index.looked_at <= 2 * len(names)
 
 
+# Guards against a coordinator that is busy with suspects alone after many targets were
+# lost: each of them was tried on all targets in every pass.
+def test_many_waiting_suspects_look_at_few_targets():
+    losses = TargetLosses(ManualClock(0))
+    names = [f"t{number}" for number in range(40)]
+    harness = CoordinatorHarness(*names, losses=losses)
+    harness.complete_takeover(*names)
+    for number in range(40):
+        tasks = frozenset(f"j{number}.0.0.{index}" for index in range(4))
+        losses.apply(TargetLoss(f"x{number}", 1, tasks, LossEvidence.REFUSING))
+    for name in names:
+        harness.state(name).paused_until_ms = math.inf
+    for number in range(40):
+        harness.submit(make_job(f"j{number}", 4))
+    index = use_counting_index(harness)
+    start_waiting_tasks(harness.coordinator._state)
+    assert harness.starts == []
+    # A few suspects look at all targets twice, to start and to reserve one.
+    assert 0 < index.looked_at <= 2 * 6 * len(names)
+
+
 # Guards against passes over all waiting jobs for replies that free no room.
 def test_a_confirmed_start_is_no_reason_to_try_waiting_jobs():
     harness = CoordinatorHarness("t1")
     harness.complete_takeover("t1")
     for number in range(8):
         harness.submit(make_job(f"j{number}"))
-    index = harness.coordinator._state.free_capacity = CountingIndex()
-    index.add(harness.state("t1"))
+    index = use_counting_index(harness)
     for sent in list(harness.starts):
         harness.reply_to_start(sent=sent)
     assert index.queries == 0
