Bound the starts of stored jobs' tasks while their runs lapse

Cause: only crashes counted. With the processors several times overbooked the coordinator changes every few seconds, and runs of a culprit lapse or are stopped before they crash their target. Such a start left no trace once its target had answered again, so it could be repeated without a bound after the third crash. And three crashes did not end a task unless it was alone at two of them.

Change: once the task of a stored job has crashed two targets, each further start counts as a loss until the task is done, also if its target lives; the fourth loss ends it. A target that keeps such a record is not used for the same task again. Three crashes end the task, also beside others, while targets are lost for no other reason.

Result: the new tests failed before (no end after two crashes and any number of runs that lapsed; three crashes beside others didn't end the task) and pass.

--- a/hibiscusstack/pool/coordination/isolation.py
+++ b/hibiscusstack/pool/coordination/isolation.py
@@ -51,7 +51,7 @@
         for target in _targets_of(state, job)
         if target.may_start_suspect(now_ms) and may_run(target, job, task)
     ]
-    idle = [t for t in usable if not t.runs and _is_free_for(state, t, name)]
+    idle = [t for t in usable if not t.runs and _is_free_for(state, t, task)]
     if idle:
         target = min(idle, key=lambda each: _preference(each, task))
         _record_start(state, target, task, name, now_ms)
@@ -69,10 +69,10 @@
     return None
 
 
-def _is_free_for(state: CoordinatorState, target: TargetState, name: str) -> bool:
-    """Return whether no start of another suspect is recorded for the target."""
+def _is_free_for(state: CoordinatorState, target: TargetState, task: PoolTask) -> bool:
+    """Return whether no other start is recorded for the target, which counts itself."""
     loss = state.losses.loss(target.instance_key)
-    return loss is None or name in loss.tasks
+    return loss is None or loss.key == task.recorded_start
 
 
 def _record_start(
--- a/hibiscusstack/pool/coordination/lost_targets.py
+++ b/hibiscusstack/pool/coordination/lost_targets.py
@@ -14,7 +14,7 @@
 from hibiscusstack.pool.coordination.requeuing import drop_all_runs
 from hibiscusstack.pool.coordination.state import CoordinatorState
 from hibiscusstack.pool.messages import JobEnd
-from hibiscusstack.pool.target_losses import LossEvidence, TargetLoss
+from hibiscusstack.pool.target_losses import MIN_CRASHES, LossEvidence, TargetLoss
 from hibiscusstack.pool.target_state import RunKey, TargetState
 
 # Targets that fall silent within this time are lost for a common reason.
@@ -88,7 +88,9 @@
     job_id = job.job.job_id
     cause = state.losses.given_up_cause(job_id)
     for name in () if cause else sorted(state.losses.suspects_of(job_id)):
-        losses = state.losses.responsible_losses(name, job.is_stored)
+        task = job.tasks.get(parse_task_name(name)[1])
+        pending = None if task is None else task.recorded_start
+        losses = state.losses.responsible_losses(name, job.is_stored, pending)
         if losses:
             state.events.task_given_up(job, name, losses, state.clock.now_ms())
             targets = ", ".join(sorted(loss.target for loss in losses))
@@ -109,16 +111,31 @@
 
 
 def refute_survived_loss(state: CoordinatorState, target: TargetState) -> None:
-    """Drop the loss of an instance that has answered, unless it is a pending start.
+    """Drop the loss of an instance that has answered, unless it still counts.
 
-    A start that is recorded beforehand and not made yet has nothing to survive.
+    A start that is recorded beforehand and not made yet has nothing to survive. And
+    each further start counts for a task whose starts are bounded.
     """
     loss = state.losses.loss(target.instance_key)
     if loss is None:
         return
-    if loss.evidence is LossEvidence.STARTED:
+    if not loss.is_crash:
         for name in loss.tasks:
-            _, task = find_task(state, name)
-            if task is not None and task.recorded_start == loss.key:
+            job, task = find_task(state, name)
+            if task is None:
+                continue
+            is_pending = task.recorded_start == loss.key
+            if is_pending or (job.is_stored and _must_count_start(state, name, loss)):
                 return
     state.losses.refute(loss.key)
+
+
+def _must_count_start(state: CoordinatorState, name: str, start: TargetLoss) -> bool:
+    """Return whether a start counts although its target has survived it.
+
+    This holds for a task that has crashed two targets otherwise, until it is done. Its
+    runs may end for other reasons again and again, as when coordinators change.
+    """
+    others = (loss for loss in state.losses.losses_of(name) if loss.key != start.key)
+    crash_count = sum(loss.is_crash for loss in others)
+    return start.tasks == {name} and crash_count >= MIN_CRASHES
--- a/hibiscusstack/pool/coordination/starting.py
+++ b/hibiscusstack/pool/coordination/starting.py
@@ -12,6 +12,7 @@
     activate_task,
     has_only_unheard_owners,
 )
+from hibiscusstack.pool.coordination.lost_targets import fail_if_given_up
 from hibiscusstack.pool.coordination.start_explanations import (
     note_delay,
     note_resubmitted_start,
@@ -136,7 +137,10 @@
         the others of the step aren't tried.
         """
         state, now_ms = self._state, self._now_ms
-        if self._is_unmet(job):
+        if job.is_stored and any(task.is_suspect for task in job.ready):
+            if fail_if_given_up(state, job):
+                return True
+        elif self._is_unmet(job):
             return False
         is_first, ready_before = job.first_start_ms is None, len(job.ready)
         unplaced_steps: set[tuple[int, bool]] = set()
--- a/hibiscusstack/pool/coordination/tests/test_isolation.py
+++ b/hibiscusstack/pool/coordination/tests/test_isolation.py
@@ -4,6 +4,7 @@
 import pytest
 
 from hibiscusstack.clock import ManualClock
+from hibiscusstack.pool.active_jobs import ActiveJob
 from hibiscusstack.pool.messages import JobEnd
 from hibiscusstack.pool.orders import NotReached, ReplyLost
 from hibiscusstack.pool.target_losses import LossEvidence, TargetLoss, TargetLosses
@@ -270,3 +271,59 @@
     (pending,) = losses.unsaved
     harness.reply_to_hold("t2")
     assert losses.loss(pending).evidence is LossEvidence.STARTED
+
+
+class EndsJournal:
+    """A journal that keeps how jobs have ended."""
+
+    is_recovering = False
+
+    def __init__(self):
+        self.ends = {}
+
+    def admit_job(self, job_id):
+        """Admit nothing."""
+
+    def task_started(self, job_id):
+        """Record nothing."""
+
+    def may_lack_job(self, job_id):
+        """Return whether a job is unknown that may have run."""
+        return False
+
+    def is_unsaved(self, job_id):
+        """Return whether anything is not saved."""
+        return False
+
+    def job_ended(self, job_id, end):
+        """Keep the end."""
+        self.ends[job_id] = end
+
+
+# Guards against starts without a bound after the crashes that the rule allows: runs of
+# a culprit that lapse show no crash, as while coordinators change again and again.
+@pytest.mark.parametrize(("crashes", "starts"), [(2, 2), (1, 5)])
+def test_runs_that_lapse_count_once_a_task_has_crashed_two_targets(crashes, starts):
+    names = ["t1", "t2", "t3", "t4"]
+    losses = TargetLosses(ManualClock(0))
+    for number in range(crashes):
+        tasks = frozenset(["j.0.0.0", f"k{number}.0.0.0"])
+        losses.apply(TargetLoss(f"x{number}", 5, tasks, LossEvidence.REFUSING))
+    harness = CoordinatorHarness(*names, losses=losses)
+    journal = harness.coordinator.journal = EndsJournal()
+    harness.complete_takeover(*names)
+    job = ActiveJob(make_job(), harness.clock.now_ms(), False, is_stored=True)
+    harness.coordinator.add_stored_job(job)
+    harness.coordinator.start_stored_jobs()
+    for number in range(1, 5):
+        if "j" in journal.ends:
+            break
+        target, order = harness.starts[-1]
+        harness.reply_to_start()
+        ended = (order.task, order.run)
+        harness.report_run_end(target.name, ended, "lapsed", number)
+        harness.pass_time(20)
+        harness.reply_to_hold(target.name)
+        harness.pass_time(100)
+    assert journal.ends == ({"j": JobEnd.FAILED} if crashes == 2 else {})
+    assert len(harness.starts) == starts
--- a/hibiscusstack/pool/target_losses.py
+++ b/hibiscusstack/pool/target_losses.py
@@ -3,6 +3,7 @@
 __all__ = [
     "MAX_LOSSES",
     "MAX_STORED_LOSSES",
+    "MIN_CRASHES",
     "LossEvidence",
     "TargetLoss",
     "TargetLosses",
@@ -20,7 +21,7 @@
 
 MAX_LOSSES = 5
 MAX_STORED_LOSSES = 4
-_FEWEST_CRASHES = 2
+MIN_CRASHES = 2
 _MAX_CRASHES = 3
 _UNRELATED_LOSS_MS = 60_000
 
@@ -86,7 +87,9 @@
     Targets crash for other reasons as well, and all tasks that run there are lost with
     them. So only crashes at which a task was alone are held against it. Two are enough
     if each was that of a single target, and three otherwise. For the task of a stored
-    job, two are enough with any third loss. With ``is_careful`` it is always three.
+    job, two are enough with any third loss, and so are three crashes, as tasks that
+    were lost twice run alone. With ``is_careful`` it is always three at which it was
+    alone.
     After a number of losses a task is given up in any case, as its starts must be
     bounded. For stored jobs the number is lower, since each coordinator that is lost
     may have known of a further loss.
@@ -100,12 +103,16 @@
     """
     if len(losses) >= (MAX_STORED_LOSSES if is_stored else MAX_LOSSES):
         return True
-    crashes = [loss for loss in losses if loss.is_crash and len(loss.tasks) == 1]
-    if len(crashes) >= _MAX_CRASHES or is_careful:
-        return len(crashes) >= _MAX_CRASHES
+    crashes = [loss for loss in losses if loss.is_crash]
+    alone = [loss for loss in crashes if len(loss.tasks) == 1]
+    if len(alone) >= _MAX_CRASHES or is_careful:
+        return len(alone) >= _MAX_CRASHES
     if is_stored:
-        return len(crashes) >= _FEWEST_CRASHES and len(losses) >= _MAX_CRASHES
-    return sum(loss.is_single for loss in crashes) >= _FEWEST_CRASHES
+        has_crashed_alone = len(alone) >= MIN_CRASHES
+        return len(losses) >= _MAX_CRASHES and (
+            has_crashed_alone or len(crashes) >= _MAX_CRASHES
+        )
+    return sum(loss.is_single for loss in alone) >= MIN_CRASHES
 
 
 class TargetLosses:
@@ -153,13 +160,16 @@
         losses = self.losses_of(task)
         return len(losses) > 1 or any(loss.is_crash for loss in losses)
 
-    def responsible_losses(self, task: str, is_stored: bool) -> list[TargetLoss]:
+    def responsible_losses(
+        self, task: str, is_stored: bool, pending: tuple[str, int] | None = None
+    ) -> list[TargetLoss]:
         """Return the losses for which a task is given up, none if it isn't.
 
+        The recorded start ``pending``, which has not been made, doesn't count.
         More is required if the job is stored, or while targets are lost for other
         reasons.
         """
-        losses = self.losses_of(task)
+        losses = [loss for loss in self.losses_of(task) if loss.key != pending]
         is_responsible = has_crashed_targets(
             losses, is_stored=is_stored, is_careful=self._targets_fail_otherwise()
         )
--- a/hibiscusstack/pool/tests/test_target_losses.py
+++ b/hibiscusstack/pool/tests/test_target_losses.py
@@ -76,6 +76,16 @@
         )
 
 
+# Guards against further starts after a third crash, of which the rule allows two, while
+# runs lapse as coordinators change.
+def test_a_task_of_a_stored_job_is_given_up_after_three_crashes_beside_others():
+    crashes = [loss(f"t{n}", "j.0.0.0", f"k{n}.0.0.0") for n in range(3)]
+    assert not has_crashed_targets(crashes[:2], is_stored=True)
+    assert has_crashed_targets(crashes, is_stored=True)
+    assert not has_crashed_targets(crashes, is_stored=True, is_careful=True)
+    assert not has_crashed_targets(crashes)
+
+
 def test_silence_is_no_crash_but_bounds_the_starts():
     losses = [loss(f"t{n}", "j.0.0.0", evidence=SILENT) for n in range(MAX_LOSSES)]
     assert not has_crashed_targets(losses[:-1])
