--- a/review/lab2/small_site.py
+++ b/review/lab2/small_site.py
@@ -186,7 +186,7 @@
     def wait_until_listening(self, host: Host) -> None:
         """Wait until a host accepts connections of the balancer."""
         deadline_s = time.monotonic() + READY_TIMEOUT_S
-        while _is_free(host.ip, host.readiness):
+        while not _is_listening(host.ip, host.readiness):
             if host.process.poll() is not None or time.monotonic() > deadline_s:
                 raise RuntimeError(f"{host.name} does not listen")
             time.sleep(0.005)
@@ -530,6 +530,14 @@
     return found
 
 
+def _is_listening(address: str, port: int) -> bool:
+    try:
+        socket.create_connection((address, port), timeout=1).close()
+    except OSError:
+        return False
+    return True
+
+
 def _is_free(address: str, port: int) -> bool:
     with socket.socket() as each:
         each.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
