--- a/review/lab2/small_site.py
+++ b/review/lab2/small_site.py
@@ -56,6 +56,7 @@
 LIMITS = {"cores": 2, "cpu_share": 0.537, "memory_mb": 300, "max_fds": 4_100}
 HEARTBEAT_MS = 1_500
 PORTS_PER_HOST = 4
+FIRST_PORT, PORT_COUNT = 10_000, 15_000
 READY_TIMEOUT_S = 20
 REJECTIONS = frozenset({404, 429, 503})
 _PROCESSES: list[subprocess.Popen] = []
@@ -520,9 +521,12 @@
 
 
 def _free_ports(addresses: Sequence[str]) -> list[int]:
-    """Return ports below the ephemeral range that are free at all addresses."""
+    """Return ports below the ephemeral range that are free at all addresses.
+
+    Scenarios that start at the same time begin in blocks of their own.
+    """
     found: list[int] = []
-    port = 10_000 + os.getpid() % 15_000
+    port = FIRST_PORT + os.getpid() * PORTS_PER_HOST % PORT_COUNT
     while len(found) < PORTS_PER_HOST:
         port += 1
         if all(_is_free(address, port) for address in addresses):
