Start no stored task again whose run a successor may have taken over

Cause: a coordinator takes runs for ended once its last renewal has expired by its clock. Resets let the other hosts elect a successor before that; it adopts the stored runs and renews their leases, of which the earlier coordinator can't know. The same conclusion was drawn from a new instance of a target, and 3.5 s after another coordinator had fenced one.

Change: an end that was concluded without word of the target is presumed. Its task waits until a read of the topic of terms that began afterwards shows no later term or, while the log is away, until all registered hosts have said since that they follow. A successor claims its term in the log before it adopts or acknowledges anything, so the run has ended and no end of it counts. Other stored tasks go on starting in a data centre that is cut off. The stand-in hosts of the tests of stored jobs write their terms to the log, and confirm them as hosts do.

--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -54,6 +54,7 @@
 from hibiscusstack.pool.target_recorder import TargetRecorder
 from hibiscusstack.pool.target_records import TargetRecords
 from hibiscusstack.pool.targets import ListedTarget
+from hibiscusstack.pool.term_confirmation import TermConfirmation
 from hibiscusstack.pool.timing import CoordinatorTiming
 from hibiscusstack.pool.topic_follower import TopicFollower
 
@@ -190,6 +191,7 @@
             on_end=self._record_log_read,
             clock=clock,
         )
+        self._term_confirmation = TermConfirmation(log, clock, self._election)
         self._tick_loop = LoopingCall(self._tick)
         self._tick_loop.clock = reactor
 
@@ -453,6 +455,7 @@
         self._loss_recorder.update(may_delete=self._role.is_holding)
         if self.coordinator is not None:
             self.coordinator.set_unheard_owners(self._silent_peers())
+            self._confirm_term_if_needed(now_ms)
             self.coordinator.tick()
         self.submissions.tick()
         self.stored.set_isolated(self._may_be_superseded(now_ms))
@@ -678,14 +681,33 @@
 
     def _hosts_agree(self, now_ms: float) -> bool:
         """Tell whether all registered hosts are heard and follow the newest term."""
-        if (
-            not self._log_availability.is_stable(now_ms)
-            or not self._hears_holder_keeping_term()
-        ):
-            return False
+        return (
+            self._log_availability.is_stable(now_ms)
+            and self._hears_holder_keeping_term()
+            and self._all_hosts_follow()
+        )
+
+    def _all_hosts_follow(self) -> bool:
         following = self._peer_states.followers(self.term) | {host_id(self.name)}
         return self._registry.host_ids() <= following
 
+    def _confirm_term_if_needed(self, now_ms: float) -> None:
+        """Find out for the coordinator whether its term is over, where tasks wait.
+
+        The log tells. While it is away, hosts that all follow this one do: what each of
+        them last said was sent after the time that counts as confirmed.
+        """
+        if not self._role.is_holding or not self.coordinator.needs_term_confirmation:
+            return
+        self._term_confirmation.request()
+        confirmed_ms = [self._hosts_follower.current_as_of_ms]
+        if self._term_confirmation.confirmed_ms is not None:
+            confirmed_ms.append(self._term_confirmation.confirmed_ms)
+        if self._all_hosts_follow() and not self._silent_peers():
+            delay_ms = self._settings.longest_pause_ms + SILENT_AFTER_MS
+            confirmed_ms.append(now_ms - delay_ms)
+        self.coordinator.confirm_term(max(confirmed_ms))
+
     def _silent_peers(self) -> list[HostName]:
         """Return the peers that are disconnected or have sent nothing lately."""
         silence_ms_by_peer = {
--- a/hibiscusstack/pool/active_jobs.py
+++ b/hibiscusstack/pool/active_jobs.py
@@ -38,6 +38,8 @@
     ``is_suspect`` is set once a target was lost while the task ran there, and
     ``isolation_wait_since_ms`` is since when it waits for a target of its own. Its next
     start is recorded for the target instance ``recorded_start``, by name and time.
+    ``presumed_end_ms`` is when a run was last presumed to have ended, without word of
+    its target; ``None`` if that never happened.
     """
 
     key: TaskKey
@@ -52,6 +54,7 @@
     is_suspect: bool = False
     isolation_wait_since_ms: float | None = None
     recorded_start: tuple[str, int] | None = None
+    presumed_end_ms: float | None = None
 
     def note_checkpoint(self, run: int, checkpoint: str) -> None:
         """Store a checkpoint, unless a later run has already made one."""
--- a/hibiscusstack/pool/coordination/periodic_checks.py
+++ b/hibiscusstack/pool/coordination/periodic_checks.py
@@ -118,17 +118,13 @@
 ) -> None:
     """Treat the runs at a fenced target as ended, once they cannot be active.
 
-    The coordinator that fenced the target may have adopted them. Runs of stored jobs
-    are kept for ``seclusion_ms`` longer, within which this host learns whether a later
-    term has taken over the stored jobs.
+    The coordinator that fenced the target may have adopted them if it is the holder of
+    a later term. A deputy adopts none.
     """
-    overrun_ms = now_ms - target.fenced_ms - state.timing.max_orphan_run_ms
-    if overrun_ms < 0:
+    if now_ms - target.fenced_ms < state.timing.max_orphan_run_ms:
         return
     for run in list(target.runs.values()):
-        is_stored = run.job is not None and run.job.is_stored
-        if not is_stored or overrun_ms >= state.timing.seclusion_ms:
-            drop_run(state, target, run, now_ms, "the lease expired")
+        drop_run(state, target, run, now_ms, "the lease expired", is_presumed=True)
 
 
 def _stop_runs(state: CoordinatorState, target: TargetState, now_ms: float) -> None:
--- a/hibiscusstack/pool/coordination/requeuing.py
+++ b/hibiscusstack/pool/coordination/requeuing.py
@@ -1,6 +1,6 @@
 """Requeuing of tasks whose runs ended without a result."""
 
-__all__ = ["drop_all_runs", "drop_run", "requeue_task"]
+__all__ = ["await_term_confirmation", "drop_all_runs", "drop_run", "requeue_task"]
 
 from hibiscusstack.pool.active_jobs import TaskState
 from hibiscusstack.pool.coordination.checkpoints import save_checkpoint
@@ -24,25 +24,42 @@
     enqueue_job(state, job)
 
 
+def await_term_confirmation(state: CoordinatorState, run: Run, now_ms: float) -> None:
+    """Let a stored task wait until it is known that no successor had its run.
+
+    A successor may have renewed the lease of the run, or have handled its end. Hosts
+    hand jobs with callers to a successor, which the silence of their owners shows.
+    """
+    if run.job is not None and run.job.is_stored:
+        run.task.presumed_end_ms = state.presumed_end_ms = now_ms
+
+
 def drop_run(
     state: CoordinatorState,
     target: TargetState,
     run: Run,
     now_ms: float,
     cause: str = "not listed by the target",
+    *,
+    is_presumed: bool = False,
 ) -> None:
-    """Treat a run as ended, because its target will not report its end."""
+    """Treat a run as ended, because its target will not report its end.
+
+    An end that ``is_presumed`` was concluded without word of the target.
+    """
     target.remove(run)
     if run.job is None:
         uncount_stray_run(state, run.name)
-    else:
-        requeue_task(state, target, run, now_ms, cause)
+        return
+    if is_presumed:
+        await_term_confirmation(state, run, now_ms)
+    requeue_task(state, target, run, now_ms, cause)
 
 
 def drop_all_runs(
     state: CoordinatorState, target: TargetState, now_ms: float, cause: str
 ) -> None:
-    """Treat all runs of a target as ended, since its instance or lease has ended."""
+    """Presume all runs of a target ended, since its instance or lease has ended."""
     state.events.runs_lost(target, cause, now_ms)
     for run in list(target.runs.values()):
-        drop_run(state, target, run, now_ms, cause)
+        drop_run(state, target, run, now_ms, cause, is_presumed=True)
--- a/hibiscusstack/pool/coordination/starting.py
+++ b/hibiscusstack/pool/coordination/starting.py
@@ -132,9 +132,9 @@
     def _start_job_tasks(self, job: ActiveJob) -> bool:
         """Start ready tasks of a job; return whether all of them were started.
 
-        Suspects that wait for a target of their own count as started, since they don't
-        show that capacity is short. Once a task of a step did not fit or has to wait,
-        the others of the step aren't tried.
+        Suspects that wait for a target of their own, and tasks that may run elsewhere,
+        count as started, since they don't show that capacity is short. Once a task of a
+        step did not fit or has to wait, the others of the step aren't tried.
         """
         state, now_ms = self._state, self._now_ms
         if job.is_stored and any(task.is_suspect for task in job.ready):
@@ -146,7 +146,7 @@
         unplaced_steps: set[tuple[int, bool]] = set()
         for task in list(job.ready):
             kind = task.key[0], task.is_suspect
-            if kind in unplaced_steps:
+            if kind in unplaced_steps or state.may_run_elsewhere(task):
                 continue
             if task.is_suspect:
                 target = choose_suspect_target(state, job, task, now_ms)
@@ -164,7 +164,9 @@
         if is_first and job.first_start_ms is not None:
             # Move the job in the queue: started jobs come first.
             state.queue.add(job, now_ms)
-        return all(task.is_suspect for task in job.ready)
+        return all(
+            task.is_suspect or state.may_run_elsewhere(task) for task in job.ready
+        )
 
     def _is_unmet(self, job: ActiveJob) -> bool:
         """Return whether no task of a job of one step can have room in this pass."""
--- a/hibiscusstack/pool/coordination/state.py
+++ b/hibiscusstack/pool/coordination/state.py
@@ -2,6 +2,7 @@
 
 __all__ = ["CoordinatorState", "SendAnswer"]
 
+import math
 from collections import Counter
 from collections.abc import Callable, Iterator
 
@@ -9,7 +10,7 @@
 
 from hibiscusstack.clock import Clock
 from hibiscusstack.dispatch.messages import HostName
-from hibiscusstack.pool.active_jobs import ActiveJob
+from hibiscusstack.pool.active_jobs import ActiveJob, PoolTask
 from hibiscusstack.pool.capacity_index import FreeCapacityIndex
 from hibiscusstack.pool.events import PoolEvents
 from hibiscusstack.pool.messages import SubmissionAnswer
@@ -47,7 +48,9 @@
     ``stray_run_counts`` counts the stray runs of each job id: runs at targets that
     belong to no job in progress. ``deferred_ends`` are ends of runs whose stored jobs
     the journal may not have read yet. ``unheard_owners`` are the hosts for which
-    no task is started. ``check_count`` counts the periodic checks of targets,
+    no task is started. No later term had begun at ``term_confirmed_ms``, and
+    ``presumed_end_ms`` is when a run of a stored job was last presumed to have ended.
+    ``check_count`` counts the periodic checks of targets,
     and ``last_check_ms`` is when the last one took place. ``punctual_since_ms`` is
     since when they have come on time, so that a late loop isn't taken for silence.
     """
@@ -86,6 +89,8 @@
     stray_run_counts: Counter[str] = attrs.field(factory=Counter)
     deferred_ends: list[tuple[TargetState, RunEnd]] = attrs.field(factory=list)
     unheard_owners: set[HostName] = attrs.field(factory=set)
+    term_confirmed_ms: float = -math.inf
+    presumed_end_ms: float = -math.inf
 
     @property
     def is_superseded(self) -> bool:
@@ -97,6 +102,20 @@
         paused_ms = self.clock.now_ms() - self.last_check_ms
         return self.has_stepped_down or paused_ms > self.timing.longest_pause_ms
 
+    @property
+    def needs_term_confirmation(self) -> bool:
+        """Whether a task waits until it is known that its term had not ended."""
+        return self.presumed_end_ms > self.term_confirmed_ms
+
+    def may_run_elsewhere(self, task: PoolTask) -> bool:
+        """Return whether a later coordinator may have taken over a run of the task.
+
+        A run that was presumed to have ended may go on, or have ended with a result,
+        only if a later term had begun by then.
+        """
+        ended_ms = task.presumed_end_ms
+        return ended_ms is not None and ended_ms > self.term_confirmed_ms
+
     def set_target(self, target: TargetState) -> None:
         """Add a target instance; it replaces an earlier instance of the same name."""
         self.drop_target(target.listing.name)
--- a/hibiscusstack/pool/coordination/target_instances.py
+++ b/hibiscusstack/pool/coordination/target_instances.py
@@ -18,7 +18,7 @@
 from hibiscusstack.pool.coordination.closing import close_job
 from hibiscusstack.pool.coordination.job_tracking import uncount_stray_run
 from hibiscusstack.pool.coordination.lost_targets import drop_lost_runs, note_loss
-from hibiscusstack.pool.coordination.requeuing import drop_run
+from hibiscusstack.pool.coordination.requeuing import await_term_confirmation, drop_run
 from hibiscusstack.pool.coordination.sending import send_hold, send_poll, send_stop
 from hibiscusstack.pool.coordination.state import CoordinatorState
 from hibiscusstack.pool.messages import JobEnd
@@ -113,6 +113,7 @@
         if key in active or may_be_at_replacement:
             target.remove(run)
             replacement.add(run)
+            await_term_confirmation(state, run, now_ms)
         if key not in active and may_be_at_replacement:
             # The start order may arrive later, so a stop must block it. If an earlier
             # confirmation counted, the next reply without the run would prove its end.
--- a/hibiscusstack/pool/coordination/tests/test_starting.py
+++ b/hibiscusstack/pool/coordination/tests/test_starting.py
@@ -292,3 +292,58 @@
     harness.coordinator.replace_targets(harness.targets)
     harness.complete_takeover("t2")
     assert harness.started_runs() == [("t2", "j.0.0.0", 1)]
+
+
+def expire_lease(harness):
+    """Leave a target silent until its lease has expired."""
+    harness.fail_hold("t1", ReplyLost("silent"))
+    harness.pass_time(MAX_ORPHAN_RUN_MS)
+
+
+def fence_for_long(harness):
+    """Let another coordinator fence a target, until its leases have expired."""
+    harness.fail_hold("t1", FencedOut())
+    harness.pass_time(MAX_ORPHAN_RUN_MS)
+
+
+def replace_listing(harness):
+    """Let a new instance of a target be listed, at another address."""
+    listed = [
+        make_target("t1", address="t1:2", instance_started_ms=2),
+        make_target("t2"),
+    ]
+    harness.coordinator.replace_targets(listed)
+
+
+def replace_instance(harness):
+    """Let a new instance of a target answer, which may have got the start order."""
+    started_ms = harness.clock.now_ms()
+    harness.reply_to_hold("t1", instance_started_ms=started_ms)
+    harness.reply_to_stop()
+    for _ in range(2):
+        harness.pass_time(10)
+        harness.reply_to_hold("t1", instance_started_ms=started_ms)
+
+
+# Guards against stored tasks that are started again while a successor, of which this
+# coordinator doesn't know, has adopted their runs or handled their ends.
+@pytest.mark.parametrize(
+    "lose", [expire_lease, fence_for_long, replace_listing, replace_instance]
+)
+def test_a_stored_task_presumed_ended_waits_for_the_term_to_be_confirmed(lose):
+    harness = CoordinatorHarness("t1", "t2")
+    harness.complete_takeover("t1", "t2")
+    run = harness.submit_and_start("t1", make_job("j"))
+    harness.coordinator._state.jobs["j"].is_stored = True
+    harness.confirms_term = False
+    lose(harness)
+    harness.pass_time(10)
+    assert harness.coordinator.needs_term_confirmation and len(harness.starts) == 1
+    lost_ms = harness.coordinator._state.presumed_end_ms
+    harness.coordinator.confirm_term(lost_ms - 1)
+    harness.pass_time(10)
+    assert len(harness.starts) == 1
+    harness.coordinator.confirm_term(lost_ms)
+    harness.pass_time(10)
+    assert harness.started_runs()[1:] == [("t2", run[0], 2)]
+    assert not harness.coordinator.needs_term_confirmation
--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -238,6 +238,18 @@
         """
         self._state.unheard_owners = set(owners)
 
+    @property
+    def needs_term_confirmation(self) -> bool:
+        """Whether stored tasks wait for :meth:`confirm_term`."""
+        return self._state.needs_term_confirmation
+
+    def confirm_term(self, as_of_ms: float) -> None:
+        """Note that no later term had begun at ``as_of_ms``.
+
+        Tasks whose runs were presumed to have ended before then may start again.
+        """
+        self._state.term_confirmed_ms = max(self._state.term_confirmed_ms, as_of_ms)
+
     def add_stored_job(self, job: ActiveJob) -> None:
         """Queue a stored job; none of its tasks start within this call."""
         add_stored_job(self._state, job)
--- a/hibiscusstack/pool/tests/coordinator_harness.py
+++ b/hibiscusstack/pool/tests/coordinator_harness.py
@@ -63,10 +63,12 @@
     ``starts``, ``stops`` and ``holds`` contain pairs of target and order, and
     ``open_holds`` the holds without a reply. ``closed`` contains the addresses whose
     connections were closed. ``answers`` contains the answers to
-    submissions in the order in which they were sent.
+    submissions in the order in which they were sent. While ``confirms_term`` is set, no
+    later term begins.
     """
 
     def __init__(self, *names, **options):
+        self.confirms_term = True
         self.clock = ManualClock(10_000)
         self.starts, self.stops, self.holds, self.answers = [], [], [], []
         self.open_holds, self.closed = [], []
@@ -187,6 +189,8 @@
         while duration_ms > 0:
             self.clock.advance(min(10, duration_ms))
             duration_ms -= 10
+            if self.confirms_term:
+                self.coordinator.confirm_term(self.clock.now_ms())
             self.coordinator.tick()
 
     def started_runs(self):
--- /dev/null
+++ b/hibiscusstack/pool/tests/test_stored_partitions.py
@@ -0,0 +1,57 @@
+"""Stored jobs while a data centre is cut off from the others and from the log."""
+
+import pytest
+
+from hibiscusstack.pool.tests.fleet import Fleet
+from hibiscusstack_standins.estate.jobs import Step
+from hibiscusstack_standins.estate.store_service import Outage
+
+ZONES = {
+    "x": ("h1", "h4", "w0", "w3"),
+    "y": ("h2", "h5", "w1", "w4"),
+    "z": ("h3", "h6", "w2", "w5"),
+}
+CUT_MS = 5_500
+TASK_CPU_MILLI = 250
+
+
+def submit_stored_jobs(fleet, duration_ms, pause_ms=250):
+    """Submit stored jobs of four tasks each while time passes."""
+    for _ in range(0, duration_ms, pause_ms):
+        work_ms = fleet.random.randint(600, 2_400)
+        fleet.submit(Step(4, work_ms, cpu=TASK_CPU_MILLI), is_stored=True)
+        fleet.run(pause_ms)
+
+
+# Guards against a coordinator that is cut off and takes the leases of targets that it
+# can't reach for expired, though its successor has renewed them: it started stored
+# tasks again that went on or were done elsewhere.
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("resets", [True, False])
+def test_coordinator_that_is_cut_off_repeats_no_stored_task(seed, resets):
+    fleet = Fleet(seed, hosts=6, workers=6, zones=ZONES)
+    submit_stored_jobs(fleet, 3_000)
+    fleet.cut_zone(fleet.zone_of(fleet.coordinator()), resets)
+    submit_stored_jobs(fleet, CUT_MS)
+    fleet.mend()
+    fleet.recover_and_verify(30_000)
+
+
+# Guards against a proof that there is no successor which costs time in each recovery,
+# or which can't be had while the log is away.
+@pytest.mark.parametrize(("is_log_away", "delay_ms"), [(False, 2_000), (True, 2_500)])
+def test_tasks_of_a_lost_target_start_again_soon_without_a_successor(
+    is_log_away, delay_ms
+):
+    fleet = Fleet(hosts=3, workers=4)
+    fleet.submit(Step(4, 3_000, cpu=TASK_CPU_MILLI * 4), is_stored=True)
+    fleet.run(500)
+    if is_log_away:
+        fleet.store.set_outages(fleet.now_ms, [Outage("silent")])
+    name = next(name for name in fleet.workers if fleet.starts_on(name))
+    started = fleet.starts()
+    fleet.network.kill(name, resets=False)
+    fleet.run(delay_ms)
+    assert fleet.starts() > started
+    fleet.store.set_outages(fleet.now_ms, [])
+    fleet.recover_and_verify()
--- a/hibiscusstack_standins/estate/tests/stored_site.py
+++ b/hibiscusstack_standins/estate/tests/stored_site.py
@@ -14,11 +14,14 @@
 
 from hibiscusstack.dispatch.messages import HostName
 from hibiscusstack.pool.coordinator import Coordinator
+from hibiscusstack.pool.election import Election
+from hibiscusstack.pool.host_records import TERM_KEY, encode_term
 from hibiscusstack.pool.jobs import PoolJob, Resources, Step
 from hibiscusstack.pool.messages import StoredRequest, StoredState
 from hibiscusstack.pool.stored.service import StoredJobService
 from hibiscusstack.pool.stored.submitting import Accepted, NotAccepted
 from hibiscusstack.pool.targets import ListedTarget
+from hibiscusstack.pool.term_confirmation import TermConfirmation
 from hibiscusstack.pool.timing import CoordinatorTiming
 from hibiscusstack.pool.topic_follower import TopicFollower
 from hibiscusstack_standins.estate import jobs as estate
@@ -27,6 +30,7 @@
 from hibiscusstack_standins.estate.log_store import LogStore, StoreLimits
 from hibiscusstack_standins.estate.messages import Request
 from hibiscusstack_standins.estate.network import Network
+from hibiscusstack_standins.estate.records import frame_keyed
 from hibiscusstack_standins.estate.runs import Capacity
 from hibiscusstack_standins.estate.store_service import StoreService
 from hibiscusstack_standins.estate.worker import Worker, WorkerPlan
@@ -69,16 +73,29 @@
             clock=self.reactor,
         )
         self._follower.start()
+        self._election = Election(self.own, patience_ms=200)
+        self._confirmation = TermConfirmation(
+            StoreLog(NetworkClient(site.network, name), "store:1", STORE_MS),
+            self.reactor,
+            self._election,
+        )
         self._tick()
 
     def coordinate(self, token: int) -> None:
         """Coordinate in the term with this token."""
+        self.begin_term()
         self._new_coordinator(token)
         journal = self.stored.start_manager(token, self.coordinator)
         self.coordinator.journal = journal
         self.coordinator.replace_targets(self.site.listed())
         self._list_targets()
 
+    def begin_term(self) -> None:
+        """Let the log have a new term of this host."""
+        record = frame_keyed(TERM_KEY, encode_term(self.own))
+        store, now_ms = self.site.store.store, self.site.network.now_ms
+        self._election.record_log_end(store.put(now_ms, "keyed.hibiscus", record) + 1)
+
     def stand_in(self, token: int, names: tuple[str, ...]) -> None:
         """Order some targets in place of the coordinator."""
         self._new_coordinator(token, is_deputy=True, discards_earlier_ends=True)
@@ -110,6 +127,7 @@
 
     def _tick(self) -> None:
         if self.coordinator is not None:
+            self._confirm_term()
             self.coordinator.tick()
         unknown_ms = self.reactor.now_ms() - self._follower.current_as_of_ms
         is_apart = self.own.name in self.site.apart
@@ -117,6 +135,12 @@
         self.stored.tick()
         self.reactor.callLater(TICK_MS / 1000, self._tick)
 
+    def _confirm_term(self) -> None:
+        if self.coordinator.needs_term_confirmation:
+            self._confirmation.request()
+            if self._confirmation.confirmed_ms is not None:
+                self.coordinator.confirm_term(self._confirmation.confirmed_ms)
+
     def _list_targets(self) -> None:
         if self.coordinator is not None:
             self.coordinator.replace_targets(self.site.listed())
@@ -210,6 +234,7 @@
         """Let the holder begin another term, and end the work of deputies."""
         self.mend()
         self.token += TERM_TOKENS
+        self.hosts[self.holder.name].begin_term()
         self.hosts[self.holder.name].coordinator.adopt_token(self.token)
 
     def mend(self) -> None:
--- a/hibiscusstack_standins/lab/site.py
+++ b/hibiscusstack_standins/lab/site.py
@@ -151,8 +151,11 @@
             self.network.cut(one, other)
             self.streams.cuts.add(frozenset((one, other)))
 
-    def cut_zone(self, zone: str) -> None:
-        """Cut a zone off from the store and from all other zones."""
+    def cut_zone(self, zone: str, resets: bool = False) -> None:
+        """Cut a zone off from the store and from all other zones.
+
+        With ``resets`` hosts notice at once that their streams to peers are broken.
+        """
         hosts, workers = self.members(zone)
         elsewhere = [name for name in self.host_names if name not in hosts]
         far_workers = [name for name in self.workers if name not in workers]
@@ -160,6 +163,8 @@
             self.cut(host, ["store", *elsewhere, *far_workers])
         for host in elsewhere:
             self.cut(host, workers)
+        if resets:
+            self.streams.reset(self.streams.cuts)
         self.registry.cut_off.update(workers)
 
     def mend(self) -> None:
--- a/hibiscusstack_standins/lab/streams.py
+++ b/hibiscusstack_standins/lab/streams.py
@@ -132,6 +132,13 @@
             for arrive in held:
                 self.network.after(end.owner, 1, arrive)
 
+    def reset(self, pairs: Iterable[frozenset[str]]) -> None:
+        """Break all streams between some pairs of hosts, noticed at both ends."""
+        pairs = set(pairs)
+        for end in self._ends:
+            if frozenset((end.owner, end.far.owner)) in pairs:
+                self.network.after(end.owner, 1, end.lose)
+
     def drop(self, owner: str, resets: bool) -> None:
         """Take away a host that was killed; its peers may notice it."""
         for port in [port for port, (name, _) in self.listeners.items()]:
