Let deputies discard every unknown end that may count, whatever they have heard

Cause: the first host that is back becomes the deputy of its data centre before the leases of the lost coordinator expire. A deputy discarded earlier ends only if its process had heard of stored jobs, from callers or heartbeats. One that has just started has heard nothing, and took that for none: it acknowledged ends that nobody had recorded.

Change: a deputy leaves each end done or failed of a job that it doesn't know unacknowledged, and neither renews the lease of its target nor starts anything there until that has expired, so the end counts nowhere. It uses all other targets as soon as their earlier runs have stopped; before, a deputy that had heard of stored jobs waited at each. The argument for it goes; heartbeats still carry the field, for deputies of an earlier build.

--- a/hibiscusstack/pool/coordination/periodic_checks.py
+++ b/hibiscusstack/pool/coordination/periodic_checks.py
@@ -58,7 +58,7 @@
     if target.silent_since_ms is not None and target.runs:
         _check_lost_runs(state, target, now_ms)
     # Ends of stored jobs from before then must not count, so the target may drop them.
-    if state.discards_earlier_ends and now_ms >= target.no_renewal_until_ms:
+    if state.is_deputy and now_ms >= target.no_renewal_until_ms:
         target.unacknowledged_ends.clear()
     _stop_runs(state, target, now_ms)
     _probe_if_overdue(state, target, now_ms)
--- a/hibiscusstack/pool/coordination/reported_runs.py
+++ b/hibiscusstack/pool/coordination/reported_runs.py
@@ -57,9 +57,21 @@
     if reply.instance_started_ms is not None and target.isolated_run is None:
         refute_survived_loss(state, target)
     _advance_takeover(state, target, now_ms)
+    if state.is_deputy and not reply.has_more:
+        _renew_early_if_safe(target, now_ms)
     return target
 
 
+def _renew_early_if_safe(target: TargetState, now_ms: float) -> None:
+    """Let a deputy use a target at once that has no end to be discarded.
+
+    Earlier runs have then ended without a result, and no others can start there, since
+    the target refuses the token of the earlier coordinator.
+    """
+    if target.phase is TakeoverPhase.HELD and not target.unacknowledged_ends:
+        target.no_renewal_until_ms = min(target.no_renewal_until_ms, now_ms)
+
+
 def _advance_takeover(
     state: CoordinatorState, target: TargetState, now_ms: float
 ) -> None:
@@ -70,7 +82,7 @@
         # An earlier coordinator may have renewed the lease until then.
         lease_expiry_ms = now_ms + state.timing.max_lease_ms
         target.lease_expiry_ms = max(target.lease_expiry_ms, lease_expiry_ms)
-        if state.discards_earlier_ends:
+        if state.is_deputy:
             target.no_renewal_until_ms = now_ms + state.timing.max_lease_ms
     if (
         target.phase is not TakeoverPhase.RECONCILING
--- a/hibiscusstack/pool/coordination/run_ends.py
+++ b/hibiscusstack/pool/coordination/run_ends.py
@@ -34,9 +34,11 @@
     job_id = parsed[0] if parsed else ""
     if journal is None:
         # No stored jobs are known here, so an end of an unknown job may belong to one.
-        # The target keeps such ends until its earlier lease has expired. With
-        # ``discards_earlier_ends`` the periodic checks then clear them.
-        if now_ms < target.no_renewal_until_ms and job_id not in state.jobs:
+        # The target keeps such an end until its earlier lease has expired, when the
+        # periodic checks let it go. Only these two outcomes count.
+        may_count = end.outcome in {RUN_DONE, RUN_FAILED}
+        is_early = now_ms < target.no_renewal_until_ms
+        if may_count and is_early and job_id not in state.jobs:
             target.note_unacknowledged(end.number, now_ms)
         _apply_run_end(state, target, end, now_ms)
         return
--- a/hibiscusstack/pool/coordination/state.py
+++ b/hibiscusstack/pool/coordination/state.py
@@ -37,8 +37,6 @@
     ``listed`` maps names to the newest list of targets. ``targets`` maps names to the
     target instances whose takeover has begun, ``free_capacity`` indexes them by free
     CPU, and ``takeover_count`` is the number of takeovers begun so far.
-    With ``discards_earlier_ends`` the leases found at a takeover are not renewed
-    until they have expired, because the ends of runs from before then must not count.
     ``losses`` are the lost targets that this host knows of.
     ``records`` are the targets that are recorded in the log; if there are none, all
     count as recorded. ``unrecorded`` names the targets that aren't usable yet.
@@ -62,7 +60,6 @@
     timing: CoordinatorTiming
     events: PoolEvents
     is_deputy: bool
-    discards_earlier_ends: bool
     term_started_ms: float
     queue: JobQueue
     losses: TargetLosses
--- a/hibiscusstack/pool/coordination/target_instances.py
+++ b/hibiscusstack/pool/coordination/target_instances.py
@@ -157,7 +157,7 @@
     target = TargetState(
         listing, state.timing, state.takeover_count, now_ms, listed_ms=now_ms
     )
-    if state.discards_earlier_ends:
+    if state.is_deputy:
         # The first reply sets the time; until then no lease is renewed.
         target.no_renewal_until_ms = math.inf
     state.set_target(target)
--- a/hibiscusstack/pool/coordination/tests/test_target_instances.py
+++ b/hibiscusstack/pool/coordination/tests/test_target_instances.py
@@ -123,7 +123,7 @@
 
 
 def test_earlier_ends_of_a_new_instance_are_acknowledged_after_lease_expiry():
-    harness = CoordinatorHarness("t1", is_deputy=True, discards_earlier_ends=True)
+    harness = CoordinatorHarness("t1", is_deputy=True)
     harness.complete_takeover("t1")
     harness.pass_time(MAX_LEASE_MS)
     harness.reply_to_hold("t1")
--- a/hibiscusstack/pool/coordinator.py
+++ b/hibiscusstack/pool/coordinator.py
@@ -81,11 +81,10 @@
     A deputy controls only some of the targets, and the coordinator that it replaces may
     still be running elsewhere. The deputy therefore adopts no runs. Before it starts
     tasks of a resubmitted job, it waits until that coordinator must have noticed the
-    loss of its hosts and ended its work. With ``discards_earlier_ends``, the leases
-    that are found on the targets are not renewed until they have expired. A deputy does
-    not know the stored jobs, so the ends of their runs from before the expiry must not
-    count. It leaves ends of unknown jobs unacknowledged until then, and discards them
-    afterwards.
+    loss of its hosts and ended its work. A deputy does not know the stored jobs, so an
+    end of an unknown job's run must not count. It leaves such ends unacknowledged, does
+    not renew the lease that it finds on their target until that has expired, and
+    discards them afterwards.
 
     ``ordering`` sets the order in which waiting jobs get capacity, and when a job is
     rejected.
@@ -105,7 +104,6 @@
         records: RecordedTargets | None = None,
         losses: TargetLosses | None = None,
         is_deputy: bool = False,
-        discards_earlier_ends: bool = False,
         ordering: OrderingPolicy | None = None,
     ) -> None:
         self._state = CoordinatorState(
@@ -118,7 +116,6 @@
             records=records,
             losses=losses or TargetLosses(clock),
             is_deputy=is_deputy,
-            discards_earlier_ends=discards_earlier_ends,
             term_started_ms=clock.now_ms(),
             queue=JobQueue(ordering),
         )
--- a/hibiscusstack/pool/coordinator_role.py
+++ b/hibiscusstack/pool/coordinator_role.py
@@ -114,10 +114,7 @@
         """
         self._orders_all = is_general
         token = deputy_token(term.offset, registration_offset)
-        voids_ends = self._stored.has_jobs
-        self.coordinator = self._build(
-            token, is_deputy=True, discards_earlier_ends=voids_ends
-        )
+        self.coordinator = self._build(token, is_deputy=True)
         self.targets_changed()
 
     def step_down(self) -> None:
--- a/hibiscusstack/pool/messages.py
+++ b/hibiscusstack/pool/messages.py
@@ -46,7 +46,8 @@
     own data centre as a deputy; with ``is_general`` it is a general deputy, which
     coordinates the targets of all data centres.
 
-    ``has_stored`` tells that there have been stored jobs. ``token`` is the fencing
+    ``has_stored`` tells deputies of an earlier build that there have been stored jobs;
+    those of this build don't rely on it. ``token`` is the fencing
     token of the sender's orders to targets, 0 if it sends none. ``general_token`` is
     the highest token of a general deputy that the sender has heard of. ``lacks_log``
     tells that the sender has not been able to read the log recently, or ever.
--- a/hibiscusstack/pool/stored/service.py
+++ b/hibiscusstack/pool/stored/service.py
@@ -44,8 +44,9 @@
 
     ``send`` sends messages to other hosts; messages for this host are handled
     directly. ``has_jobs`` says whether any stored job has been submitted here, held by
-    the manager or reported by another host. ``manager`` is None while this host does
-    not coordinate.
+    the manager or reported by another host; a process that has just started doesn't
+    know, so nothing may be concluded from its absence. ``manager`` is None while this
+    host does not coordinate.
     """
 
     def __init__(
--- a/hibiscusstack/pool/tests/test_coordinator_role.py
+++ b/hibiscusstack/pool/tests/test_coordinator_role.py
@@ -37,7 +37,7 @@
 class Stored:
     """Records the token under which stored jobs are managed."""
 
-    has_jobs, token, role = True, None, None
+    token, role = None, None
 
     def start_manager(self, token, runner):
         """Record the token; the role already has the coordinator for replies."""
--- a/hibiscusstack/pool/tests/test_stored_partitions.py
+++ b/hibiscusstack/pool/tests/test_stored_partitions.py
@@ -12,6 +12,7 @@
     "z": ("h3", "h6", "w2", "w5"),
 }
 CUT_MS = 5_500
+RESTART_MS = 500
 TASK_CPU_MILLI = 250
 
 
@@ -55,3 +56,26 @@
     assert fleet.starts() > started
     fleet.store.set_outages(fleet.now_ms, [])
     fleet.recover_and_verify()
+
+
+# Guards against a deputy that has just started, has not heard that there are stored
+# jobs, and acknowledges ends of their runs that nobody has recorded.
+@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("early_ms", [0, 50])
+def test_a_deputy_that_has_just_started_acknowledges_no_stored_end(seed, early_ms):
+    zones = {"x": ("h1", "w0", "w3"), "y": ("h2", "w1", "w4"), "z": ("h3", "w2", "w5")}
+    fleet = Fleet(seed, hosts=3, workers=6, zones=zones)
+    coordinator = fleet.coordinator()
+    first, other = sorted(set(fleet.host_names) - {coordinator})
+    for _ in range(30):
+        work_ms = fleet.random.randint(150, 450)
+        fleet.submit(Step(12, work_ms, cpu=TASK_CPU_MILLI), host=other, is_stored=True)
+    fleet.run(1_000)
+    fleet.kill(first)
+    fleet.run(RESTART_MS - early_ms)
+    for name in (coordinator, other):
+        fleet.kill(name)
+    fleet.run(early_ms)
+    fleet.start(first)
+    fleet.run(RESTART_MS - early_ms)
+    fleet.recover_and_verify(60_000)
--- a/hibiscusstack_standins/estate/tests/stored_site.py
+++ b/hibiscusstack_standins/estate/tests/stored_site.py
@@ -98,7 +98,7 @@
 
     def stand_in(self, token: int, names: tuple[str, ...]) -> None:
         """Order some targets in place of the coordinator."""
-        self._new_coordinator(token, is_deputy=True, discards_earlier_ends=True)
+        self._new_coordinator(token, is_deputy=True)
         targets = [each for each in self.site.listed() if each.name in names]
         self.coordinator.replace_targets(targets)
 
