--- a/hibiscusstack/pool/tests/test_stored_partitions.py
+++ b/hibiscusstack/pool/tests/test_stored_partitions.py
@@ -1,10 +1,13 @@
 """Stored jobs while a data centre is cut off from the others and from the log."""
 
+from functools import partial
+
 import pytest
 
 from hibiscusstack.pool.tests.fleet import Fleet
 from hibiscusstack_standins.estate.jobs import Step
 from hibiscusstack_standins.estate.store_service import Outage
+from hibiscusstack_standins.lab.site import PLATFORM
 
 ZONES = {
     "x": ("h1", "h4", "w0", "w3"),
@@ -79,3 +82,39 @@
     fleet.start(first)
     fleet.run(RESTART_MS - early_ms)
     fleet.recover_and_verify(60_000)
+
+
+# Guards against moments that single faults don't show: cuts and restarts that overlap.
+@pytest.mark.parametrize("seed", range(8))
+def test_cuts_and_restarts_in_series_repeat_no_stored_task(seed):
+    fleet = Fleet(seed, hosts=6, workers=6, zones=ZONES)
+    for _ in range(6):
+        submit_stored_jobs(fleet, fleet.random.choice((250, 750, 1_500)))
+        if fleet.random.random() < 1 / 2:
+            cut_a_zone(fleet)
+        else:
+            restart_in_series(fleet)
+    fleet.run(CUT_MS)
+    fleet.recover_and_verify(30_000)
+
+
+def cut_a_zone(fleet):
+    """Cut a zone off, most often that of the coordinator, until a later time."""
+    others = fleet.random.choice(sorted(ZONES))
+    coordinator = fleet.coordinator()
+    is_holder_cut = coordinator and fleet.random.random() < 2 / 3
+    zone = fleet.zone_of(coordinator) if is_holder_cut else others
+    fleet.cut_zone(zone, resets=fleet.random.random() < 2 / 3)
+    fleet.network.after(PLATFORM, fleet.random.choice((700, 2_500, CUT_MS)), fleet.mend)
+
+
+def restart_in_series(fleet):
+    """Kill some hosts one after the other; each starts again after a while."""
+    names = fleet.random.sample(sorted(fleet.edges), fleet.random.randint(0, 3))
+    pause_ms = fleet.random.choice((0, 50, 400))
+    for place, name in enumerate(names):
+        begin_ms = 1 + place * pause_ms
+        fleet.network.after(PLATFORM, begin_ms, partial(fleet.kill, name))
+        restart = partial(fleet.start, name)
+        fleet.network.after(PLATFORM, begin_ms + RESTART_MS, restart)
+    fleet.run(len(names) * pause_ms + RESTART_MS + 1)
