--- a/Makefile
+++ b/Makefile
@@ -21,8 +21,9 @@
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
 
+# Real processes and fixtures of a module stay together in one worker.
 test: setup
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest -n auto --maxprocesses 6 --dist loadfile $(ARGUMENTS)
 
 .PHONY: bench-engine
 bench-engine: setup
