--- a/hibiscusstack/daemon/pool_host.py
+++ b/hibiscusstack/daemon/pool_host.py
@@ -699,7 +699,6 @@
         """
         if not self._role.is_holding or not self.coordinator.needs_term_confirmation:
             return
-        self._term_confirmation.request()
         confirmed_ms = [self._hosts_follower.current_as_of_ms]
         if self._term_confirmation.confirmed_ms is not None:
             confirmed_ms.append(self._term_confirmation.confirmed_ms)
@@ -707,6 +706,8 @@
             delay_ms = self._settings.longest_pause_ms + SILENT_AFTER_MS
             confirmed_ms.append(now_ms - delay_ms)
         self.coordinator.confirm_term(max(confirmed_ms))
+        if self.coordinator.needs_term_confirmation:
+            self._term_confirmation.request()
 
     def _silent_peers(self) -> list[HostName]:
         """Return the peers that are disconnected or have sent nothing lately."""
