--- a/hibiscusstack/pool/tests/test_stored_partitions.py
+++ b/hibiscusstack/pool/tests/test_stored_partitions.py
@@ -100,10 +100,10 @@
 
 def cut_a_zone(fleet):
     """Cut a zone off, most often that of the coordinator, until a later time."""
-    others = fleet.random.choice(sorted(ZONES))
+    zone = fleet.random.choice(sorted(ZONES))
     coordinator = fleet.coordinator()
-    is_holder_cut = coordinator and fleet.random.random() < 2 / 3
-    zone = fleet.zone_of(coordinator) if is_holder_cut else others
+    if coordinator and fleet.random.random() < 2 / 3:
+        zone = fleet.zone_of(coordinator)
     fleet.cut_zone(zone, resets=fleet.random.random() < 2 / 3)
     fleet.network.after(PLATFORM, fleet.random.choice((700, 2_500, CUT_MS)), fleet.mend)
 
