Let the stand-ins of the third review turn single hosts away and replace hosts

Cause: hosts on one machine share an address, so the store couldn't tell them apart.

Change: each host has a port of the store of its own, an outage names the hosts that it is for, and a script can add a host while the site runs.

--- a/review/lab3/estate.py
+++ b/review/lab3/estate.py
@@ -26,13 +26,14 @@
 from hibiscusstack_standins.estate.registry import Registry
 from hibiscusstack_standins.estate.runs import Capacity
 from hibiscusstack_standins.estate.serving import ServiceDriver, serve
-from hibiscusstack_standins.estate.store_service import StoreService
+from hibiscusstack_standins.estate.store_service import Outage, StoreService
 from hibiscusstack_standins.estate.worker import Worker, WorkerPlan
 
 ADDRESS = "127.0.0.1"
 SERVICE = "lipi-booking"
 ZONES = ("bagmati-a", "bagmati-b", "bagmati-c")
 WORKERS_PER_RACK = 8
+MAX_HOSTS = 6
 PORT_CHECK_S = 0.01
 
 
@@ -56,7 +57,11 @@
         self._catalog = Catalog()
         store = StoreService(LogStore())
         self._store = ServiceDriver(reactor, store)
-        self.store_port = serve(reactor, self._store, ADDRESS).getHost().port
+        # Hosts share an address, so the port of the store tells them apart.
+        self.store_ports = {
+            name: serve(reactor, self._store, ADDRESS, names={ADDRESS: name})
+            for name in (f"edge-{number + 1}" for number in range(MAX_HOSTS))
+        }
         self._configure({"version": 7, "service": SERVICE, "services": [SERVICE]})
         self._registry = Registry(store, options.heartbeat_ms)
         self._registry_driver = ServiceDriver(reactor, self._registry)
@@ -68,6 +73,7 @@
         LoopingCall(self._update_ports).start(PORT_CHECK_S, now=False)
         self.calls: dict[str, Callable[[dict], dict]] = {
             "/configure": self._configure,
+            "/outage": self._set_outage,
             "/jobs": self._add_jobs,
             "/join": lambda body: self._join(body.get("service", SERVICE)),
             "/leave": self._leave,
@@ -137,6 +143,14 @@
             elif port.connected and not worker.is_up:
                 port.stopListening()
 
+    def _set_outage(self, body: dict) -> dict:
+        """Turn some hosts away, or none where no kind of outage is given."""
+        callers = frozenset(body["hosts"])
+        outages = [Outage(body["kind"], callers)] if body["kind"] else []
+        self._store.service.set_outages(self._store.now_ms, outages)
+        self._store.pump()
+        return {}
+
     def _add_jobs(self, body: dict) -> dict:
         for each in body["jobs"]:
             steps = tuple(
@@ -218,7 +232,8 @@
     options = parser.parse_args()
     estate = Estate(options)
     control = reactor.listenTCP(0, Site(ControlResource(estate)), interface=ADDRESS)
-    ready = {"control": control.getHost().port, "store": estate.store_port}
+    ports = {name: port.getHost().port for name, port in estate.store_ports.items()}
+    ready = {"control": control.getHost().port, "store": ports}
     partial = options.ready_file.with_suffix(".partial")
     partial.write_text(json.dumps(ready))
     partial.rename(options.ready_file)
--- a/review/lab3/site.py
+++ b/review/lab3/site.py
@@ -88,7 +88,8 @@
         self.hosts: dict[str, dict[str, Any]] = {}
         self._folder = folder
         self._processes: list[subprocess.Popen] = []
-        self._ports: dict[str, int] = {}
+        self._control_port = 0
+        self._store_ports: dict[str, int] = {}
         self._taken_ports: set[int] = set()
 
     def start_estate(self, *options: str) -> None:
@@ -97,35 +98,60 @@
         command = [sys.executable, "-m", "review.lab3.estate", "--ready-file"]
         self._start("estate", [*command, str(ready), *options], dict(os.environ))
         wait_until(ready.exists, START_TIMEOUT_S, "the estate")
-        self._ports = json.loads(ready.read_text())
+        ports = json.loads(ready.read_text())
+        self._control_port, self._store_ports = ports["control"], ports["store"]
 
     def start_hosts(self, count: int) -> None:
-        """Start hosts by the commands of the deploy file, one after the other."""
+        """Start hosts by the commands of the deploy file, and wait as clients do."""
+        started = time.monotonic()
+        for _ in range(count):
+            self.start_host()
+        for name in self.hosts:
+            self.wait_until_ready(name)
+        time.sleep(max(0, started + LEAD_S - time.monotonic()))
+
+    def start_host(self) -> str:
+        """Start one more host, at ports of its own; return its name."""
+        number = len(self.hosts)
+        name = f"edge-{number + 1}"
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         (role,) = deploy["roles"].values()
         template = (ROOT / role["template"]).read_text()
-        for number in range(count):
-            name = f"edge-{number + 1}"
-            fields = self._settings(name, number)
-            settings = self._folder / f"{name}.ini"
-            settings.write_text(fill_in(template, fields))
-            environment = {
-                key: os.environ[key]
-                for key in ("PATH", "HOME", "LANG")
-                if key in os.environ
-            }
-            environment["HIBISCUSSTACK_CONFIG"] = str(settings)
-            environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
-            environment["PYTHONDONTWRITEBYTECODE"] = "1"
-            process = self._start(name, shlex.split(role["run"]), environment)
-            self.hosts[name] = {"process": process, **fields["listen"]}
-            self.hosts[name]["operator"] = f"{ADDRESS}:{fields['internal_ports'][1]}"
-        started = time.monotonic()
-        for name, host in self.hosts.items():
-            wait_until(
-                lambda host=host: _is_ready(host["readiness"]), START_TIMEOUT_S, name
-            )
-        time.sleep(max(0, started + LEAD_S - time.monotonic()))
+        fields = self._settings(name, number)
+        settings = self._folder / f"{name}.ini"
+        settings.write_text(fill_in(template, fields))
+        environment = {
+            key: os.environ[key]
+            for key in ("PATH", "HOME", "LANG")
+            if key in os.environ
+        }
+        environment["HIBISCUSSTACK_CONFIG"] = str(settings)
+        environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
+        environment["PYTHONDONTWRITEBYTECODE"] = "1"
+        self.hosts[name] = {
+            "operator": f"{ADDRESS}:{fields['internal_ports'][1]}",
+            "command": shlex.split(role["run"]),
+            "environment": environment,
+            **fields["listen"],
+        }
+        self._launch(name)
+        return name
+
+    def wait_until_ready(self, name: str) -> None:
+        """Wait until a host says that it is ready."""
+        readiness = self.hosts[name]["readiness"]
+        wait_until(lambda: _is_ready(readiness), START_TIMEOUT_S, name)
+
+    def kill_host(self, name: str) -> None:
+        """End a host as a crash would."""
+        self.record.note(f"host {name} is killed")
+        self.hosts[name]["process"].kill()
+        self.hosts[name]["process"].wait()
+
+    def set_outage(self, kind: str, *hosts: str) -> None:
+        """Let the store turn some hosts away; end that without a kind."""
+        self.record.note(f"outage of the store: {kind or 'none'} {' '.join(hosts)}")
+        self.call("outage", kind=kind, hosts=hosts)
 
     def find_coordinator(self) -> str:
         """Return the name of the host that says that it coordinates."""
@@ -140,7 +166,7 @@
 
     def call(self, name: str, **body: Any) -> dict[str, Any]:
         """Call the estate."""
-        url = f"http://{ADDRESS}:{self._ports['control']}/{name}"
+        url = f"http://{ADDRESS}:{self._control_port}/{name}"
         data = json.dumps(body).encode()
         request = urllib.request.Request(url, data, method="POST")
         with urllib.request.urlopen(request, timeout=ANSWER_TIMEOUT_S) as answer:
@@ -192,10 +218,14 @@
         for process in self._processes:
             process.wait()
 
+    def _launch(self, name: str) -> None:
+        host = self.hosts[name]
+        host["process"] = self._start(name, host["command"], host["environment"])
+
     def _start(
         self, name: str, command: list[str], environment: dict[str, str]
     ) -> subprocess.Popen:
-        with (self._folder / f"{name}.log").open("wb") as log:
+        with (self._folder / f"{name}.log").open("ab") as log:
             process = subprocess.Popen(
                 command, stdout=log, stderr=log, cwd=ROOT, env=environment
             )
@@ -215,7 +245,7 @@
             },
             "limits": LIMITS,
             "bounds": BOUNDS,
-            "platform": {"address": f"{ADDRESS}:{self._ports['store']}"},
+            "platform": {"address": f"{ADDRESS}:{self._store_ports[name]}"},
         }
 
     def _free_ports(self, count: int) -> list[int]:
