Tell targets that leave as announced from lost ones

The coordinator noted the end of a leaving target as a loss under each task that ran there, and a stored task is given up after four losses of any evidence. A target that has left never answers again, so nothing refuted them.

The entry of a leaving target now gives the time before which it doesn't leave, counted from the last read of the list that hadn't shown the entry. Lost later than that, it has left as announced: no loss is noted, and the recorded start of a suspect is withdrawn. Lost earlier, it counts as any other target.

--- a/hibiscusstack/daemon/pool_daemon.py
+++ b/hibiscusstack/daemon/pool_daemon.py
@@ -2,6 +2,7 @@
 
 __all__ = ["PoolDaemon", "PoolDaemonComponents"]
 
+import math
 from collections.abc import Callable, Sequence
 from http import HTTPStatus
 
@@ -14,6 +15,7 @@
 from hibiscusstack.exceptions import DecodeError
 from hibiscusstack.http.address import parse_address
 from hibiscusstack.http.server import HttpServer
+from hibiscusstack.pool.announced_leaves import with_earliest_leave
 from hibiscusstack.pool.evacuation import EvacuationRequests, FindDataCentre
 from hibiscusstack.pool.interfaces import KeyedLog, KeyedRecord
 from hibiscusstack.pool.refused_records import RefusedRecords
@@ -77,6 +79,7 @@
         self._components = components
         self._refused = components.refused
         self._targets_by_key: dict[str, ListedTarget] = {}
+        self._target_list_as_of_ms = -math.inf
         self._pools: frozenset[str] | None = None
         self.evacuations = EvacuationRequests(components.find_evacuated, clock)
         host.awaits_requests = True
@@ -97,7 +100,8 @@
             self._apply_target_records,
             wait_ms=0,
             pause_ms=TARGETS_READ_INTERVAL_MS,
-            on_end=self._set_targets_read_interval,
+            on_end=self._target_list_read,
+            clock=clock,
             refused=self._refused,
         )
         host.targets_follower = self._targets_follower
@@ -185,6 +189,7 @@
     def _apply_target_records(
         self, records: Sequence[KeyedRecord], is_snapshot: bool
     ) -> None:
+        known = dict(self._targets_by_key)
         if is_snapshot:
             self._targets_by_key.clear()
         for record in records:
@@ -192,11 +197,13 @@
             if record.value is None:
                 continue
             try:
-                self._targets_by_key[record.key] = self._components.decode_target(
-                    record
-                )
+                target = self._components.decode_target(record)
             except DecodeError as error:
                 self._refused.note(TARGETS_TOPIC, record, error)
+                continue
+            self._targets_by_key[record.key] = with_earliest_leave(
+                target, known.get(record.key), self._target_list_as_of_ms
+            )
         self._apply_targets()
 
     def _apply_targets(self) -> None:
@@ -210,8 +217,10 @@
             if self._pools is None or target.pool in self._pools
         )
 
-    def _set_targets_read_interval(self, _end: int) -> None:
+    def _target_list_read(self, _end: int) -> None:
         """Read the list of targets more often while this host coordinates."""
+        if self._targets_follower.is_complete:
+            self._target_list_as_of_ms = self._targets_follower.current_as_of_ms
         is_coordinator = self._host.coordinator is not None
         self._targets_follower.pause_ms = (
             TARGETS_READ_INTERVAL_MS
--- a/hibiscusstack/pool/coordination/lost_targets.py
+++ b/hibiscusstack/pool/coordination/lost_targets.py
@@ -3,6 +3,7 @@
 __all__ = [
     "drop_lost_runs",
     "fail_if_given_up",
+    "has_left_as_announced",
     "mark_suspects",
     "note_loss",
     "refute_survived_loss",
@@ -29,17 +30,17 @@
 ) -> None:
     """Note the loss of a target instance, except for its runs that are ``alive``.
 
-    A target that is leaving ends its runs when it goes, so its loss shows no crash.
+    The end that a target has announced is no loss.
     """
+    if has_left_as_announced(state, target):
+        withdraw_start(state, target)
+        return
     known = state.losses.loss(target.instance_key)
     tasks = frozenset(
         name for name, number in target.runs if (name, number) not in alive
     )
     if not tasks:
         return
-    listing = target.listing
-    if listing.is_leaving:
-        evidence = LossEvidence.SILENT
     if known is not None and known.evidence >= evidence:
         return
     state.losses.note(
@@ -55,6 +56,29 @@
             run.task.is_suspect = state.losses.must_isolate(run.name)
 
 
+def has_left_as_announced(state: CoordinatorState, target: TargetState) -> bool:
+    """Return whether a lost target has left as it had announced.
+
+    One that is lost earlier than that has crashed or was cut off, as any other.
+    """
+    lost_ms = target.silent_since_ms
+    if lost_ms is None:
+        lost_ms = state.clock.now_ms()
+    return target.listing.is_leaving and lost_ms >= target.listing.leaves_after_ms
+
+
+def withdraw_start(state: CoordinatorState, target: TargetState) -> None:
+    """Drop the recorded start of a suspect at a target that has left as announced.
+
+    Each further start counts nevertheless for a task whose starts are bounded.
+    """
+    start = state.losses.loss(target.instance_key)
+    if start is None or start.evidence is not LossEvidence.STARTED:
+        return
+    if not any(_must_count_start(state, name, start) for name in start.tasks):
+        state.losses.refute(start.key)
+
+
 def _is_single(state: CoordinatorState, target: TargetState) -> bool:
     """Return whether no other target fell silent at about the same time."""
     silent_ms = target.silent_since_ms
--- a/hibiscusstack/pool/coordination/periodic_checks.py
+++ b/hibiscusstack/pool/coordination/periodic_checks.py
@@ -11,7 +11,11 @@
     log_emptied,
     refuse_stranded_jobs,
 )
-from hibiscusstack.pool.coordination.lost_targets import drop_lost_runs, note_loss
+from hibiscusstack.pool.coordination.lost_targets import (
+    drop_lost_runs,
+    has_left_as_announced,
+    note_loss,
+)
 from hibiscusstack.pool.coordination.requeuing import drop_run
 from hibiscusstack.pool.coordination.sending import (
     send_hold,
@@ -110,7 +114,9 @@
     ):
         note_loss(state, target, evidence)
     if is_over:
-        drop_lost_runs(state, target, now_ms, "the lease expired")
+        has_left = has_left_as_announced(state, target)
+        cause = "the target has left" if has_left else "the lease expired"
+        drop_lost_runs(state, target, now_ms, cause)
 
 
 def _drop_fenced_runs(
--- a/hibiscusstack/pool/coordination/tests/test_isolation.py
+++ b/hibiscusstack/pool/coordination/tests/test_isolation.py
@@ -103,6 +103,27 @@
     assert harness.answers == [] and len(harness.starts) == 3
 
 
+# Guards against a crash that is taken for the end that its target had announced.
+def test_a_target_that_is_lost_before_its_announced_end_has_crashed():
+    names = ("t1", "t2", "t3")
+    harness = CoordinatorHarness(*names)
+    harness.complete_takeover(*names)
+    harness.submit_and_start("t1", make_job())
+    leaves_after_ms = harness.clock.now_ms() + 60_000
+    for number in range(2):
+        name = harness.starts[-1][0].name
+        harness.reply_to_start()
+        leaving = names[: number + 1]
+        harness.coordinator.replace_targets(
+            make_target(
+                each, is_leaving=each in leaving, leaves_after_ms=leaves_after_ms
+            )
+            for each in names
+        )
+        lose(harness, name)
+    assert harness.ends() == [JobEnd.FAILED]
+
+
 def test_a_target_that_is_only_silent_is_not_counted_as_a_crash():
     harness = CoordinatorHarness("t1", "t2", "t3")
     harness.complete_takeover("t1", "t2", "t3")
--- a/hibiscusstack/pool/coordinator_role.py
+++ b/hibiscusstack/pool/coordinator_role.py
@@ -101,7 +101,8 @@
             term.offset + 1, self.coordinator
         )
         self.targets_changed()
-        self.coordinator.take_over_unlisted(self._records.targets())
+        recorded = map(self._targets.as_last_listed, self._records.targets())
+        self.coordinator.take_over_unlisted(recorded)
 
     def begin_deputy(
         self, term: Term, registration_offset: int, is_general: bool = False
--- a/hibiscusstack/pool/recent_targets.py
+++ b/hibiscusstack/pool/recent_targets.py
@@ -43,6 +43,14 @@
             if since_ms is not None and now_ms - since_ms > RECENT_TARGET_RETENTION_MS:
                 del self._recent[name]
 
+    def as_last_listed(self, target: ListedTarget) -> ListedTarget:
+        """Return a target as it was last listed, if that is known of its instance."""
+        recent = self._recent.get(target.name)
+        started_ms = target.instance_started_ms
+        if recent is None or recent.target.instance_started_ms != started_ms:
+            return target
+        return recent.target
+
     def recent_in(self, data_centre: str) -> list[ListedTarget]:
         """Return the targets of a data centre that are listed or recently unlisted."""
         return [
--- a/hibiscusstack/pool/tests/test_recent_targets.py
+++ b/hibiscusstack/pool/tests/test_recent_targets.py
@@ -1,5 +1,7 @@
 """Tests of listed and recently unlisted targets."""
 
+import attrs
+
 from hibiscusstack.pool.jobs import Resources
 from hibiscusstack.pool.recent_targets import RECENT_TARGET_RETENTION_MS, RecentTargets
 from hibiscusstack.pool.targets import ListedTarget
@@ -46,3 +48,13 @@
     for number in range(100):
         targets.replace([target(f"t{number}")], number * 1_000)
     assert len(targets.recent_in("x")) == 2 + RECENT_TARGET_RETENTION_MS // 1_000
+
+
+def test_a_recorded_target_is_replaced_by_its_last_listing_if_the_instance_is_known():
+    targets = RecentTargets()
+    leaving = attrs.evolve(target("a"), is_leaving=True)
+    targets.replace([leaving], 0)
+    targets.replace([], 100)
+    assert targets.as_last_listed(target("a")) is leaving
+    for other in (target("a", 2), target("b")):
+        assert targets.as_last_listed(other) is other
--- a/hibiscusstack/pool/topic_follower.py
+++ b/hibiscusstack/pool/topic_follower.py
@@ -26,6 +26,7 @@
     ``on_records`` is called with records in order. Its second argument says whether
     they are a snapshot: the newest record of every key, which replaces all earlier
     records. ``on_end`` is called after each read with the end offset of the page.
+    ``is_complete`` tells whether the topic has been read to its end at least once.
 
     ``wait_ms`` is how long a read waits for a record, ``pause_ms`` the pause between
     two reads; a page that had no room for all records is followed at once. All records
@@ -53,7 +54,7 @@
     ) -> None:
         self.refused = refused or RefusedRecords()
         self.pause_ms = pause_ms
-        self.is_log_available = False
+        self.is_log_available = self.is_complete = False
         self._reactor = reactor
         self._log = log
         self._topic = topic
@@ -120,6 +121,7 @@
             self._available_since_ms = self._clock.now_ms()
         if not page.has_more:
             self.current_as_of_ms = self._read_started_ms
+            self.is_complete = True
         if page.records or is_snapshot:
             self._deliver(page.records, is_snapshot)
         self._offset = page.end
